--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# Build, test and demo of cassiatray. Needs Go, a C compiler and make.
+
+BIN      := bin
+PROGRAMS := cassiatray-entry cassiatray-steer cassiatrayctl cassiatray-standin cassiatray-load cassiatray-demo
+PROTO    := proto/peer/v1/peer.proto
+SEED     := 20261204
+
+export CGO_ENABLED := 1
+
+.PHONY: all build demo up test check generate explore clean
+
+all: build
+
+build:
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ ./cmd/...
+
+# demo runs both users' systems in small, shows a request's whole path and ends.
+demo: build
+	$(BIN)/cassiatray-demo
+
+# up leaves the demo's systems running until interrupted.
+up: build
+	$(BIN)/cassiatray-demo --up
+
+# test is everything that CI runs.
+test: check build
+	CASSIATRAY_BIN=$(CURDIR)/$(BIN) RAPID_SEED=$(SEED) go test -race -count=1 ./...
+
+# explore runs the property tests longer and with new seeds.
+explore: build
+	CASSIATRAY_BIN=$(CURDIR)/$(BIN) RAPID_CHECKS=10000 go test -race -count=1 ./internal/core/...
+
+# check is formatting, vetting, linting and generated code.
+check:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt would change:"; echo "$$out"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+	sha256sum --check --quiet proto/generated.sha256
+
+# generate needs protoc; its output is committed.
+generate:
+	go build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=module=cassiatray $(PROTO)
+	sha256sum $(PROTO) $(PROTO:.proto=.pb.go) > proto/generated.sha256
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/internal/adapter/backendhttp/client.go
@@ -0,0 +1,173 @@
+// Package backendhttp sends requests to backend servers over HTTP/1.1 and
+// checks that each answer is whole and belongs to its request.
+package backendhttp
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"cassiatray/internal/port"
+)
+
+// Headers exchanged with backend servers.
+const (
+	// HeaderRequestID is echoed by the server in its answer.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderTimeout is the time left, in milliseconds.
+	HeaderTimeout = "X-Timeout-Ms"
+	// HeaderDraining is set to "true" by a server that is leaving.
+	HeaderDraining = "X-Draining"
+	// HeaderLoad is "in-flight/slots" as the server reports it.
+	HeaderLoad = "X-Load"
+)
+
+// Limits of the connections to one server.
+const (
+	idleTimeout    = 60 * time.Second
+	connectTimeout = time.Second
+)
+
+// Client implements port.Backend.
+type Client struct {
+	http *http.Client
+}
+
+// New returns a client that holds at most maxConns connections to each server.
+func New(maxConns int) *Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		MaxConnsPerHost:     maxConns,
+		MaxIdleConnsPerHost: maxConns,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// onceBody is a request body that the transport cannot rewind, so that it
+// cannot send the request a second time.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// Do implements port.Backend.
+func (c *Client) Do(ctx context.Context, address string, r *port.BackendRequest) (*port.BackendAnswer, error) {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), address, r)
+	if err != nil {
+		return nil, &port.BackendError{Code: port.BackendConnect, Address: address, Err: err}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, failure(ctx, address, sent.Load(), err)
+	}
+	defer resp.Body.Close()
+	return read(ctx, address, r, resp)
+}
+
+func newRequest(ctx context.Context, address string, r *port.BackendRequest) (*http.Request, error) {
+	url := "http://" + address + r.Path
+	if r.RawQuery != "" {
+		url += "?" + r.RawQuery
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header = r.Header.Clone()
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	// The transport sends a request again by itself when it has no body, or
+	// one that it can rewind, and a kept connection closes under it. A body of
+	// unknown identity forbids that; retries are decided above this layer.
+	if r.AtMostOnce || len(r.Body) > 0 {
+		req.Body = onceBody{bytes.NewReader(r.Body)}
+		req.ContentLength = int64(len(r.Body))
+	}
+	req.Header.Set(HeaderRequestID, r.RequestID)
+	left := max(1, time.Until(r.Deadline).Milliseconds())
+	req.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	return req, nil
+}
+
+func failure(ctx context.Context, address string, sent bool, err error) error {
+	code := port.BackendBroken
+	switch {
+	case !sent:
+		code = port.BackendConnect
+	case errors.Is(ctx.Err(), context.Canceled):
+		code = port.BackendCanceled
+	case ctx.Err() != nil:
+		code = port.BackendTimeout
+	}
+	return &port.BackendError{Code: code, Address: address, Sent: sent, Err: err}
+}
+
+// MismatchError is an answer that names another request.
+type MismatchError struct{ Want, Got string }
+
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("answer to request %q, sent %q", e.Got, e.Want)
+}
+
+// SizeError is an answer over its limit, in bytes.
+type SizeError struct{ Limit int64 }
+
+func (e *SizeError) Error() string { return fmt.Sprintf("answer over %d bytes", e.Limit) }
+
+func read(ctx context.Context, address string, r *port.BackendRequest, resp *http.Response) (*port.BackendAnswer, error) {
+	if got := resp.Header.Get(HeaderRequestID); got != r.RequestID {
+		err := &MismatchError{Want: r.RequestID, Got: got}
+		return nil, &port.BackendError{Code: port.BackendMismatch, Address: address, Sent: true, Err: err}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, r.MaxAnswer+1))
+	if err != nil {
+		fe := failure(ctx, address, true, err)
+		var be *port.BackendError
+		if errors.As(fe, &be) && be.Code == port.BackendBroken {
+			be.Code = port.BackendShort
+		}
+		return nil, fe
+	}
+	if int64(len(body)) > r.MaxAnswer {
+		return nil, &port.BackendError{Code: port.BackendTooLarge, Address: address, Sent: true, Err: &SizeError{Limit: r.MaxAnswer}}
+	}
+	a := &port.BackendAnswer{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	a.Leaving = resp.Header.Get(HeaderDraining) == "true"
+	a.Load = parseLoad(resp.Header.Get(HeaderLoad))
+	for _, h := range []string{HeaderRequestID, HeaderDraining, HeaderLoad, "Connection", "Keep-Alive", "Transfer-Encoding"} {
+		a.Header.Del(h)
+	}
+	return a, nil
+}
+
+func parseLoad(text string) *port.BackendLoad {
+	used, slots, ok := strings.Cut(text, "/")
+	if !ok {
+		return nil
+	}
+	u, err1 := strconv.Atoi(used)
+	s, err2 := strconv.Atoi(slots)
+	if err1 != nil || err2 != nil || u < 0 || s < 0 {
+		return nil
+	}
+	return &port.BackendLoad{InFlight: u, Slots: s}
+}
--- /dev/null
+++ b/internal/adapter/callerhttp/handler.go
@@ -0,0 +1,189 @@
+// Package callerhttp serves callers over HTTP: look-ups and requests. Every
+// failure is an api.Error in JSON.
+package callerhttp
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"cassiatray/api"
+	"cassiatray/internal/port"
+)
+
+// Limits of a caller's connection.
+const (
+	// MaxHeaderBytes bounds a request's headers.
+	MaxHeaderBytes = 32 << 10
+	headerTimeout  = 5 * time.Second
+	bodyTimeout    = 30 * time.Second
+	idleTimeout    = 90 * time.Second
+)
+
+// Handler serves callers from a port.CallerService.
+type Handler struct {
+	svc  port.CallerService
+	host string
+}
+
+// NewHandler returns the routes of the caller address of an entry host.
+func NewHandler(svc port.CallerService, host string) http.Handler {
+	h := &Handler{svc: svc, host: host}
+	// Paths are passed on as they came: cleaning would answer with redirects.
+	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	r.HandleFunc("/v1/lookup/{service}", h.lookup).Methods(http.MethodGet)
+	r.PathPrefix("/v1/request/{service}/").HandlerFunc(h.request)
+	unknown := func(w http.ResponseWriter, r *http.Request) {
+		h.fail(w, &api.Error{Code: api.CodeUnknownPath, Message: "no such path: " + r.URL.Path, Outcome: api.OutcomeNotRun})
+	}
+	r.NotFoundHandler = http.HandlerFunc(unknown)
+	r.MethodNotAllowedHandler = http.HandlerFunc(unknown)
+	return r
+}
+
+// NewServer returns an HTTP server with the limits of a caller's connection.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeaderBytes,
+	}
+}
+
+func (h *Handler) lookup(w http.ResponseWriter, r *http.Request) {
+	text := r.URL.Query().Get("client")
+	client, err := netip.ParseAddr(text)
+	if err != nil {
+		h.fail(w, &api.Error{Code: api.CodeBadClient, Message: "client is not an IP address: " + strconv.Quote(text), Outcome: api.OutcomeNotRun})
+		return
+	}
+	answer, fail := h.svc.Lookup(mux.Vars(r)["service"], client)
+	if fail != nil {
+		h.fail(w, fail)
+		return
+	}
+	seconds := answer.TTLMillis / time.Second.Milliseconds()
+	w.Header().Set("Cache-Control", "max-age="+strconv.FormatInt(seconds, 10))
+	h.writeJSON(w, http.StatusOK, answer)
+}
+
+func (h *Handler) request(w http.ResponseWriter, r *http.Request) {
+	req := newRequest(r)
+	limit, fail := h.svc.Limit(req.Service, req.Method, req.Path)
+	if fail != nil {
+		h.fail(w, fail)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		h.fail(w, bodyError(err, limit))
+		return
+	}
+	req.Body = body
+	answer, fail := h.svc.Do(r.Context(), req)
+	if fail != nil {
+		h.fail(w, fail)
+		return
+	}
+	h.write(w, answer)
+}
+
+func newRequest(r *http.Request) *port.CallerRequest {
+	service := mux.Vars(r)["service"]
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/request/"+service)
+	req := &port.CallerRequest{
+		Service: service, Method: r.Method, Path: path, RawQuery: r.URL.RawQuery,
+		Header: forwardable(r.Header), OperationID: r.Header.Get(api.HeaderOperationID),
+	}
+	if ms, err := strconv.ParseInt(r.Header.Get(api.HeaderTimeout), 10, 32); err == nil && ms > 0 {
+		req.Timeout = time.Duration(ms) * time.Millisecond
+	}
+	return req
+}
+
+// hopByHop are headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+func forwardable(in http.Header) http.Header {
+	out := in.Clone()
+	for _, list := range in.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+func bodyError(err error, limit int64) *api.Error {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		msg := "body over " + strconv.FormatInt(limit, 10) + " bytes"
+		return &api.Error{Code: api.CodeBodyTooLarge, Message: msg, Outcome: api.OutcomeNotRun}
+	}
+	return &api.Error{Code: api.CodeBadRequest, Message: "body cut short", Outcome: api.OutcomeNotRun}
+}
+
+func (h *Handler) write(w http.ResponseWriter, a *port.CallerAnswer) {
+	out := w.Header()
+	for name, values := range a.Header {
+		out[name] = values
+	}
+	out.Set(api.HeaderOutcome, string(api.OutcomeDone))
+	out.Set(api.HeaderHost, h.host)
+	out.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	w.Write(a.Body)
+}
+
+// statusOf is the HTTP status of each code.
+var statusOf = map[api.Code]int{
+	api.CodeUnknownPath:       http.StatusNotFound,
+	api.CodeUnknownService:    http.StatusNotFound,
+	api.CodeUnknownClass:      http.StatusNotFound,
+	api.CodeBadClient:         http.StatusBadRequest,
+	api.CodeBadRequest:        http.StatusBadRequest,
+	api.CodeBodyTooLarge:      http.StatusRequestEntityTooLarge,
+	api.CodeOperationRequired: http.StatusBadRequest,
+	api.CodeBadOperation:      http.StatusBadRequest,
+	api.CodeNotReady:          http.StatusServiceUnavailable,
+	api.CodeOverloaded:        http.StatusServiceUnavailable,
+	api.CodeNoServer:          http.StatusServiceUnavailable,
+	api.CodeStopping:          http.StatusServiceUnavailable,
+	api.CodeDeadline:          http.StatusGatewayTimeout,
+	api.CodeCanceled:          http.StatusGatewayTimeout,
+	api.CodeBackend:           http.StatusBadGateway,
+	api.CodePeer:              http.StatusBadGateway,
+	api.CodeInternal:          http.StatusInternalServerError,
+}
+
+func (h *Handler) fail(w http.ResponseWriter, e *api.Error) {
+	status, ok := statusOf[e.Code]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	if e.RetryAfterMillis > 0 {
+		seconds := (e.RetryAfterMillis + 999) / 1000
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.Header().Set(api.HeaderOutcome, string(e.Outcome))
+	w.Header().Set(api.HeaderHost, h.host)
+	h.writeJSON(w, status, e)
+}
+
+func (h *Handler) writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/adapter/peer/server.go
@@ -0,0 +1,208 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"cassiatray/internal/port"
+	peerv1 "cassiatray/proto/peer/v1"
+)
+
+// Limits of a session.
+const (
+	// streamBacklog bounds streams that a peer opened and this side has not
+	// yet accepted.
+	streamBacklog = 256
+	// keepAlive is the interval of yamux pings; a peer that misses one for
+	// writeTimeout is cut.
+	keepAlive    = 5 * time.Second
+	writeTimeout = 5 * time.Second
+	// firstFrameTimeout bounds how long a peer may take to send its request.
+	firstFrameTimeout = 5 * time.Second
+)
+
+func muxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.AcceptBacklog = streamBacklog
+	cfg.KeepAliveInterval = keepAlive
+	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+// Handler answers exchanges.
+type Handler interface {
+	// Serve answers one request. The reply's identity is filled in by the
+	// server. An error becomes a typed failure.
+	Serve(ctx context.Context, req *peerv1.Request) (*peerv1.Reply, error)
+	// ServeFollow answers a Follow request with any number of replies until
+	// it returns.
+	ServeFollow(ctx context.Context, req *peerv1.Request, send func(*peerv1.Reply) error) error
+}
+
+// Server accepts sessions from peers.
+type Server struct {
+	self    Identity
+	handler Handler
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+
+	mu       sync.Mutex
+	listener net.Listener
+	sessions map[*yamux.Session]struct{}
+}
+
+// NewServer returns a server that presents itself as self.
+func NewServer(self Identity, handler Handler) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{self: self, handler: handler, ctx: ctx, cancel: cancel, sessions: map[*yamux.Session]struct{}{}}
+}
+
+// Start accepts sessions on a listener until Close.
+func (s *Server) Start(l net.Listener) {
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
+	s.wg.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.wg.Go(func() { s.session(conn) })
+		}
+	})
+}
+
+// Close cuts all sessions and waits for their handlers.
+func (s *Server) Close() error {
+	s.cancel()
+	s.mu.Lock()
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	for mux := range s.sessions {
+		mux.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+	return nil
+}
+
+func (s *Server) session(conn net.Conn) {
+	mux, err := yamux.Server(conn, muxConfig())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	defer mux.Close()
+	if !s.add(mux) {
+		return
+	}
+	defer s.remove(mux)
+	for {
+		stream, err := mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		s.wg.Go(func() { s.stream(stream) })
+	}
+}
+
+func (s *Server) add(mux *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return false
+	}
+	s.sessions[mux] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(mux *yamux.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, mux)
+}
+
+func (s *Server) stream(stream *yamux.Stream) {
+	defer stream.Close()
+	stream.SetReadDeadline(time.Now().Add(firstFrameTimeout))
+	r := bufio.NewReader(stream)
+	req := new(peerv1.Request)
+	if err := readFrame(r, req); err != nil {
+		return
+	}
+	ctx, cancel := s.context(req)
+	defer cancel()
+	stream.SetReadDeadline(time.Time{})
+	// The peer sends nothing after its request, so a read ends only when the
+	// peer closes or resets the stream: that cancels the exchange.
+	s.wg.Go(func() {
+		r.ReadByte()
+		cancel()
+	})
+	send := func(reply *peerv1.Reply) error {
+		reply.ExchangeId = req.ExchangeId
+		reply.FromIncarnation = s.self.Incarnation
+		stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+		return writeFrame(stream, reply)
+	}
+	if err := s.answer(ctx, req, send); err != nil {
+		send(&peerv1.Reply{Failure: failureOf(err)})
+	}
+}
+
+func (s *Server) context(req *peerv1.Request) (context.Context, context.CancelFunc) {
+	if req.RemainingMicros <= 0 {
+		return context.WithCancel(s.ctx)
+	}
+	return context.WithTimeout(s.ctx, time.Duration(req.RemainingMicros)*time.Microsecond)
+}
+
+func (s *Server) answer(ctx context.Context, req *peerv1.Request, send func(*peerv1.Reply) error) error {
+	if req.ToIncarnation != 0 && req.ToIncarnation != s.self.Incarnation {
+		return &port.PeerError{Code: port.PeerIncarnation}
+	}
+	if req.GetFollow() != nil {
+		return s.handler.ServeFollow(ctx, req, send)
+	}
+	reply, err := s.handler.Serve(ctx, req)
+	if err != nil {
+		return err
+	}
+	return send(reply)
+}
+
+// CodedError is an error with a code that peers understand.
+type CodedError interface {
+	error
+	ErrorCode() string
+}
+
+// CodeInternal is the code of failures that have none of their own.
+const CodeInternal = "internal"
+
+func failureOf(err error) *peerv1.Failure {
+	f := &peerv1.Failure{Code: CodeInternal, Message: err.Error()}
+	var pe *port.PeerError
+	if errors.As(err, &pe) {
+		f.Code = string(pe.Code)
+		if pe.Reason != "" {
+			f.Code = pe.Reason
+		}
+	}
+	var coded CodedError
+	if errors.As(err, &coded) {
+		f.Code = coded.ErrorCode()
+	}
+	return f
+}
--- /dev/null
+++ b/internal/core/document/document_test.go
@@ -0,0 +1,127 @@
+package document
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const small = `
+weigh: latency
+lookup: {ttl: 10s, hosts: 3}
+regions:
+  - name: gulf
+    domains:
+      - name: gulf-a
+        entryHosts:
+          - {name: h1, caller: "127.0.0.1:1", entry: "127.0.0.1:2", steer: "127.0.0.1:3"}
+links: []
+services:
+  - name: rodsheet
+    slots: 9
+    connections: 850
+    coldStart: {connection: 1ms, warmup: 2s}
+    servers:
+      - {name: s1, domain: gulf-a, address: "127.0.0.1:9"}
+    classes:
+      - {name: sheet, methods: [GET], path: /, execution: idempotent, deadline: 1s, priority: 0, retries: 10%, maxBody: 4KiB, maxAnswer: 1MiB}
+caps:
+  shift: {share: 10%, per: 1m}
+clients:
+  - {block: 10.0.0.0/16, regions: [gulf]}
+`
+
+func TestParse(t *testing.T) {
+	doc, err := Parse("small.yaml", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := doc.Services[0].Classes[0].MaxBody; got != 4<<10 {
+		t.Fatalf("maxBody = %d", got)
+	}
+}
+
+func TestParseFaults(t *testing.T) {
+	for _, c := range []struct{ name, old, new, want string }{
+		{"unknown key", "slots: 9", "slotz: 9", "line 13: services[0].slotz: unknown key"},
+		{"wrong type", "slots: 9", "slots: nine", `line 13: services[0].slots: expected a whole number, got "nine"`},
+		{"bad address", `"127.0.0.1:9"`, `"localhost:9"`, "line 17: services[0].servers[0].address:"},
+		{"missing domain", "domain: gulf-a", "domain: gulf-z", `line 17: services[0].servers[0].domain: no failure domain is named "gulf-z"`},
+		{"host bits", "10.0.0.0/16", "10.0.0.1/16", "line 23: clients[0].block:"},
+		{"key twice", "weigh: latency", "weigh: latency\nweigh: headroom", "line 3: weigh: key given twice"},
+		{"syntax", "weigh: latency", "weigh: [latency", "line "},
+		{"bad share", "retries: 10%", "retries: 110%", "services[0].classes[0].retries:"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse("small.yaml", []byte(strings.Replace(small, c.old, c.new, 1)))
+			var invalid *InvalidError
+			if !errors.As(err, &invalid) {
+				t.Fatalf("error %v is no InvalidError", err)
+			}
+			if !strings.Contains(err.Error(), "small.yaml: "+c.want) && !strings.Contains(err.Error(), c.want) {
+				t.Fatalf("error %q lacks %q", err, c.want)
+			}
+		})
+	}
+}
+
+func mustParse(t testing.TB) *Document {
+	t.Helper()
+	doc, err := Parse("small.yaml", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return doc
+}
+
+// version returns the sections of a variant of the small document.
+func version(t testing.TB, slots int) []Section {
+	doc := mustParse(t)
+	doc.Services[0].Slots = slots
+	sections, err := Divide(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sections
+}
+
+// TestReplicaNeverReverts delivers heads late, twice and with sections missing.
+func TestReplicaNeverReverts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := NewReplica()
+		var highest uint64
+		for range rapid.IntRange(1, 30).Draw(rt, "deliveries") {
+			seq := rapid.Uint64Range(1, 10).Draw(rt, "sequence")
+			sections := version(t, int(seq))
+			h := Head{Sequence: seq, ChangeID: fmt.Sprint(seq), Sections: Refs(sections)}
+			if rapid.Bool().Draw(rt, "delta") {
+				sections = sections[2:3]
+			}
+			ok, err := r.Advance(h, sections)
+			if ok {
+				highest = max(highest, seq)
+			}
+			var missing *MissingError
+			if err != nil && !errors.As(err, &missing) {
+				rt.Fatal(err)
+			}
+			if got := r.Head().Sequence; got != highest {
+				rt.Fatalf("in force %d, accepted %d", got, highest)
+			}
+			if highest > 0 && r.Index().Service("rodsheet").Slots != int(highest) {
+				rt.Fatalf("index shows %d slots at %d", r.Index().Service("rodsheet").Slots, highest)
+			}
+		}
+	})
+}
+
+func TestJoinRefusesWrongHash(t *testing.T) {
+	sections := version(t, 9)
+	sections[2].Data = []byte("[]")
+	if _, err := Join(sections); !errors.Is(err, ErrHash) {
+		t.Fatalf("error = %v", err)
+	}
+}
--- /dev/null
+++ b/internal/daemon/entry/errors.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"cassiatray/api"
+	"cassiatray/internal/port"
+)
+
+// overloadRetry is what callers are told to wait when every slot is taken.
+const overloadRetry = time.Second
+
+func notReady() *api.Error {
+	return &api.Error{
+		Code: api.CodeNotReady, Message: "no document in force yet", Outcome: api.OutcomeNotRun,
+		RetryAfterMillis: overloadRetry.Milliseconds(),
+	}
+}
+
+func unknownService(name string) *api.Error {
+	return &api.Error{Code: api.CodeUnknownService, Message: fmt.Sprintf("no service is named %q", name), Outcome: api.OutcomeNotRun}
+}
+
+func unknownClass(method, path string) *api.Error {
+	return &api.Error{Code: api.CodeUnknownClass, Message: "no class takes " + method + " " + path, Outcome: api.OutcomeNotRun}
+}
+
+func overloaded() *api.Error {
+	return &api.Error{
+		Code: api.CodeOverloaded, Message: "every slot is taken", Outcome: api.OutcomeNotRun,
+		RetryAfterMillis: overloadRetry.Milliseconds(),
+	}
+}
+
+// backendError says what a failed request to a backend server means to its
+// caller.
+func backendError(err error) *api.Error {
+	out := &api.Error{Code: api.CodeBackend, Message: err.Error(), Outcome: api.OutcomeUnknown}
+	var be *port.BackendError
+	if !errors.As(err, &be) {
+		return out
+	}
+	if !be.Sent {
+		out.Outcome = api.OutcomeNotRun
+	}
+	switch be.Code {
+	case port.BackendTimeout:
+		out.Code = api.CodeDeadline
+	case port.BackendCanceled:
+		out.Code = api.CodeCanceled
+	}
+	return out
+}
+
+// peerError says what a failed exchange with another host means to a caller.
+func peerError(err error) *api.Error {
+	out := &api.Error{Code: api.CodePeer, Message: err.Error(), Outcome: api.OutcomeUnknown}
+	var pe *port.PeerError
+	if !errors.As(err, &pe) {
+		return out
+	}
+	if !pe.Sent || pe.Code == port.PeerIncarnation {
+		out.Outcome = api.OutcomeNotRun
+	}
+	if pe.Code == port.PeerTimeout {
+		out.Code = api.CodeDeadline
+	}
+	return out
+}
+
+func contextError(err error) *api.Error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return &api.Error{Code: api.CodeDeadline, Message: "deadline passed", Outcome: api.OutcomeUnknown}
+	}
+	return &api.Error{Code: api.CodeCanceled, Message: "caller gave up", Outcome: api.OutcomeUnknown}
+}
--- /dev/null
+++ b/internal/daemon/entry/module.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"cassiatray/internal/adapter/backendhttp"
+	"cassiatray/internal/adapter/callerhttp"
+	"cassiatray/internal/adapter/operatorhttp"
+	"cassiatray/internal/adapter/peer"
+	"cassiatray/internal/core/document"
+	"cassiatray/internal/core/membership"
+	"cassiatray/internal/logging"
+	"cassiatray/internal/port"
+	"cassiatray/internal/program"
+	peerv1 "cassiatray/proto/peer/v1"
+)
+
+// maxBackendConns bounds the connections of this process to one server. Those
+// of all entry hosts of a domain together stay under the server's own limit.
+const maxBackendConns = 128
+
+// Module wires an entry process. It needs *Settings, *logrus.Logger and
+// *prometheus.Registry.
+var Module = fx.Module("entry",
+	fx.Provide(newIdentity, newPool, newFeed, newBackend, newNode, newServer, NewMetrics),
+	fx.Invoke(start),
+)
+
+func newIdentity(cfg *Settings) peer.Identity {
+	return peer.Identity{Host: cfg.Host, Incarnation: membership.NewIncarnation(time.Now(), rand.Uint64())}
+}
+
+func newPool(id peer.Identity) *peer.Pool { return peer.NewPool(id, peer.TCPDial) }
+
+func newFeed(cfg *Settings, id peer.Identity, pool *peer.Pool, log *logrus.Logger) *Feed {
+	return NewFeed(*cfg, id.Incarnation, pool, logging.Part(log, "feed"))
+}
+
+func newBackend() *backendhttp.Client { return backendhttp.New(maxBackendConns) }
+
+func newNode(cfg *Settings, id peer.Identity, f *Feed, b *backendhttp.Client, pool *peer.Pool, log *logrus.Logger, m *Metrics) *Node {
+	return NewNode(*cfg, id.Incarnation, f, b, pool, port.SystemClock{}, logging.Part(log, "entry"), m)
+}
+
+func newServer(id peer.Identity, n *Node) *peer.Server { return peer.NewServer(id, n) }
+
+func start(lc fx.Lifecycle, cfg *Settings, n *Node, f *Feed, srv *peer.Server, pool *peer.Pool, reg *prometheus.Registry) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	callers := callerhttp.NewServer(callerhttp.NewHandler(n, cfg.Host))
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			pl, err := program.Listen(cfg.Peer)
+			if err != nil {
+				return err
+			}
+			cl, err := program.Listen(cfg.Caller)
+			if err != nil {
+				return err
+			}
+			ol, err := program.Listen(cfg.Operator)
+			if err != nil {
+				return err
+			}
+			operatorhttp.Serve(ol, operatorhttp.NewRouter(n, reg))
+			srv.Start(pl)
+			wg.Go(func() { f.Run(ctx) })
+			go callers.Serve(cl)
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			n.leave(stop)
+			err := callers.Shutdown(stop)
+			cancel()
+			wg.Wait()
+			srv.Close()
+			pool.Close()
+			return err
+		},
+	})
+}
+
+// leave reports this process as leaving and goes on serving for as long as
+// callers may hold a look-up answer that names it.
+func (n *Node) leave(ctx context.Context) {
+	n.feed.SetState(peerv1.HostState_HOST_STATE_LEAVING)
+	n.feed.reportOnce(ctx)
+	if snap := n.feed.Snapshot(); snap != nil {
+		pause(ctx, snap.Index.Doc.Lookup.TTL.D())
+	}
+}
+
+// NotReadyError says why a process cannot serve yet.
+type NotReadyError struct{ Reason string }
+
+func (e *NotReadyError) Error() string { return "not ready: " + e.Reason }
+
+// Ready implements operatorhttp.Source.
+func (n *Node) Ready() error {
+	if n.feed.Snapshot() == nil {
+		return &NotReadyError{Reason: "no document of environment " + n.cfg.Environment}
+	}
+	return nil
+}
+
+// State is the dump of an entry process.
+type State struct {
+	Host        string           `json:"host"`
+	Domain      string           `json:"domain"`
+	Incarnation uint64           `json:"incarnation,string"`
+	State       string           `json:"state"`
+	Head        document.Head    `json:"head"`
+	Members     []*peerv1.Member `json:"members"`
+	InFlight    []ServiceState   `json:"inFlight"`
+	Operations  int              `json:"operations"`
+}
+
+// ServiceState is the load of one service on this host.
+type ServiceState struct {
+	Service  string `json:"service"`
+	InFlight int    `json:"inFlight"`
+}
+
+// Dump implements operatorhttp.Source.
+func (n *Node) Dump() any {
+	s := State{Host: n.cfg.Host, Domain: n.cfg.Domain, Incarnation: n.incarnation, State: n.feed.State().String()}
+	if snap := n.feed.Snapshot(); snap != nil {
+		s.Head = snap.Head
+		for _, m := range snap.Members {
+			s.Members = append(s.Members, m)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s.Operations = n.operations.Len()
+	for name, g := range n.gates {
+		s.InFlight = append(s.InFlight, ServiceState{Service: name, InFlight: g.InFlight()})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/daemon/entry/settings.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"time"
+
+	"cassiatray/internal/core/document"
+	"cassiatray/internal/settings"
+)
+
+// Settings is the settings file of cassiatray-entry.
+type Settings struct {
+	// Host is this entry host's name in the environment document.
+	Host string `yaml:"host"`
+	// Domain is this host's failure domain.
+	Domain string `yaml:"domain"`
+	// Environment is the environment this host runs.
+	Environment string `yaml:"environment"`
+	// Steer is the peer address of this host's cassiatray-steer.
+	Steer document.Address `yaml:"steer"`
+	// Caller is the address on which callers reach this process.
+	Caller document.Address `yaml:"caller"`
+	// Peer is the address on which other entry hosts reach this one.
+	Peer document.Address `yaml:"peer"`
+	// Operator is the address of metrics and dumps.
+	Operator document.Address `yaml:"operator"`
+	// Heartbeat is the interval of reports to the steer process.
+	Heartbeat document.Duration `yaml:"heartbeat"`
+	Log       settings.Log      `yaml:"log"`
+}
+
+// DefaultHeartbeat is the heartbeat interval when none is set.
+const DefaultHeartbeat = 500 * time.Millisecond
+
+// Check implements settings.Checker and fills in defaults.
+func (s *Settings) Check(lines document.Lines) []document.Problem {
+	var out []document.Problem
+	out = append(out, settings.Required(lines, "host", s.Host)...)
+	out = append(out, settings.Required(lines, "domain", s.Domain)...)
+	out = append(out, settings.Required(lines, "environment", s.Environment)...)
+	out = append(out, settings.RequiredAddress(lines, "steer", s.Steer)...)
+	out = append(out, settings.RequiredAddress(lines, "caller", s.Caller)...)
+	out = append(out, settings.RequiredAddress(lines, "peer", s.Peer)...)
+	out = append(out, settings.RequiredAddress(lines, "operator", s.Operator)...)
+	if s.Heartbeat == 0 {
+		s.Heartbeat = document.Duration(DefaultHeartbeat)
+	}
+	return append(out, s.Log.Check("log", lines)...)
+}
--- /dev/null
+++ b/internal/daemon/entry/snapshot.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"cassiatray/internal/core/document"
+	"cassiatray/internal/core/lookup"
+	peerv1 "cassiatray/proto/peer/v1"
+)
+
+// Snapshot is everything that the path of a request reads. It is immutable:
+// the feed builds a new one and swaps the pointer.
+type Snapshot struct {
+	Head  document.Head
+	Index *document.Index
+	Table *lookup.Table
+	// Hosts can serve callers now.
+	Hosts []lookup.Host
+	// Members are all entry processes known, by host.
+	Members map[string]*peerv1.Member
+}
+
+// newSnapshot joins a document with the members of all domains.
+func newSnapshot(head document.Head, index *document.Index, table *lookup.Table, domains map[string]*peerv1.DomainView) *Snapshot {
+	s := &Snapshot{Head: head, Index: index, Table: table, Members: map[string]*peerv1.Member{}}
+	for _, view := range domains {
+		for _, m := range view.Members {
+			s.add(m)
+		}
+	}
+	return s
+}
+
+func (s *Snapshot) add(m *peerv1.Member) {
+	if m.EntryIncarnation == 0 {
+		return
+	}
+	s.Members[m.Host] = m
+	h := s.Index.Host(m.Host)
+	if h == nil || m.EntryState != peerv1.HostState_HOST_STATE_SERVING {
+		return
+	}
+	s.Hosts = append(s.Hosts, lookup.Host{
+		Name: m.Host, Domain: h.Domain, Region: h.Region, Caller: m.CallerAddress, Incarnation: m.EntryIncarnation,
+	})
+}
--- /dev/null
+++ b/internal/port/backend.go
@@ -0,0 +1,87 @@
+package port
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// BackendRequest is one request to a backend server, with its body whole.
+type BackendRequest struct {
+	Method   string
+	Path     string
+	RawQuery string
+	Header   http.Header
+	Body     []byte
+	// RequestID is echoed by the server and checked in its answer.
+	RequestID string
+	// Deadline is passed to the server as the time left.
+	Deadline time.Time
+	// MaxAnswer bounds the answer's body, in bytes.
+	MaxAnswer int64
+	// Execution is the execution rule of the request's class; a transport
+	// must not send an at-most-once request twice.
+	AtMostOnce bool
+}
+
+// BackendAnswer is one whole answer of a backend server.
+type BackendAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Leaving is set when the server said that it is draining.
+	Leaving bool
+	// Load is the load the server reported with the answer; nil when absent.
+	Load *BackendLoad
+}
+
+// BackendLoad is a server's own report of its load. It may lag or mislead.
+type BackendLoad struct {
+	Slots    int
+	InFlight int
+}
+
+// Backend sends requests to backend servers by address ("ip:port").
+//
+// Errors: *BackendError, which says whether any byte may have reached the
+// server.
+type Backend interface {
+	Do(ctx context.Context, address string, req *BackendRequest) (*BackendAnswer, error)
+}
+
+// BackendCode classifies failed requests to backend servers.
+type BackendCode string
+
+// Codes of BackendError.
+const (
+	// BackendConnect means that no connection was made: nothing was sent.
+	BackendConnect BackendCode = "connect"
+	// BackendBroken means that the connection broke after sending began.
+	BackendBroken BackendCode = "broken"
+	// BackendTimeout means that the deadline passed after sending began.
+	BackendTimeout BackendCode = "timeout"
+	// BackendMismatch means that the answer belongs to another request.
+	BackendMismatch BackendCode = "mismatch"
+	// BackendShort means that the answer's body was cut short.
+	BackendShort BackendCode = "short"
+	// BackendTooLarge means that the answer was over its limit.
+	BackendTooLarge BackendCode = "too-large"
+	// BackendCanceled means that the caller gave up after sending began.
+	BackendCanceled BackendCode = "canceled"
+)
+
+// BackendError is a failed request to a backend server.
+type BackendError struct {
+	Code    BackendCode
+	Address string
+	// Sent is set once a byte of the request may have left this host.
+	Sent bool
+	Err  error
+}
+
+func (e *BackendError) Error() string {
+	return fmt.Sprintf("backend %s: %s (sent=%t): %v", e.Address, e.Code, e.Sent, e.Err)
+}
+
+func (e *BackendError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/port/caller.go
@@ -0,0 +1,45 @@
+package port
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"cassiatray/api"
+)
+
+// CallerRequest is one request of a caller, with its body whole.
+type CallerRequest struct {
+	Service  string
+	Method   string
+	Path     string
+	RawQuery string
+	Header   http.Header
+	Body     []byte
+	// OperationID is the text the caller sent; empty when none.
+	OperationID string
+	// Timeout is how long the caller waits; zero when it did not say.
+	Timeout time.Duration
+}
+
+// CallerAnswer is one whole answer to a caller.
+type CallerAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Server is the backend server that ran the request.
+	Server string
+	// Host is the entry host that dispatched the request.
+	Host string
+}
+
+// CallerService is what an entry host does for callers.
+type CallerService interface {
+	// Lookup names the entry hosts that a client address should use.
+	Lookup(service string, client netip.Addr) (*api.Lookup, *api.Error)
+	// Limit returns the largest body that a request may have, in bytes.
+	Limit(service, method, path string) (int64, *api.Error)
+	// Do runs one request.
+	Do(ctx context.Context, req *CallerRequest) (*CallerAnswer, *api.Error)
+}
--- /dev/null
+++ b/internal/port/peer.go
@@ -0,0 +1,70 @@
+package port
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	peerv1 "cassiatray/proto/peer/v1"
+)
+
+// PeerCaller sends exchanges to other cassiatray processes by peer address.
+//
+// Errors: *PeerError.
+type PeerCaller interface {
+	// Call sends one request and returns its one reply.
+	Call(ctx context.Context, address string, req *peerv1.Request) (*peerv1.Reply, error)
+	// Follow sends one request and passes each reply to fn until the stream
+	// ends, the context ends or fn fails.
+	Follow(ctx context.Context, address string, req *peerv1.Request, fn func(*peerv1.Reply) error) error
+}
+
+// PeerCode classifies failed exchanges.
+type PeerCode string
+
+// Codes of PeerError.
+const (
+	// PeerConnect means that no session could be opened: nothing was sent.
+	PeerConnect PeerCode = "connect"
+	// PeerBroken means that the stream broke after sending began.
+	PeerBroken PeerCode = "broken"
+	// PeerTimeout means that the deadline passed after sending began.
+	PeerTimeout PeerCode = "timeout"
+	// PeerMismatch means that the reply belongs to another exchange.
+	PeerMismatch PeerCode = "mismatch"
+	// PeerIncarnation means that the address is now another incarnation; the
+	// exchange was refused and had no effect.
+	PeerIncarnation PeerCode = "incarnation"
+	// PeerRefused means that the receiver answered with a typed failure.
+	PeerRefused PeerCode = "refused"
+	// PeerTooLarge means that a frame was over its limit.
+	PeerTooLarge PeerCode = "too-large"
+)
+
+// PeerError is a failed exchange with another cassiatray process.
+type PeerError struct {
+	Code    PeerCode
+	Address string
+	// Sent is set once the request may have reached the receiver.
+	Sent bool
+	// Reason is the receiver's own code when Code is PeerRefused.
+	Reason     string
+	RetryAfter time.Duration
+	Err        error
+}
+
+func (e *PeerError) Error() string {
+	if e.Reason != "" {
+		return fmt.Sprintf("peer %s: %s (%s): %v", e.Address, e.Code, e.Reason, e.Err)
+	}
+	return fmt.Sprintf("peer %s: %s (sent=%t): %v", e.Address, e.Code, e.Sent, e.Err)
+}
+
+func (e *PeerError) Unwrap() error { return e.Err }
+
+// IsPeerCode reports whether err is a PeerError with the given code.
+func IsPeerCode(err error, code PeerCode) bool {
+	var pe *PeerError
+	return errors.As(err, &pe) && pe.Code == code
+}
--- /dev/null
+++ b/internal/site/runner.go
@@ -0,0 +1,280 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"cassiatray/internal/core/document"
+)
+
+// crashRestart is how long a stand-in server stays away after a crash.
+const crashRestart = time.Second
+
+// Site is a running plan.
+type Site struct {
+	*Plan
+	// Dir holds the settings, the document and the logs.
+	Dir string
+	// Environment is the environment that the daemons run.
+	Environment string
+
+	bin  string
+	lock net.Listener
+
+	mu    sync.Mutex
+	procs map[string]*Process
+}
+
+// Process is one started process.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// Range of the second octet of sites' networks.
+const (
+	firstOctet = 20
+	lastOctet  = 250
+	portLock   = 6999
+)
+
+// NetworkError means that every network of 127.0.0.0/8 is in use.
+type NetworkError struct{ Err error }
+
+func (e *NetworkError) Error() string { return fmt.Sprintf("no free network: %v", e.Err) }
+
+func (e *NetworkError) Unwrap() error { return e.Err }
+
+// claim finds a network that no other site on this machine uses, and holds it
+// by a listener.
+func claim() (Network, net.Listener, error) {
+	var last error
+	for octet := firstOctet; octet <= lastOctet; octet++ {
+		n := Network{Octet: octet}
+		l, err := net.Listen("tcp", n.address(octetStore, 1, portLock).String())
+		if err == nil {
+			return n, l, nil
+		}
+		last = err
+	}
+	return Network{}, nil, &NetworkError{Err: last}
+}
+
+// New lays out a site on a free network. Bin holds the built programs.
+func New(shape Shape, bin, environment string) (*Site, error) {
+	network, lock, err := claim()
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "cassiatray-"+shape.Name+"-")
+	if err != nil {
+		lock.Close()
+		return nil, err
+	}
+	s := &Site{Plan: NewPlan(shape, network), Dir: dir, Environment: environment, bin: bin, lock: lock, procs: map[string]*Process{}}
+	if err := s.write(dir, environment); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// File returns the path of one of the site's files.
+func (s *Site) File(name string) string { return filepath.Join(s.Dir, name) }
+
+// Start starts one daemon with its settings file and its log file.
+func (s *Site) Start(name, program string) (*Process, error) {
+	log, err := os.OpenFile(s.File(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, filePerm)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	cmd := exec.Command(filepath.Join(s.bin, program), "--settings", s.File(name+".yaml"))
+	cmd.Stdout, cmd.Stderr = log, log
+	// A site that dies takes its processes with it.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	s.mu.Lock()
+	s.procs[name] = p
+	s.mu.Unlock()
+	return p, nil
+}
+
+// StartAll starts the stand-ins and every daemon.
+func (s *Site) StartAll() error {
+	if _, err := s.Start("standin", "cassiatray-standin"); err != nil {
+		return err
+	}
+	for _, h := range s.Hosts {
+		if err := s.StartHost(h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartHost starts both daemons of an entry host.
+func (s *Site) StartHost(h HostPlan) error {
+	if _, err := s.Start(h.Name+"-steer", "cassiatray-steer"); err != nil {
+		return err
+	}
+	_, err := s.Start(h.Name+"-entry", "cassiatray-entry")
+	return err
+}
+
+// Process returns the newest process with a name, or nil.
+func (s *Site) Process(name string) *Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.procs[name]
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(sig os.Signal) error { return p.cmd.Process.Signal(sig) }
+
+// Wait waits for the process to end and returns its exit status, or -1 when a
+// signal ended it or the context did first.
+func (p *Process) Wait(ctx context.Context) int {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode()
+	case <-ctx.Done():
+		return -1
+	}
+}
+
+// Kill ends the process at once and waits for it.
+func (p *Process) Kill() {
+	p.cmd.Process.Kill()
+	<-p.done
+}
+
+// stopGrace is how long processes may take to stop in order.
+const stopGrace = 15 * time.Second
+
+// Stop asks every process to stop, waits, and kills the rest. It returns the
+// names of processes that did not exit with status 0.
+func (s *Site) Stop() []string {
+	s.mu.Lock()
+	procs := make([]*Process, 0, len(s.procs))
+	for _, p := range s.procs {
+		procs = append(procs, p)
+	}
+	s.mu.Unlock()
+	for _, p := range procs {
+		p.Signal(syscall.SIGCONT)
+		p.Signal(syscall.SIGTERM)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopGrace)
+	defer cancel()
+	var bad []string
+	for _, p := range procs {
+		if p.Wait(ctx) != 0 {
+			bad = append(bad, p.Name)
+			p.Kill()
+		}
+	}
+	return bad
+}
+
+// Close kills what still runs and removes the site's files.
+func (s *Site) Close() {
+	s.mu.Lock()
+	for _, p := range s.procs {
+		select {
+		case <-p.done:
+		default:
+			p.Kill()
+		}
+	}
+	s.mu.Unlock()
+	s.lock.Close()
+	os.RemoveAll(s.Dir)
+}
+
+// CommandError is a failed run of a program.
+type CommandError struct {
+	Program string
+	Output  string
+	Err     error
+}
+
+func (e *CommandError) Error() string { return fmt.Sprintf("%s: %v: %s", e.Program, e.Err, e.Output) }
+
+func (e *CommandError) Unwrap() error { return e.Err }
+
+// Ctl runs cassiatrayctl on the site's platform and returns its output.
+func (s *Site) Ctl(ctx context.Context, args ...string) (string, error) {
+	args = append([]string{"--platform", s.Store.String()}, args...)
+	out, err := exec.CommandContext(ctx, filepath.Join(s.bin, "cassiatrayctl"), args...).CombinedOutput()
+	if err != nil {
+		return string(out), &CommandError{Program: "cassiatrayctl", Output: string(out), Err: err}
+	}
+	return string(out), nil
+}
+
+// poll is the interval at which conditions are looked at.
+const poll = 50 * time.Millisecond
+
+// WaitError is a condition that did not come about in time.
+type WaitError struct{ What string }
+
+func (e *WaitError) Error() string { return "gave up waiting for " + e.What }
+
+// Await waits until a condition holds.
+func Await(ctx context.Context, what string, cond func() bool) error {
+	t := time.NewTicker(poll)
+	defer t.Stop()
+	for !cond() {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return &WaitError{What: what}
+		}
+	}
+	return nil
+}
+
+// Get reads a URL and reports the status, or 0 when it cannot be reached.
+func Get(ctx context.Context, url string) (int, []byte) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, nil
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, body
+}
+
+// AwaitReady waits until an operator address reports that its process is ready.
+func AwaitReady(ctx context.Context, operator document.Address) error {
+	return Await(ctx, "readiness of "+operator.String(), func() bool {
+		status, _ := Get(ctx, "http://"+operator.String()+"/readyz")
+		return status == http.StatusOK
+	})
+}
--- /dev/null
+++ b/internal/standin/server/server.go
@@ -0,0 +1,298 @@
+// Package server is a stand-in for backend servers: it runs requests on a
+// fixed number of slots, counts what it ran by operation, and shows the faults
+// that real servers have. It is for tests and the demo only.
+package server
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"cassiatray/internal/adapter/backendhttp"
+)
+
+// HeaderOperation names the operation that a request belongs to.
+const HeaderOperation = "Cassiatray-Operation-Id"
+
+// Config sets up one stand-in server.
+type Config struct {
+	Name  string
+	Slots int
+	// Work is the time one request takes on a warm server.
+	Work time.Duration
+	// Warmup is the time after start over which requests take longer: ColdFactor
+	// times Work at first, falling in a line to Work.
+	Warmup     time.Duration
+	ColdFactor float64
+}
+
+// Behavior is how the server behaves until told otherwise.
+type Behavior struct {
+	Draining bool `json:"draining"`
+	// Shed refuses all requests with 503 and Retry-After.
+	Shed bool `json:"shed"`
+	// ExtraMillis is added to the work of each request.
+	ExtraMillis int `json:"extraMillis"`
+	// Cross answers with another request's ID.
+	Cross bool `json:"cross"`
+	// Short cuts each answer after half its body.
+	Short bool `json:"short"`
+	// Drop closes the connection after the work is done, without an answer.
+	Drop bool `json:"drop"`
+	// LieLoad is reported in place of the true number in flight when not zero.
+	LieLoad int `json:"lieLoad"`
+	// LieHealthy reports health while draining or shedding.
+	LieHealthy bool `json:"lieHealthy"`
+}
+
+// Stats are what the server has seen.
+type Stats struct {
+	Name     string `json:"name"`
+	Runs     uint64 `json:"runs"`
+	InFlight int    `json:"inFlight"`
+	// MaxInFlight is the highest number of requests held at once, running or
+	// waiting for a slot.
+	MaxInFlight int    `json:"maxInFlight"`
+	Canceled    uint64 `json:"canceled"`
+	Connections int    `json:"connections"`
+	// LastStart is when the server last began a request, in Unix microseconds.
+	LastStart int64 `json:"lastStart"`
+	// Operations is how often each operation ran.
+	Operations map[string]int `json:"operations"`
+}
+
+// Server is one stand-in server.
+type Server struct {
+	cfg     Config
+	started time.Time
+	slots   chan struct{}
+	crash   func()
+
+	mu       sync.Mutex
+	behavior Behavior
+	stats    Stats
+}
+
+// New returns a stand-in. Crash is called for a request that asks for it with
+// the query parameter "crash=1".
+func New(cfg Config, crash func()) *Server {
+	return &Server{
+		cfg: cfg, started: time.Now(), slots: make(chan struct{}, cfg.Slots), crash: crash,
+		stats: Stats{Name: cfg.Name, Operations: map[string]int{}},
+	}
+}
+
+// Restart makes the server cold again after a crash. What it has counted stays.
+func (s *Server) Restart(crash func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.started, s.crash = time.Now(), crash
+	s.stats.Connections = 0
+}
+
+// Handler serves requests, /health, /load and the controls under /standin/.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/health", s.serveHealth).Methods(http.MethodGet)
+	r.HandleFunc("/load", s.serveLoad).Methods(http.MethodGet)
+	r.HandleFunc("/standin/behavior", s.serveBehavior).Methods(http.MethodPut)
+	r.HandleFunc("/standin/stats", s.serveStats).Methods(http.MethodGet)
+	r.PathPrefix("/").HandlerFunc(s.serveRequest)
+	return r
+}
+
+// SetBehavior replaces the behavior.
+func (s *Server) SetBehavior(b Behavior) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behavior = b
+}
+
+// Stats returns a copy of what the server has seen.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.stats
+	out.Operations = make(map[string]int, len(s.stats.Operations))
+	for id, n := range s.stats.Operations {
+		out.Operations[id] = n
+	}
+	return out
+}
+
+// CountConnection tracks open connections; use it as http.Server.ConnState's
+// effect with +1 and -1.
+func (s *Server) CountConnection(delta int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Connections += delta
+}
+
+func (s *Server) enter() Behavior {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.InFlight++
+	s.stats.MaxInFlight = max(s.stats.MaxInFlight, s.stats.InFlight)
+	return s.behavior
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.InFlight--
+}
+
+func (s *Server) run(operation string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Runs++
+	s.stats.LastStart = time.Now().UnixMicro()
+	if operation != "" {
+		s.stats.Operations[operation]++
+	}
+}
+
+func (s *Server) crashFunc() func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crash
+}
+
+func (s *Server) canceled() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Canceled++
+}
+
+// work returns how long the next request takes.
+func (s *Server) work(b Behavior) time.Duration {
+	d := s.cfg.Work + time.Duration(b.ExtraMillis)*time.Millisecond
+	s.mu.Lock()
+	age := time.Since(s.started)
+	s.mu.Unlock()
+	if age >= s.cfg.Warmup {
+		return d
+	}
+	cold := 1 - float64(age)/float64(s.cfg.Warmup)
+	return time.Duration(float64(d) * (1 + cold*(s.cfg.ColdFactor-1)))
+}
+
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	b := s.enter()
+	defer s.leave()
+	s.describe(w, r, b)
+	if b.Shed {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "shedding", http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	case <-r.Context().Done():
+		s.canceled()
+		return
+	}
+	s.run(r.Header.Get(HeaderOperation))
+	if r.URL.Query().Get("crash") == "1" {
+		s.crashFunc()()
+		panic(http.ErrAbortHandler)
+	}
+	timer := time.NewTimer(s.work(b))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+		s.canceled()
+		return
+	}
+	s.answer(w, r, b, body)
+}
+
+// describe sets the headers that every answer has.
+func (s *Server) describe(w http.ResponseWriter, r *http.Request, b Behavior) {
+	id := r.Header.Get(backendhttp.HeaderRequestID)
+	if b.Cross {
+		id += "-crossed"
+	}
+	w.Header().Set(backendhttp.HeaderRequestID, id)
+	w.Header().Set(backendhttp.HeaderLoad, s.loadText(b))
+	if b.Draining && !b.LieHealthy {
+		w.Header().Set(backendhttp.HeaderDraining, "true")
+	}
+}
+
+func (s *Server) loadText(b Behavior) string {
+	s.mu.Lock()
+	used := s.stats.InFlight
+	s.mu.Unlock()
+	if b.LieLoad != 0 {
+		used = b.LieLoad
+	}
+	return strconv.Itoa(used) + "/" + strconv.Itoa(s.cfg.Slots)
+}
+
+// Answer is the JSON body of every answer.
+type Answer struct {
+	Server string `json:"server"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Bytes  int    `json:"bytes"`
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, b Behavior, body []byte) {
+	if b.Drop {
+		panic(http.ErrAbortHandler)
+	}
+	out, _ := json.Marshal(Answer{Server: s.cfg.Name, Method: r.Method, Path: r.URL.Path, Bytes: len(body)})
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(out)))
+	if b.Short {
+		w.Write(out[:len(out)/2])
+		panic(http.ErrAbortHandler)
+	}
+	w.Write(out)
+}
+
+func (s *Server) current() Behavior {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.behavior
+}
+
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	b := s.current()
+	if (b.Draining || b.Shed) && !b.LieHealthy {
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ok")
+}
+
+func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	fmt.Fprintln(w, s.loadText(s.current()))
+}
+
+func (s *Server) serveBehavior(w http.ResponseWriter, r *http.Request) {
+	var b Behavior
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		http.Error(w, "bad behavior", http.StatusBadRequest)
+		return
+	}
+	s.SetBehavior(b)
+}
+
+func (s *Server) serveStats(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(s.Stats())
+}
--- /dev/null
+++ b/internal/standin/settings.go
@@ -0,0 +1,48 @@
+// Package standin runs the stand-ins for what surrounds a cassiatray system:
+// the platform's key-value service and backend servers. It is for tests and
+// the demo only.
+package standin
+
+import (
+	"fmt"
+
+	"cassiatray/internal/core/document"
+	"cassiatray/internal/settings"
+)
+
+// Settings is the settings file of cassiatray-standin.
+type Settings struct {
+	// Store is the address of the key-value service; empty for none.
+	Store document.Address `yaml:"store"`
+	// Servers are the backend servers of this process.
+	Servers []ServerSettings `yaml:"servers"`
+	Log     settings.Log     `yaml:"log"`
+}
+
+// ServerSettings is one backend server.
+type ServerSettings struct {
+	Name    string           `yaml:"name"`
+	Address document.Address `yaml:"address"`
+	Slots   int              `yaml:"slots"`
+	// Work is the time one request takes.
+	Work document.Duration `yaml:"work"`
+	// Warmup and ColdFactor describe a cold start.
+	Warmup     document.Duration `yaml:"warmup"`
+	ColdFactor float64           `yaml:"coldFactor"`
+	// Restart is how long the server stays away after a crash.
+	Restart document.Duration `yaml:"restart"`
+}
+
+// Check implements settings.Checker.
+func (s *Settings) Check(lines document.Lines) []document.Problem {
+	var out []document.Problem
+	for i, srv := range s.Servers {
+		key := fmt.Sprintf("servers[%d]", i)
+		out = append(out, settings.Required(lines, key+".name", srv.Name)...)
+		out = append(out, settings.RequiredAddress(lines, key+".address", srv.Address)...)
+		if srv.Slots < 1 {
+			out = append(out, settings.Fault(lines, key+".slots", "expected at least 1"))
+		}
+	}
+	return append(out, s.Log.Check("log", lines)...)
+}
