--- a/internal/daemon/entry/lookup.go
+++ b/internal/daemon/entry/lookup.go
@@ -22,8 +22,8 @@
 		Service: service, Sequence: snap.Head.Sequence, TTLMillis: snap.Index.Doc.Lookup.TTL.D().Milliseconds(),
 	}
 	q := lookup.Query{Service: svc, Spread: client.String(), Count: snap.Index.Doc.Lookup.Hosts}
-	if c := snap.Table.Find(client); c != nil {
-		answer.Block = c.Block.String()
+	if c, ok := snap.Table.Find(client); ok {
+		answer.Block = c.Prefix.String()
 		q.Regions = c.Regions
 	}
 	for _, h := range lookup.Choose(q, snap.Hosts) {
