Open-loop load of several streams; stand-in servers by failure domain

Cause: one stand-in process for all servers of a site cannot lose a failure domain, and a load of one kind of request at fixed intervals says nothing of priorities or bursts.

Change: cassiatray-load sends streams with exponential intervals and a fixed seed, and counts answers in time and failure codes; a site runs one stand-in a failure domain, waits for its servers and reports a process that died with the end of its log.

Found on the way: an absent optional address was written to a settings file as "" and refused when read; addresses now say that they are absent (IsZero). The demo showed it as refused connections.

Excluded: a closed-loop load (it slows down with the system that it measures).

--- a/internal/core/document/scalars.go
+++ b/internal/core/document/scalars.go
@@ -107,6 +107,9 @@
 	return nil
 }
 
+// IsZero reports whether the address is absent; YAML leaves it out then.
+func (a Address) IsZero() bool { return !a.IsValid() }
+
 // UnmarshalText parses a CIDR block without host bits.
 func (p *Prefix) UnmarshalText(text []byte) error {
 	v, err := netip.ParsePrefix(string(text))
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -87,12 +87,8 @@
 	if err := s.StartAll(); err != nil {
 		return &StepError{Step: "start", Err: err}
 	}
-	err := site.Await(ctx, "the store", func() bool {
-		status, _ := site.Get(ctx, "http://"+s.Store.String()+"/standin/counts")
-		return status == http.StatusOK
-	})
-	if err != nil {
-		return err
+	if err := s.AwaitServers(ctx); err != nil {
+		return &StepError{Step: "start", Err: err}
 	}
 	if err := d.ctl(ctx, s, "apply", s.File("document.yaml"), "--reason", "first document"); err != nil {
 		return err
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -1,13 +1,12 @@
-// Package load sends requests on a fixed schedule, whatever the answers do
-// (open loop), and measures each from its scheduled time, so that a slow
-// system cannot hide its delays.
+// Package load sends requests on a schedule that does not depend on the
+// answers (open loop) and measures each from its scheduled time, so that a
+// slow system cannot hide its delays.
 package load
 
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -17,48 +16,39 @@
 
 	"cassiatray/api"
 	"cassiatray/client"
-	"cassiatray/internal/adapter/backendhttp"
 )
 
-// Plan is one load.
+// Plan is one load of several streams.
 type Plan struct {
-	// Bootstrap are caller addresses of entry hosts; Direct are addresses of
-	// backend servers, used instead to bypass the system.
+	// Bootstrap are caller addresses ("ip:port") of entry hosts.
 	Bootstrap []string
-	Direct    []string
-	Client    netip.Addr
-	Service   string
-	Method    string
-	Path      string
-	Once      bool
-	// Rate is in requests a second.
-	Rate     float64
+	// Callers are the addresses that look-ups are made for; each has a client
+	// of its own.
+	Callers  []netip.Addr
+	Streams  []Stream
 	Duration time.Duration
-	// Timeout bounds one request.
-	Timeout time.Duration
-}
-
-// Row is the result of a load. Latencies are in microseconds.
-type Row struct {
-	Service string  `json:"service"`
-	Rate    float64 `json:"rate"`
-	Sent    int     `json:"sent"`
-	Done    int     `json:"done"`
-	NotRun  int     `json:"notRun"`
-	Unknown int     `json:"unknown"`
-	P50     int64   `json:"p50"`
-	P99     int64   `json:"p99"`
-	P999    int64   `json:"p999"`
-	Max     int64   `json:"max"`
+	// Seed fixes the arrival times and the choice of callers.
+	Seed uint64
 }
 
-// Header names the columns of a Row's text.
-const Header = "service          rate     sent     done   notrun  unknown   p50 ms   p99 ms  p999 ms   max ms"
-
-func (r Row) String() string {
-	ms := func(v int64) float64 { return float64(v) / 1000 }
-	return fmt.Sprintf("%-12s %8.0f %8d %8d %8d %8d %8.2f %8.2f %8.2f %8.2f",
-		r.Service, r.Rate, r.Sent, r.Done, r.NotRun, r.Unknown, ms(r.P50), ms(r.P99), ms(r.P999), ms(r.Max))
+// Stream is a sequence of like requests with exponential intervals.
+type Stream struct {
+	Name    string
+	Service string
+	Method  string
+	Path    string
+	Body    []byte
+	// Once gives each request an operation ID.
+	Once bool
+	// Rate is the mean rate in requests a second.
+	Rate float64
+	// Timeout bounds one request.
+	Timeout time.Duration
+	// Deadline is the time within which an answer is of use; zero means Timeout.
+	Deadline time.Duration
+	// Direct are addresses of backend servers, used in turn in place of the
+	// system; empty means through the system.
+	Direct []string
 }
 
 // Range of latencies kept, in microseconds, and their precision.
@@ -67,90 +57,105 @@
 	maxLatency  = 120_000_000
 	significant = 3
 	// maxConns bounds the connections to one address.
-	maxConns = 512
+	maxConns = 1024
 )
 
+// Run sends the load, waits for all answers and returns a row for each stream.
+func Run(ctx context.Context, p Plan) []Row {
+	transport := &http.Transport{MaxIdleConnsPerHost: maxConns, MaxConnsPerHost: maxConns}
+	defer transport.CloseIdleConnections()
+	h := &http.Client{Transport: transport}
+	callers := make([]*client.Client, 0, len(p.Callers))
+	for _, a := range p.Callers {
+		callers = append(callers, client.New(client.Config{Bootstrap: p.Bootstrap, Address: a, HTTP: h}))
+	}
+	runs := make([]*run, 0, len(p.Streams))
+	var wg sync.WaitGroup
+	for i, s := range p.Streams {
+		r := &run{
+			stream: s, callers: callers, http: h, rng: rand.New(rand.NewPCG(p.Seed, uint64(i))),
+			hist: hdrhistogram.New(minLatency, maxLatency, significant),
+		}
+		runs = append(runs, r)
+		wg.Go(func() { r.schedule(ctx, p.Duration) })
+	}
+	wg.Wait()
+	rows := make([]Row, 0, len(runs))
+	for _, r := range runs {
+		rows = append(rows, r.result())
+	}
+	return rows
+}
+
+// run is one stream under way. mu guards hist and row.
 type run struct {
-	plan Plan
-	send func(ctx context.Context, i int) error
+	stream  Stream
+	callers []*client.Client
+	http    *http.Client
+	rng     *rand.Rand
 
 	mu   sync.Mutex
 	hist *hdrhistogram.Histogram
 	row  Row
 }
 
-// Run sends the load and waits for all answers.
-func Run(ctx context.Context, p Plan) Row {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxConns, MaxConnsPerHost: maxConns}
-	defer transport.CloseIdleConnections()
-	h := &http.Client{Transport: transport}
-	r := &run{plan: p, hist: hdrhistogram.New(minLatency, maxLatency, significant)}
-	if len(p.Direct) > 0 {
-		r.send = r.direct(h)
-	} else {
-		r.send = r.through(client.New(client.Config{Bootstrap: p.Bootstrap, Address: p.Client, HTTP: h}))
+// schedule starts requests at random intervals whatever their answers do.
+func (r *run) schedule(ctx context.Context, d time.Duration) {
+	at := time.Now()
+	end := at.Add(d)
+	var wg sync.WaitGroup
+	for i := 0; ; i++ {
+		at = at.Add(time.Duration(r.rng.ExpFloat64() / r.stream.Rate * float64(time.Second)))
+		if at.After(end) || ctx.Err() != nil {
+			break
+		}
+		scheduled, caller := at, r.pick()
+		time.Sleep(time.Until(scheduled))
+		wg.Go(func() { r.one(ctx, caller, i, scheduled) })
 	}
-	r.schedule(ctx)
-	r.row.Service, r.row.Rate = p.Service, p.Rate
-	r.row.P50 = r.hist.ValueAtQuantile(50)
-	r.row.P99 = r.hist.ValueAtQuantile(99)
-	r.row.P999 = r.hist.ValueAtQuantile(99.9)
-	r.row.Max = r.hist.Max()
-	return r.row
+	wg.Wait()
 }
 
-func (r *run) through(c *client.Client) func(context.Context, int) error {
-	return func(ctx context.Context, _ int) error {
-		_, err := c.Do(ctx, &client.Request{Service: r.plan.Service, Method: r.plan.Method, Path: r.plan.Path, Once: r.plan.Once})
-		return err
+func (r *run) pick() *client.Client {
+	if len(r.callers) == 0 {
+		return nil
 	}
+	return r.callers[r.rng.IntN(len(r.callers))]
 }
 
-// direct sends to backend servers in turn.
-func (r *run) direct(h *http.Client) func(context.Context, int) error {
-	return func(ctx context.Context, i int) error {
-		address := r.plan.Direct[i%len(r.plan.Direct)]
-		req, err := http.NewRequestWithContext(ctx, r.plan.Method, "http://"+address+r.plan.Path, nil)
-		if err != nil {
-			return err
-		}
-		req.Header.Set(backendhttp.HeaderRequestID, fmt.Sprint(i))
-		resp, err := h.Do(req)
-		if err != nil {
-			return err
-		}
-		defer resp.Body.Close()
-		_, err = io.Copy(io.Discard, resp.Body)
-		return err
-	}
+func (r *run) one(ctx context.Context, c *client.Client, i int, at time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, r.stream.Timeout)
+	defer cancel()
+	err := r.send(ctx, c, i)
+	r.record(time.Since(at), err)
 }
 
-func (r *run) schedule(ctx context.Context) {
-	start := time.Now()
-	interval := time.Duration(float64(time.Second) / r.plan.Rate)
-	total := int(r.plan.Duration.Seconds() * r.plan.Rate)
-	var wg sync.WaitGroup
-	for i := range total {
-		at := start.Add(time.Duration(i) * interval)
-		time.Sleep(time.Until(at))
-		if ctx.Err() != nil {
-			break
-		}
-		wg.Go(func() { r.one(ctx, i, at) })
+func (r *run) send(ctx context.Context, c *client.Client, i int) error {
+	if len(r.stream.Direct) > 0 {
+		return r.sendDirect(ctx, i)
 	}
-	wg.Wait()
+	_, err := c.Do(ctx, &client.Request{
+		Service: r.stream.Service, Method: r.stream.Method, Path: r.stream.Path, Body: r.stream.Body, Once: r.stream.Once,
+	})
+	return err
 }
 
-func (r *run) one(ctx context.Context, i int, at time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, r.plan.Timeout)
-	defer cancel()
-	err := r.send(ctx, i)
-	took := time.Since(at).Microseconds()
+func (r *run) record(took time.Duration, err error) {
+	deadline := r.stream.Deadline
+	if deadline == 0 {
+		deadline = r.stream.Timeout
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.row.Sent++
 	r.count(err)
-	r.hist.RecordValue(max(minLatency, min(took, maxLatency)))
+	if err != nil {
+		return
+	}
+	if took <= deadline {
+		r.row.InTime++
+	}
+	r.hist.RecordValue(max(minLatency, min(took.Microseconds(), maxLatency)))
 }
 
 func (r *run) count(err error) {
@@ -160,7 +165,23 @@
 		r.row.Done++
 	case errors.As(err, &fail) && fail.Outcome == api.OutcomeNotRun:
 		r.row.NotRun++
+		r.row.fail(fail.Code)
+	case errors.As(err, &fail):
+		r.row.Unknown++
+		r.row.fail(fail.Code)
 	default:
 		r.row.Unknown++
 	}
 }
+
+func (r *run) result() Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.row
+	out.Stream, out.Service, out.Rate = r.stream.Name, r.stream.Service, r.stream.Rate
+	out.P50 = r.hist.ValueAtQuantile(50)
+	out.P99 = r.hist.ValueAtQuantile(99)
+	out.P999 = r.hist.ValueAtQuantile(99.9)
+	out.Max = r.hist.Max()
+	return out
+}
--- a/internal/site/files.go
+++ b/internal/site/files.go
@@ -15,6 +15,19 @@
 
 const filePerm = 0o644
 
+// StoreName is the name of the process that stands in for the platform's store.
+const StoreName = "store"
+
+// ServersName is the name of the process that runs the backend servers of a
+// failure domain.
+func ServersName(domain string) string { return "servers-" + domain }
+
+// SteerName is the name of the steer process of a host.
+func SteerName(host string) string { return host + "-steer" }
+
+// EntryName is the name of the entry process of a host.
+func EntryName(host string) string { return host + "-entry" }
+
 func writeYAML(file string, value any) error {
 	data, err := yaml.Marshal(value)
 	if err != nil {
@@ -47,12 +60,18 @@
 	}
 }
 
-func (p *Plan) standinSettings() standin.Settings {
-	s := standin.Settings{Store: p.Store}
+// serverSettings are the settings of the stand-in that runs the servers of a
+// failure domain.
+func (p *Plan) serverSettings(domain string) standin.Settings {
+	var s standin.Settings
 	for _, b := range p.Servers {
+		if b.Domain != domain {
+			continue
+		}
 		s.Servers = append(s.Servers, standin.ServerSettings{
 			Name: b.Name, Address: b.Address, Slots: b.Slots, Work: document.Duration(b.Work),
-			ColdFactor: 1, Restart: document.Duration(crashRestart),
+			Warmup: document.Duration(p.Shape.Warmup), ColdFactor: p.Shape.ColdFactor,
+			Restart: document.Duration(crashRestart),
 		})
 	}
 	return s
@@ -60,14 +79,19 @@
 
 // write puts all settings files of a plan into a directory.
 func (p *Plan) write(dir, environment string) error {
-	if err := writeYAML(filepath.Join(dir, "standin.yaml"), p.standinSettings()); err != nil {
+	if err := writeYAML(filepath.Join(dir, StoreName+".yaml"), standin.Settings{Store: p.Store}); err != nil {
 		return err
 	}
+	for _, domain := range p.Document.DomainNames() {
+		if err := writeYAML(filepath.Join(dir, ServersName(domain)+".yaml"), p.serverSettings(domain)); err != nil {
+			return err
+		}
+	}
 	for _, h := range p.Hosts {
-		if err := writeYAML(filepath.Join(dir, h.Name+"-steer.yaml"), p.steerSettings(h, environment)); err != nil {
+		if err := writeYAML(filepath.Join(dir, SteerName(h.Name)+".yaml"), p.steerSettings(h, environment)); err != nil {
 			return err
 		}
-		if err := writeYAML(filepath.Join(dir, h.Name+"-entry.yaml"), p.entrySettings(h, environment)); err != nil {
+		if err := writeYAML(filepath.Join(dir, EntryName(h.Name)+".yaml"), p.entrySettings(h, environment)); err != nil {
 			return err
 		}
 	}
--- a/internal/site/plan.go
+++ b/internal/site/plan.go
@@ -31,6 +31,10 @@
 	HostsPerDomain   int
 	Services         []ServiceShape
 	TTL              time.Duration
+	// Warmup and ColdFactor are the cold start of the stand-in servers: work
+	// takes ColdFactor times as long at first.
+	Warmup     time.Duration
+	ColdFactor float64
 }
 
 // ServiceShape is one service of a site.
--- a/internal/site/runner.go
+++ b/internal/site/runner.go
@@ -120,7 +120,7 @@
 
 // StartAll starts the stand-ins and every daemon.
 func (s *Site) StartAll() error {
-	if _, err := s.Start("standin", "cassiatray-standin"); err != nil {
+	if err := s.StartStandins(); err != nil {
 		return err
 	}
 	for _, h := range s.Hosts {
@@ -131,15 +131,46 @@
 	return nil
 }
 
+// StartStandins starts the store and the backend servers.
+func (s *Site) StartStandins() error {
+	if _, err := s.Start(StoreName, standinProgram); err != nil {
+		return err
+	}
+	for _, domain := range s.Document.DomainNames() {
+		if err := s.StartServers(domain); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartServers starts the backend servers of a failure domain.
+func (s *Site) StartServers(domain string) error {
+	_, err := s.Start(ServersName(domain), standinProgram)
+	return err
+}
+
+// Programs of a site.
+const (
+	standinProgram = "cassiatray-standin"
+	steerProgram   = "cassiatray-steer"
+	entryProgram   = "cassiatray-entry"
+)
+
 // StartHost starts both daemons of an entry host.
 func (s *Site) StartHost(h HostPlan) error {
-	if _, err := s.Start(h.Name+"-steer", "cassiatray-steer"); err != nil {
+	if _, err := s.Start(SteerName(h.Name), steerProgram); err != nil {
 		return err
 	}
-	_, err := s.Start(h.Name+"-entry", "cassiatray-entry")
+	_, err := s.StartEntry(h)
 	return err
 }
 
+// StartEntry starts the entry process of a host.
+func (s *Site) StartEntry(h HostPlan) (*Process, error) {
+	return s.Start(EntryName(h.Name), entryProgram)
+}
+
 // Process returns the newest process with a name, or nil.
 func (s *Site) Process(name string) *Process {
 	s.mu.Lock()
@@ -147,6 +178,59 @@
 	return s.procs[name]
 }
 
+// DiedError is a process that ended by itself.
+type DiedError struct {
+	Name string
+	// Log is the end of the process's log.
+	Log string
+}
+
+func (e *DiedError) Error() string { return fmt.Sprintf("%s died: %s", e.Name, e.Log) }
+
+// logTail is how much of a dead process's log is shown, in bytes.
+const logTail = 400
+
+// Running returns a DiedError when a process of the site has ended.
+func (s *Site) Running() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, p := range s.procs {
+		select {
+		case <-p.done:
+			log, _ := os.ReadFile(s.File(name + ".log"))
+			return &DiedError{Name: name, Log: string(log[max(0, len(log)-logTail):])}
+		default:
+		}
+	}
+	return nil
+}
+
+// AwaitServers waits until the store and every backend server accept
+// connections.
+func (s *Site) AwaitServers(ctx context.Context) error {
+	addresses := []document.Address{s.Store}
+	for _, b := range s.Servers {
+		addresses = append(addresses, b.Address)
+	}
+	for _, a := range addresses {
+		err := Await(ctx, a.String(), func() bool { return s.Running() != nil || accepts(ctx, a.String()) })
+		if err != nil {
+			return err
+		}
+	}
+	return s.Running()
+}
+
+func accepts(ctx context.Context, address string) bool {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(sig os.Signal) error { return p.cmd.Process.Signal(sig) }
 
--- a/internal/site/shapes.go
+++ b/internal/site/shapes.go
@@ -26,7 +26,7 @@
 	return Shape{
 		Name: "coop", Weigh: document.WeighLatency,
 		Regions: []string{"carolinas", "gulf", "delta"}, DomainsPerRegion: 2, HostsPerDomain: hostsPerDomain,
-		TTL: 2 * time.Second,
+		TTL: 2 * time.Second, ColdFactor: 1,
 		Services: []ServiceShape{
 			{Name: "rodsheet", Servers: 20, Slots: 9, Connections: 850, Work: 10 * time.Millisecond, Classes: []document.Class{
 				read("sheet", "/sheets/", 0, 2*time.Second), once("signoff", "/signoffs", 5*time.Second),
@@ -43,7 +43,7 @@
 	return Shape{
 		Name: "franchise", Weigh: document.WeighHeadroom,
 		Regions: []string{"sask", "alta", "mani"}, DomainsPerRegion: 2, HostsPerDomain: hostsPerDomain,
-		TTL: 2 * time.Second,
+		TTL: 2 * time.Second, ColdFactor: 1,
 		Services: []ServiceShape{
 			{Name: "depot-orders", Servers: 20, Slots: 3, Connections: 800, Work: 10 * time.Millisecond, Classes: []document.Class{
 				read("stock", "/stock/", 0, 2*time.Second), once("booking", "/bookings", 5*time.Second),
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -13,7 +13,7 @@
 // Settings is the settings file of cassiatray-standin.
 type Settings struct {
 	// Store is the address of the key-value service; empty for none.
-	Store document.Address `yaml:"store"`
+	Store document.Address `yaml:"store,omitempty"`
 	// Servers are the backend servers of this process.
 	Servers []ServerSettings `yaml:"servers"`
 	Log     settings.Log     `yaml:"log"`
