Settle the fields of environment documents

Cause: caps covered regions and shifts only, entry hosts had no operator addresses, and classes no hedging delay nor rule for operation IDs. Optional keys are left out of written documents. No check uses them yet.

--- a/internal/core/document/types.go
+++ b/internal/core/document/types.go
@@ -16,11 +16,11 @@
 	Weigh    Weigh     `yaml:"weigh" json:"weigh"`
 	Lookup   Lookup    `yaml:"lookup" json:"lookup"`
 	Regions  []Region  `yaml:"regions" json:"regions"`
-	Links    []Link    `yaml:"links" json:"links,omitempty"`
+	Links    []Link    `yaml:"links,omitempty" json:"links,omitempty"`
 	Services []Service `yaml:"services" json:"services"`
 	Caps     Caps      `yaml:"caps" json:"caps"`
 	Clients  []Client  `yaml:"clients" json:"clients"`
-	Drains   []Drain   `yaml:"drains" json:"drains,omitempty"`
+	Drains   []Drain   `yaml:"drains,omitempty" json:"drains,omitempty"`
 }
 
 // Weigh is the measure an environment weighs most.
@@ -61,6 +61,10 @@
 	Entry Address `yaml:"entry" json:"entry"`
 	// Steer is the peer address of cassiatray-steer.
 	Steer Address `yaml:"steer" json:"steer"`
+	// EntryOperator and SteerOperator are the operator addresses of both
+	// daemons; zero when operators do not ask this host.
+	EntryOperator Address `yaml:"entryOperator,omitempty" json:"entryOperator,omitzero"`
+	SteerOperator Address `yaml:"steerOperator,omitempty" json:"steerOperator,omitzero"`
 }
 
 // Link is the path between two regions, in both directions.
@@ -92,6 +96,9 @@
 	Connection Duration `yaml:"connection" json:"connection"`
 	// Warmup is the time over which a new server reaches its full slots.
 	Warmup Duration `yaml:"warmup" json:"warmup"`
+	// InitialSlots is how many slots a new server is given at first; zero
+	// means one.
+	InitialSlots int `yaml:"initialSlots,omitempty" json:"initialSlots,omitempty"`
 }
 
 // BackendServer is one process that runs requests of a service.
@@ -127,14 +134,27 @@
 	// MaxBody bounds a request's body and MaxAnswer an answer's, in bytes.
 	MaxBody   Size `yaml:"maxBody" json:"maxBody"`
 	MaxAnswer Size `yaml:"maxAnswer" json:"maxAnswer"`
+	// HedgeAfter is the least wait before a second copy of an idempotent
+	// request may be sent; zero means that none is.
+	HedgeAfter Duration `yaml:"hedgeAfter,omitempty" json:"hedgeAfter,omitempty"`
+	// RequireOperationID refuses at-most-once requests without an operation ID.
+	RequireOperationID bool `yaml:"requireOperationId,omitempty" json:"requireOperationId,omitempty"`
 }
 
 // Caps bound where traffic may go and how fast it may move.
 type Caps struct {
-	// Regions bounds the work that regions take from each other.
-	Regions []RegionCap `yaml:"regions" json:"regions,omitempty"`
+	// Regions bounds the work that regions take from each other. Regions that
+	// no entry joins take from each other up to what Services leaves.
+	Regions []RegionCap `yaml:"regions,omitempty" json:"regions,omitempty"`
+	// Services bounds how full steering may plan a region; without an entry
+	// it may plan all slots.
+	Services []ServiceCap `yaml:"services,omitempty" json:"services,omitempty"`
+	// Links bounds what crosses a link, beside Link.Share.
+	Links []LinkCap `yaml:"links,omitempty" json:"links,omitempty"`
 	// Shift bounds every change of shares.
 	Shift ShiftCap `yaml:"shift" json:"shift"`
+	// Shifts replaces Shift for single services.
+	Shifts []ServiceShiftCap `yaml:"shifts,omitempty" json:"shifts,omitempty"`
 }
 
 // RegionCap bounds the work one region takes from another for a service.
@@ -146,6 +166,24 @@
 	Share Percent `yaml:"share" json:"share"`
 }
 
+// ServiceCap bounds the load that steering plans for a service in a region.
+type ServiceCap struct {
+	Service string `yaml:"service" json:"service"`
+	// Region is empty for every region without an entry of its own.
+	Region string `yaml:"region,omitempty" json:"region,omitempty"`
+	// Share is in percent of the region's slots for the service.
+	Share Percent `yaml:"share" json:"share"`
+}
+
+// LinkCap bounds what crosses the link between two regions, each way.
+type LinkCap struct {
+	Between []string `yaml:"between" json:"between"`
+	// Service is empty for all services together.
+	Service string `yaml:"service,omitempty" json:"service,omitempty"`
+	// Mbps is in megabits a second.
+	Mbps int `yaml:"mbps" json:"mbps"`
+}
+
 // ShiftCap bounds how much traffic may move within a period.
 type ShiftCap struct {
 	// Share is in percent of a region's slots for a service.
@@ -154,6 +192,13 @@
 	Per Duration `yaml:"per" json:"per"`
 }
 
+// ServiceShiftCap is the ShiftCap of one service.
+type ServiceShiftCap struct {
+	Service string   `yaml:"service" json:"service"`
+	Share   Percent  `yaml:"share" json:"share"`
+	Per     Duration `yaml:"per" json:"per"`
+}
+
 // Client maps a block of client addresses to regions in order of preference.
 type Client struct {
 	Block   Prefix   `yaml:"block" json:"block"`
@@ -164,13 +209,15 @@
 type Drain struct {
 	// Exactly one of Server, Domain and Region is set. Server is
 	// "service/name".
-	Server string `yaml:"server" json:"server,omitempty"`
-	Domain string `yaml:"domain" json:"domain,omitempty"`
-	Region string `yaml:"region" json:"region,omitempty"`
+	Server string `yaml:"server,omitempty" json:"server,omitempty"`
+	Domain string `yaml:"domain,omitempty" json:"domain,omitempty"`
+	Region string `yaml:"region,omitempty" json:"region,omitempty"`
 	// At is when the drain begins.
 	At time.Time `yaml:"at" json:"at"`
 	// Until is when the drain ends; zero means not before it is removed.
-	Until time.Time `yaml:"until" json:"until,omitzero"`
+	Until time.Time `yaml:"until,omitempty" json:"until,omitzero"`
+	// Reason says why, for the readers of the document.
+	Reason string `yaml:"reason,omitempty" json:"reason,omitempty"`
 }
 
 // Duration is a time span written like "250ms".
@@ -191,5 +238,8 @@
 // Address is an IP address with a port.
 type Address struct{ netip.AddrPort }
 
+// IsZero reports whether no address is set.
+func (a Address) IsZero() bool { return a.AddrPort == netip.AddrPort{} }
+
 // Prefix is a block of client addresses in CIDR notation, without host bits.
 type Prefix struct{ netip.Prefix }
--- a/internal/site/plan.go
+++ b/internal/site/plan.go
@@ -56,9 +56,7 @@
 // HostPlan is one entry host.
 type HostPlan struct {
 	document.EntryHost
-	Domain        string
-	EntryOperator document.Address
-	SteerOperator document.Address
+	Domain string
 }
 
 // ServerPlan is one stand-in backend server.
@@ -135,13 +133,12 @@
 				Caller: p.Network.address(third, k+1, portCaller),
 				Entry:  p.Network.address(third, k+1, portEntryPeer),
 				Steer:  p.Network.address(third, k+1, portSteerPeer),
-			}
-			d.EntryHosts = append(d.EntryHosts, h)
-			p.Hosts = append(p.Hosts, HostPlan{
-				EntryHost: h, Domain: d.Name,
+
 				EntryOperator: p.Network.address(third, k+1, portEntryOperator),
 				SteerOperator: p.Network.address(third, k+1, portSteerOperator),
-			})
+			}
+			d.EntryHosts = append(d.EntryHosts, h)
+			p.Hosts = append(p.Hosts, HostPlan{EntryHost: h, Domain: d.Name})
 		}
 		r.Domains = append(r.Domains, d)
 	}
