Look-up plans by region and paced shifts

Cause: every look-up ranked and sorted all hosts; drains took effect at once. Excluded: candidate lists by order of preference (as many as orders), one cap for each shift, pacing by each host's own start (restarts disagree). Change: plans hold weighted failure domains by service and region; a schedule of shifts follows from the document, one after another under one rate that counts cached answers and clock skew; a pacer holds late hosts to the rate.

--- a/internal/core/lookup/choose.go
+++ b/internal/core/lookup/choose.go
@@ -1,86 +1,146 @@
 package lookup
 
-import (
-	"slices"
+import "net/netip"
 
-	"github.com/cespare/xxhash/v2"
+// Spread is a number that stands for a caller: it varies the choice among like
+// hosts, and decides which callers a shift moves first.
+type Spread uint64
 
-	"cassiatray/internal/core/document"
-)
+// SpreadOf returns the spread of a client address.
+func SpreadOf(a netip.Addr) Spread {
+	k := keyOf(a.Unmap())
+	return Spread(mix(k.hi ^ mix(k.lo)))
+}
+
+// mix is the finalizer of SplitMix64: every bit of x changes half of the
+// result's bits.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
 
-// Host is an entry host that can serve callers now.
-type Host struct {
-	Name        string
-	Domain      string
-	Region      string
-	Caller      string
-	Incarnation uint64
+// Moved reports whether a shift that has moved part of the callers has moved
+// this one. Callers that have moved stay moved while the part grows.
+func (s Spread) Moved(seed uint64, part float64) bool {
+	return s.moved(seed, fraction(part))
+}
+
+func (s Spread) moved(seed, part uint64) bool {
+	return part == ^uint64(0) || mix(uint64(s)^seed) < part
 }
 
 // Query is what an answer is chosen for.
 type Query struct {
-	Service *document.ServiceIndex
+	Service string
 	// Regions are in order of the caller's preference.
 	Regions []string
-	// Spread varies the choice among like hosts; callers of one block share it.
-	Spread string
-	// Count is how many hosts to name.
+	Spread  Spread
+	// Count is how many hosts to name, at least 1.
 	Count int
 }
 
-// Choose returns entry hosts in the order a caller should try them: hosts of
-// failure domains that have servers of the service, by region preference,
-// spread within each region. The last host is of another domain than the
-// first wherever one is live.
-func Choose(q Query, hosts []Host) []Host {
-	ranked := rank(q, hosts)
-	if len(ranked) <= q.Count {
-		return ranked
-	}
-	out := slices.Clone(ranked[:q.Count])
-	last := q.Count - 1
-	if q.Count < 2 || out[last].Domain != out[0].Domain {
-		return out
+// Choose appends to dst the entry hosts that a caller should use, in the order
+// to try them. They are of the first region of the caller's preference that
+// has hosts and has not been drained for this caller, spread by weight; the
+// last is of another failure domain than the first wherever one has hosts.
+func (p *Plan) Choose(dst []Host, q Query) []Host {
+	sp := p.services[q.Service]
+	if sp == nil || len(sp.order) == 0 {
+		return dst
 	}
-	for _, h := range ranked[q.Count:] {
-		if h.Domain != out[0].Domain {
-			out[last] = h
-			break
+	home := sp.home(q)
+	return sp.fill(dst, home, q)
+}
+
+// home returns the pool that a caller is sent to.
+func (sp *servicePlan) home(q Query) *pool {
+	var first *pool
+	for i := range len(q.Regions) + len(sp.order) {
+		pl := sp.candidate(q, i)
+		if pl == nil {
+			continue
+		}
+		if first == nil {
+			first = pl
+		}
+		if !q.Spread.moved(pl.seed, pl.away) {
+			return pl
 		}
 	}
-	return out
+	return first // everything is drained
 }
 
-type candidate struct {
-	host   Host
-	order  int
-	weight uint64
+// candidate returns the i-th pool in order of preference; regions that the
+// caller has no preference for follow in document order.
+func (sp *servicePlan) candidate(q Query, i int) *pool {
+	if i < len(q.Regions) {
+		return sp.pools[q.Regions[i]]
+	}
+	return sp.order[i-len(q.Regions)]
 }
 
-func rank(q Query, hosts []Host) []Host {
-	var list []candidate
-	for _, h := range hosts {
-		if len(q.Service.In(h.Domain)) == 0 {
-			continue
+func (sp *servicePlan) fill(dst []Host, home *pool, q Query) []Host {
+	u := mix(uint64(q.Spread) ^ sp.seed)
+	in, first := home.pick(u)
+	dst = append(dst, home.hosts[first])
+	if q.Count <= 1 {
+		return dst
+	}
+	last, ok := sp.elsewhere(home, in, q, mix(u+1))
+	middle := q.Count - 1
+	if ok {
+		middle--
+	}
+	dst = home.middle(dst, first, middle, last)
+	if ok {
+		dst = append(dst, last)
+	}
+	return dst
+}
+
+// middle appends up to n hosts of the region besides the first and the last.
+func (p *pool) middle(dst []Host, first, n int, last Host) []Host {
+	for k := 1; k < len(p.hosts) && n > 0; k++ {
+		i := (first + k) % len(p.hosts)
+		if p.serves(i) && p.hosts[i].Name != last.Name {
+			dst = append(dst, p.hosts[i])
+			n--
 		}
-		order := slices.Index(q.Regions, h.Region)
-		if order < 0 {
-			order = len(q.Regions)
+	}
+	return dst
+}
+
+// serves reports whether a host's domain has servers.
+func (p *pool) serves(i int) bool {
+	for _, s := range p.spans {
+		if i >= s.from && i < s.to {
+			return true
 		}
-		list = append(list, candidate{host: h, order: order, weight: xxhash.Sum64String(q.Spread + "/" + h.Name)})
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		if a.order != b.order {
-			return a.order - b.order
+	return false
+}
+
+// elsewhere returns a host of another domain than span in of home, of the same
+// region where it can be.
+func (sp *servicePlan) elsewhere(home *pool, in int, q Query, u uint64) (Host, bool) {
+	if i := home.outside(in, u); i >= 0 {
+		return home.hosts[i], true
+	}
+	var spare *pool
+	for i := range len(q.Regions) + len(sp.order) {
+		pl := sp.candidate(q, i)
+		if pl == nil || pl == home {
+			continue
 		}
-		if a.weight < b.weight {
-			return -1
+		if spare = pl; !q.Spread.moved(pl.seed, pl.away) {
+			break
 		}
-		return 1
-	})
-	out := make([]Host, 0, len(list))
-	for _, c := range list {
-		out = append(out, c.host)
 	}
-	return out
+	if spare == nil {
+		return Host{}, false
+	}
+	_, i := spare.pick(u)
+	return spare.hosts[i], true
 }
