--- a/internal/core/document/check.go
+++ b/internal/core/document/check.go
@@ -3,25 +3,35 @@
 import (
 	"fmt"
 	"net/netip"
+	"regexp"
 )
 
 // Check returns every fault in the meaning of a document. Lines gives the line
 // of each key and may be nil.
 func Check(doc *Document, lines Lines) []Problem {
-	c := &checker{doc: doc, lines: lines, regions: map[string]bool{}, domains: map[string]string{}}
+	c := &checker{
+		doc: doc, lines: lines,
+		regions: map[string]bool{}, domains: map[string]string{}, services: map[string]*Service{},
+		addresses: map[netip.AddrPort]string{},
+	}
 	c.top()
 	c.places()
-	c.services()
+	c.links()
+	c.serviceList()
+	c.caps()
 	c.clients()
+	c.drains()
 	return c.problems
 }
 
 type checker struct {
-	doc      *Document
-	lines    Lines
-	problems []Problem
-	regions  map[string]bool
-	domains  map[string]string // domain to its region
+	doc       *Document
+	lines     Lines
+	problems  []Problem
+	regions   map[string]bool
+	domains   map[string]string // domain to its region
+	services  map[string]*Service
+	addresses map[netip.AddrPort]string // address to the key that took it
 }
 
 func (c *checker) fail(key, format string, args ...any) {
@@ -29,6 +39,58 @@
 	c.problems = append(c.problems, p)
 }
 
+// nameForm is the form of every name, so that names can stand in paths, keys
+// and messages.
+var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$`)
+
+// ValidName reports whether a text can be a name in a document or the name of
+// an environment: 1 to 63 lower-case letters, digits, dots, dashes and
+// underscores, with a letter or digit at both ends.
+func ValidName(name string) bool { return nameForm.MatchString(name) }
+
+// name checks the form of a name and that it is new among taken.
+func (c *checker) name(key, kind, name string, taken map[string]bool) {
+	if !ValidName(name) {
+		c.fail(key, "expected a name of lower-case letters, digits, dots, dashes and underscores, got %q", name)
+		return
+	}
+	if taken[name] {
+		c.fail(key, "expected a name that no other %s has, got %q", kind, name)
+	}
+	taken[name] = true
+}
+
+// address checks that an address is given and used once.
+func (c *checker) address(key string, a Address) {
+	if !a.IsValid() {
+		c.fail(key, `missing value, expected an IP address with a port such as "10.0.0.1:8080"`)
+		return
+	}
+	if other, ok := c.addresses[a.AddrPort]; ok {
+		c.fail(key, "address %s is already used by %s", a, other)
+		return
+	}
+	c.addresses[a.AddrPort] = key
+}
+
+func (c *checker) region(key, name string) bool {
+	if !c.regions[name] {
+		c.fail(key, "no region is named %q", name)
+	}
+	return c.regions[name]
+}
+
+func (c *checker) service(key, name string) *Service {
+	s := c.services[name]
+	if s == nil {
+		c.fail(key, "no service is named %q", name)
+	}
+	return s
+}
+
+// MaxLookupHosts bounds how many entry hosts an answer names.
+const MaxLookupHosts = 16
+
 func (c *checker) top() {
 	if w := c.doc.Weigh; w != WeighLatency && w != WeighHeadroom {
 		c.fail("weigh", "expected latency or headroom, got %q", w)
@@ -36,8 +98,8 @@
 	if c.doc.Lookup.TTL <= 0 {
 		c.fail("lookup.ttl", "expected a duration above zero")
 	}
-	if c.doc.Lookup.Hosts < 1 {
-		c.fail("lookup.hosts", "expected at least one host")
+	if n := c.doc.Lookup.Hosts; n < 1 || n > MaxLookupHosts {
+		c.fail("lookup.hosts", "expected 1 to %d, got %d", MaxLookupHosts, n)
 	}
 	if len(c.doc.Regions) == 0 {
 		c.fail("regions", "expected at least one region")
@@ -47,122 +109,42 @@
 	}
 }
 
-func (c *checker) places() {
-	hosts := map[string]bool{}
-	for i, r := range c.doc.Regions {
-		key := fmt.Sprintf("regions[%d]", i)
-		if r.Name == "" || c.regions[r.Name] {
-			c.fail(key+".name", "expected a name that no other region has, got %q", r.Name)
-		}
-		c.regions[r.Name] = true
-		for j, d := range r.Domains {
-			c.domain(fmt.Sprintf("%s.domains[%d]", key, j), r.Name, d, hosts)
-		}
-	}
-}
-
-func (c *checker) domain(key, region string, d Domain, hosts map[string]bool) {
-	if other, ok := c.domains[d.Name]; ok || d.Name == "" {
-		c.fail(key+".name", "failure domain %q is already in region %q", d.Name, other)
-	}
-	c.domains[d.Name] = region
-	if len(d.EntryHosts) == 0 {
-		c.fail(key+".entryHosts", "expected at least one entry host")
-	}
-	for k, h := range d.EntryHosts {
-		hkey := fmt.Sprintf("%s.entryHosts[%d]", key, k)
-		if h.Name == "" || hosts[h.Name] {
-			c.fail(hkey+".name", "expected a name that no other entry host has, got %q", h.Name)
-		}
-		hosts[h.Name] = true
-		for name, a := range map[string]Address{"caller": h.Caller, "entry": h.Entry, "steer": h.Steer} {
-			if !a.IsValid() {
-				c.fail(hkey+"."+name, "expected an address")
-			}
-		}
-	}
-}
-
-func (c *checker) services() {
-	names := map[string]bool{}
-	for i, s := range c.doc.Services {
-		key := fmt.Sprintf("services[%d]", i)
-		if s.Name == "" || names[s.Name] {
-			c.fail(key+".name", "expected a name that no other service has, got %q", s.Name)
-		}
-		names[s.Name] = true
-		if s.Slots < 1 {
-			c.fail(key+".slots", "expected at least 1")
-		}
-		if s.Connections < s.Slots {
-			c.fail(key+".connections", "expected at least as many as slots")
-		}
-		c.servers(key, s)
-		c.classes(key, s)
+func (c *checker) clients() {
+	seen := make(map[netip.Prefix]bool, len(c.doc.Clients))
+	for i, cl := range c.doc.Clients {
+		key := fmt.Sprintf("clients[%d]", i)
+		c.block(key+".block", cl.Block, seen)
+		c.preference(key+".regions", cl.Regions)
 	}
 }
 
-func (c *checker) servers(key string, s Service) {
-	names := map[string]bool{}
-	for j, b := range s.Servers {
-		skey := fmt.Sprintf("%s.servers[%d]", key, j)
-		if b.Name == "" || names[b.Name] {
-			c.fail(skey+".name", "expected a name that no other server of %s has, got %q", s.Name, b.Name)
-		}
-		names[b.Name] = true
-		if _, ok := c.domains[b.Domain]; !ok {
-			c.fail(skey+".domain", "no failure domain is named %q", b.Domain)
-		}
-		if !b.Address.IsValid() {
-			c.fail(skey+".address", "expected an address")
-		}
+// block refuses a block given twice. One block inside another is accepted: the
+// longest prefix that holds an address applies.
+func (c *checker) block(key string, b Prefix, seen map[netip.Prefix]bool) {
+	switch {
+	case !b.IsValid():
+		c.fail(key, "missing value, expected a client block")
+		return
+	case b.Addr().Is4In6():
+		c.fail(key, "block %s is an IPv4 block in IPv6 form, expected its IPv4 form", b)
+	case seen[b.Prefix]:
+		c.fail(key, "block %s is given twice", b)
 	}
+	seen[b.Prefix] = true
 }
 
-func (c *checker) classes(key string, s Service) {
-	if len(s.Classes) == 0 {
-		c.fail(key+".classes", "expected at least one class")
-	}
-	for j, k := range s.Classes {
-		ckey := fmt.Sprintf("%s.classes[%d]", key, j)
-		if k.Name == "" {
-			c.fail(ckey+".name", "expected a name")
-		}
-		if len(k.Methods) == 0 {
-			c.fail(ckey+".methods", "expected at least one method")
-		}
-		if k.Execution != Idempotent && k.Execution != AtMostOnce {
-			c.fail(ckey+".execution", "expected idempotent or at-most-once, got %q", k.Execution)
-		}
-		if k.Deadline <= 0 {
-			c.fail(ckey+".deadline", "expected a duration above zero")
-		}
-		if k.Priority < 0 || k.Priority > MaxPriority {
-			c.fail(ckey+".priority", "expected 0 to %d, got %d", MaxPriority, k.Priority)
-		}
+func (c *checker) preference(key string, regions []string) {
+	if len(regions) == 0 {
+		c.fail(key, "expected at least one region")
 	}
-}
-
-// MaxPriority is the largest number of Class.Priority, for the least urgent.
-const MaxPriority = 9
-
-func (c *checker) clients() {
-	seen := map[netip.Prefix]bool{}
-	for i, cl := range c.doc.Clients {
-		key := fmt.Sprintf("clients[%d]", i)
-		if !cl.Block.IsValid() {
-			c.fail(key+".block", "expected a client block")
-		}
-		if seen[cl.Block.Prefix] {
-			c.fail(key+".block", "block %s is given twice", cl.Block)
-		}
-		seen[cl.Block.Prefix] = true
-		if len(cl.Regions) == 0 {
-			c.fail(key+".regions", "expected at least one region")
-		}
-		for j, r := range cl.Regions {
-			if !c.regions[r] {
-				c.fail(fmt.Sprintf("%s.regions[%d]", key, j), "no region is named %q", r)
+	for i, r := range regions {
+		rkey := fmt.Sprintf("%s[%d]", key, i)
+		if !c.region(rkey, r) {
+			continue
+		}
+		for _, before := range regions[:i] {
+			if before == r {
+				c.fail(rkey, "region %q is listed twice", r)
 			}
 		}
 	}
--- a/internal/core/document/parse.go
+++ b/internal/core/document/parse.go
@@ -2,12 +2,10 @@
 
 import (
 	"bytes"
-	"encoding"
 	"fmt"
 	"io"
 	"reflect"
 	"strings"
-	"time"
 
 	"go.yaml.in/yaml/v3"
 )
@@ -47,29 +45,67 @@
 	return strings.Join(lines, "\n")
 }
 
+// MaxFile bounds a YAML file, in bytes.
+const MaxFile = 40 << 20
+
+// maxProblems bounds the faults that are reported of one file.
+const maxProblems = 50
+
 // Decode reads one YAML document into out, a pointer to a struct, and refuses
 // unknown keys, keys given twice, and values of the wrong type. It returns the
 // line of every key by its path.
 //
 // Errors: *InvalidError.
 func Decode(file string, data []byte, out any) (Lines, error) {
-	var root yaml.Node
-	dec := yaml.NewDecoder(bytes.NewReader(data))
-	if err := dec.Decode(&root); err != nil {
-		return nil, syntaxError(file, err)
+	if len(data) > MaxFile {
+		message := fmt.Sprintf("the file has %d bytes, expected at most %d", len(data), MaxFile)
+		return nil, &InvalidError{File: file, Problems: []Problem{{Line: 1, Message: message}}}
 	}
-	var extra yaml.Node
-	if err := dec.Decode(&extra); err != io.EOF {
-		return nil, &InvalidError{File: file, Problems: []Problem{{Line: extra.Line, Message: "expected one YAML document only"}}}
+	root, err := readNode(file, data)
+	if err != nil {
+		return nil, err
 	}
 	d := decoder{lines: Lines{}}
-	d.value("", root.Content[0], reflect.ValueOf(out).Elem())
+	d.value("", root, reflect.ValueOf(out).Elem())
 	if len(d.problems) > 0 {
-		return nil, &InvalidError{File: file, Problems: d.problems}
+		return nil, invalid(file, d.problems)
 	}
 	return d.lines, nil
 }
 
+// invalid returns an InvalidError with at most maxProblems faults.
+func invalid(file string, problems []Problem) *InvalidError {
+	if rest := len(problems) - maxProblems; rest > 0 {
+		more := Problem{Message: fmt.Sprintf("and %d more faults", rest)}
+		problems = append(problems[:maxProblems:maxProblems], more)
+	}
+	return &InvalidError{File: file, Problems: problems}
+}
+
+// readNode returns the content of the one YAML document in data. The YAML
+// library may panic on hostile input; that is a fault of the file.
+func readNode(file string, data []byte) (node *yaml.Node, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			p := Problem{Line: 1, Message: fmt.Sprintf("the file cannot be read as YAML: %v", r)}
+			node, err = nil, &InvalidError{File: file, Problems: []Problem{p}}
+		}
+	}()
+	var root, extra yaml.Node
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	if err := dec.Decode(&root); err != nil {
+		return nil, syntaxError(file, err)
+	}
+	switch err := dec.Decode(&extra); {
+	case err == io.EOF:
+		return root.Content[0], nil
+	case err != nil:
+		return nil, syntaxError(file, err)
+	}
+	p := Problem{Line: extra.Line, Message: "expected one YAML document only"}
+	return nil, &InvalidError{File: file, Problems: []Problem{p}}
+}
+
 // Lines maps the path of a key to its line.
 type Lines map[string]int
 
@@ -96,145 +132,16 @@
 	var line int
 	if n, _ := fmt.Sscanf(p.Message, "line %d:", &line); n == 1 {
 		p.Line = line
+		// The library counts lines from 0 in errors of its parser, from 1 in
+		// those of its scanner.
+		if strings.Contains(p.Message, "did not find expected") {
+			p.Line++
+		}
 		p.Message = strings.TrimSpace(p.Message[strings.Index(p.Message, ":")+1:])
 	}
 	return &InvalidError{File: file, Problems: []Problem{p}}
 }
 
-type decoder struct {
-	lines    Lines
-	problems []Problem
-}
-
-func (d *decoder) fail(n *yaml.Node, key, format string, args ...any) {
-	d.problems = append(d.problems, Problem{Line: n.Line, Key: key, Message: fmt.Sprintf(format, args...)})
-}
-
-func (d *decoder) value(key string, n *yaml.Node, v reflect.Value) {
-	if n.Kind == yaml.AliasNode {
-		d.fail(n, key, "anchors and aliases are not accepted")
-		return
-	}
-	d.lines[key] = n.Line
-	if _, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
-		d.scalar(key, n, v)
-		return
-	}
-	switch v.Kind() {
-	case reflect.Struct:
-		d.structure(key, n, v)
-	case reflect.Slice:
-		d.list(key, n, v)
-	default:
-		d.scalar(key, n, v)
-	}
-}
-
-func (d *decoder) structure(key string, n *yaml.Node, v reflect.Value) {
-	if n.Kind != yaml.MappingNode {
-		d.fail(n, key, "expected a mapping")
-		return
-	}
-	fields := fieldsOf(v.Type())
-	seen := make(map[string]bool, len(n.Content)/2)
-	for i := 0; i+1 < len(n.Content); i += 2 {
-		name, val := n.Content[i], n.Content[i+1]
-		child := joinKey(key, name.Value)
-		index, ok := fields[name.Value]
-		switch {
-		case !ok:
-			d.fail(name, child, "unknown key, expected one of %s", strings.Join(namesOf(v.Type()), ", "))
-		case seen[name.Value]:
-			d.fail(name, child, "key given twice")
-		default:
-			seen[name.Value] = true
-			d.value(child, val, v.Field(index))
-		}
-	}
-}
-
-func (d *decoder) list(key string, n *yaml.Node, v reflect.Value) {
-	if n.Kind != yaml.SequenceNode {
-		d.fail(n, key, "expected a list")
-		return
-	}
-	v.Set(reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content)))
-	for i, item := range n.Content {
-		d.value(fmt.Sprintf("%s[%d]", key, i), item, v.Index(i))
-	}
-}
-
-func (d *decoder) scalar(key string, n *yaml.Node, v reflect.Value) {
-	if n.Kind != yaml.ScalarNode {
-		d.fail(n, key, "expected %s", kindName(v.Type()))
-		return
-	}
-	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
-		if err := u.UnmarshalText([]byte(n.Value)); err != nil {
-			d.fail(n, key, "%s", scalarMessage(n, v, err))
-		}
-		return
-	}
-	if n.Tag == "!!null" || v.Kind() == reflect.String && n.Tag != "!!str" {
-		d.fail(n, key, "expected %s, got %q", kindName(v.Type()), n.Value)
-		return
-	}
-	if err := n.Decode(v.Addr().Interface()); err != nil {
-		d.fail(n, key, "expected %s, got %q", kindName(v.Type()), n.Value)
-	}
-}
-
-func scalarMessage(n *yaml.Node, v reflect.Value, err error) string {
-	if v.Type() == reflect.TypeFor[time.Time]() {
-		return fmt.Sprintf("%q is not a time such as \"2026-12-04T20:00:00Z\"", n.Value)
-	}
-	return err.Error()
-}
-
-func kindName(t reflect.Type) string {
-	switch t.Kind() {
-	case reflect.Bool:
-		return "true or false"
-	case reflect.Int, reflect.Int64, reflect.Uint64, reflect.Uint32:
-		return "a whole number"
-	case reflect.Float64:
-		return "a number"
-	}
-	return "text"
-}
-
-func joinKey(parent, name string) string {
-	if parent == "" {
-		return name
-	}
-	return parent + "." + name
-}
-
-func fieldsOf(t reflect.Type) map[string]int {
-	out := make(map[string]int, t.NumField())
-	for i := range t.NumField() {
-		if name := yamlName(t.Field(i)); name != "" {
-			out[name] = i
-		}
-	}
-	return out
-}
-
-func namesOf(t reflect.Type) []string {
-	var out []string
-	for i := range t.NumField() {
-		if name := yamlName(t.Field(i)); name != "" {
-			out = append(out, name)
-		}
-	}
-	return out
-}
-
-func yamlName(f reflect.StructField) string {
-	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
-	return name
-}
-
 // Parse reads a document and checks it.
 //
 // Errors: *InvalidError with the line and key of every fault.
@@ -245,7 +152,7 @@
 		return nil, err
 	}
 	if problems := Check(doc, lines); len(problems) > 0 {
-		return nil, &InvalidError{File: file, Problems: problems}
+		return nil, invalid(file, problems)
 	}
 	return doc, nil
 }
