Measured scenarios in one command

Cause: without a run over whole systems no figure can be given for any promise.

Excluded: verdicts from these runs (speed decides no test).

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 export CGO_ENABLED := 1
 
-.PHONY: all build demo up test check generate explore clean
+.PHONY: all build demo up test measure check generate explore clean
 
 all: build
 
@@ -31,6 +31,10 @@
 explore: build
 	CASSIATRAY_BIN=$(CURDIR)/$(BIN) RAPID_CHECKS=10000 go test -race -count=1 ./internal/core/...
 
+# measure runs the measured scenarios: out/measure.json and out/measure.md.
+measure: build
+	$(BIN)/cassiatray-measure --out out/measure.json
+
 # check is formatting, vetting, linting and generated code.
 check:
 	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt would change:"; echo "$$out"; exit 1; fi
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -102,22 +102,7 @@
 		}
 	}
 	d.say(s, "document in force on %d hosts", len(s.Hosts))
-	return d.awaitHosts(ctx, s)
-}
-
-// awaitHosts waits until a look-up anywhere can name hosts of several domains.
-func (d *Demo) awaitHosts(ctx context.Context, s *site.Site) error {
-	service := s.Shape.Services[0].Name
-	return site.Await(ctx, "look-ups", func() bool {
-		for _, h := range s.Hosts {
-			_, body := site.Get(ctx, fmt.Sprintf("http://%s/v1/lookup/%s?client=10.0.0.9", h.Caller, service))
-			var answer api.Lookup
-			if json.Unmarshal(body, &answer) != nil || len(answer.Hosts) < s.Document.Lookup.Hosts {
-				return false
-			}
-		}
-		return true
-	})
+	return s.AwaitServing(ctx)
 }
 
 func (d *Demo) ctl(ctx context.Context, s *site.Site, args ...string) error {
@@ -254,7 +239,7 @@
 	if err := d.ctl(ctx, s, "promote", "--reason", "service "+target.Name); err != nil {
 		return err
 	}
-	if err := d.awaitSequence(ctx, s, 2); err != nil {
+	if err := site.Await(ctx, "the drain everywhere", func() bool { return s.InForce(ctx, 2) }); err != nil {
 		return err
 	}
 	after, err := d.runsOf(ctx, c, target)
@@ -311,24 +296,6 @@
 	return stats.Runs, nil
 }
 
-// awaitSequence waits until every entry process has a sequence in force.
-func (d *Demo) awaitSequence(ctx context.Context, s *site.Site, sequence uint64) error {
-	return site.Await(ctx, fmt.Sprintf("sequence %d everywhere", sequence), func() bool {
-		for _, h := range s.Hosts {
-			_, body := site.Get(ctx, "http://"+h.EntryOperator.String()+"/dump")
-			var state struct {
-				Head struct {
-					Sequence uint64 `json:"sequence"`
-				} `json:"head"`
-			}
-			if json.Unmarshal(body, &state) != nil || state.Head.Sequence < sequence {
-				return false
-			}
-		}
-		return true
-	})
-}
-
 func (d *Demo) status(ctx context.Context, s *site.Site) error {
 	args := []string{"status"}
 	for _, h := range s.Hosts {
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -61,6 +61,8 @@
 	MaxInFlight int    `json:"maxInFlight"`
 	Canceled    uint64 `json:"canceled"`
 	Connections int    `json:"connections"`
+	// Crashes is how often a request crashed the server.
+	Crashes int `json:"crashes"`
 	// LastStart is when the server last began a request, in Unix microseconds.
 	LastStart int64 `json:"lastStart"`
 	// Operations is how often each operation ran.
@@ -161,6 +163,7 @@
 func (s *Server) crashFunc() func() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stats.Crashes++
 	return s.crash
 }
 
