--- a/internal/core/document/types.go
+++ b/internal/core/document/types.go
@@ -238,8 +238,5 @@
 // Address is an IP address with a port.
 type Address struct{ netip.AddrPort }
 
-// IsZero reports whether no address is set.
-func (a Address) IsZero() bool { return a.AddrPort == netip.AddrPort{} }
-
 // Prefix is a block of client addresses in CIDR notation, without host bits.
 type Prefix struct{ netip.Prefix }
