A change costs its own size: tree of sections, deltas, incremental replicas

Cause: a head listed every section, a change of one block rewrote and resent that list, and every process joined and indexed the whole document anew. Domain reports went from every lead to every domain, heartbeats carried the whole state, sequences counted as membership changes, and liveness was judged by the clock, so that a process that woke from a pause took all others for dead.

Change: sections form a tree under the head, cut by a hash of the block so that the division depends on the document alone. Heads carry the newest changes as deltas. A replica takes a delta, computes the sections it must give and compares their hashes with the head's. Followers get deltas, and fetch what differs when they are too far behind. Leads exchange views with the domains at distances 1, 2, 4, ... on a ring: news at once, digests in turn. Heartbeats are stubs once the state is known, one for each pair of hosts. Members judge by their own ticks, and lead by lease, else by rank.

Envstore: Proposal.Refs points a head at stored sections (for a promotion); Read, Sections, Document and Compare read lists, trees, documents, differences.

--- a/internal/convert/head.go
+++ b/internal/convert/head.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"cassiatray/internal/core/document"
@@ -59,6 +60,92 @@
 	return document.Ref{Name: m.Name, Hash: document.Hash(m.Hash)}, nil
 }
 
+// Update reads the head and the delta, if any, of an update that has a head.
+//
+// Errors: *MessageError, *document.SectionError.
+func Update(m *peerv1.Update) (document.Head, *document.Delta, error) {
+	h, err := Head(m.Head)
+	if err != nil || m.Delta == nil {
+		return h, nil, err
+	}
+	d, err := Delta(m.Delta)
+	return h, &d, err
+}
+
+// UpdateMessage returns the message of a head and the delta to it, which may
+// be nil.
+func UpdateMessage(h document.Head, d *document.Delta) *peerv1.Update {
+	out := &peerv1.Update{Head: HeadMessage(h)}
+	if d != nil {
+		out.Delta = DeltaMessage(*d)
+	}
+	return out
+}
+
+// maxDeltaItems bounds the client blocks of a delta message.
+const maxDeltaItems = 1 << 17
+
+// DeltaMessage returns the message of a delta.
+func DeltaMessage(d document.Delta) *peerv1.Delta {
+	out := &peerv1.Delta{Base: d.Base, Parts: SectionMessages(d.Parts)}
+	for _, c := range d.Set {
+		out.Set = append(out.Set, &peerv1.ClientBlock{Block: blockBytes(c.Block), Regions: c.Regions})
+	}
+	for _, p := range d.Removed {
+		out.Removed = append(out.Removed, blockBytes(p))
+	}
+	return out
+}
+
+// Delta reads a delta from its message.
+//
+// Errors: *MessageError, *document.SectionError.
+func Delta(m *peerv1.Delta) (document.Delta, error) {
+	if n := len(m.Set) + len(m.Removed); n > maxDeltaItems {
+		return document.Delta{}, &MessageError{Field: "delta", Got: fmt.Sprintf("%d blocks", n)}
+	}
+	parts, err := Sections(m.Parts)
+	if err != nil {
+		return document.Delta{}, err
+	}
+	out := document.Delta{Base: m.Base, Parts: parts}
+	for _, c := range m.Set {
+		p, err := block(c.GetBlock())
+		if err != nil {
+			return document.Delta{}, err
+		}
+		out.Set = append(out.Set, document.Client{Block: p, Regions: c.GetRegions()})
+	}
+	for _, raw := range m.Removed {
+		p, err := block(raw)
+		if err != nil {
+			return document.Delta{}, err
+		}
+		out.Removed = append(out.Removed, p)
+	}
+	return out, nil
+}
+
+func blockBytes(p document.Prefix) []byte {
+	return append(p.Addr().AsSlice(), byte(p.Bits()))
+}
+
+func block(raw []byte) (document.Prefix, error) {
+	bad := &MessageError{Field: "client block", Got: fmt.Sprintf("%x", raw)}
+	if len(raw) == 0 {
+		return document.Prefix{}, bad
+	}
+	addr, ok := netip.AddrFromSlice(raw[:len(raw)-1])
+	if !ok {
+		return document.Prefix{}, bad
+	}
+	p := netip.PrefixFrom(addr, int(raw[len(raw)-1]))
+	if !p.IsValid() || p != p.Masked() {
+		return document.Prefix{}, bad
+	}
+	return document.Prefix{Prefix: p}, nil
+}
+
 // SectionMessages returns the messages of sections.
 func SectionMessages(sections []document.Section) []*peerv1.Section {
 	out := make([]*peerv1.Section, 0, len(sections))
--- a/internal/core/document/head.go
+++ b/internal/core/document/head.go
@@ -30,7 +30,12 @@
 	Sequence    uint64    `json:"sequence"`
 	ChangeID    string    `json:"changeId"`
 	Accepted    time.Time `json:"accepted"`
-	Sections    []Ref     `json:"sections"`
+	// Sections are the top of the tree of sections: those that no page lists.
+	Sections []Ref `json:"sections"`
+	// Deltas are the newest changes up to this head, oldest first, without a
+	// gap, as far as they are small. They save a reader that is a few changes
+	// behind from reading sections.
+	Deltas []Delta `json:"deltas,omitempty"`
 }
 
 // Change records why and by whom an environment was moved to a new head.
@@ -50,12 +55,3 @@
 	Diff     []string `json:"diff"`
 	Sections []Ref    `json:"sections"`
 }
-
-// Refs returns the references of sections, in order.
-func Refs(sections []Section) []Ref {
-	out := make([]Ref, 0, len(sections))
-	for _, s := range sections {
-		out = append(out, Ref{Name: s.Name, Hash: s.Hash})
-	}
-	return out
-}
--- a/internal/core/document/sections.go
+++ b/internal/core/document/sections.go
@@ -12,6 +12,10 @@
 // HashSize is the length of a section's hash in bytes.
 const HashSize = 16
 
+// MaxSection bounds the data of a section, in bytes, so that each is one value
+// of the platform's key-value service.
+const MaxSection = 1_000_000
+
 // Hash names a section by its content: the first HashSize bytes of the
 // SHA-256 of its data.
 type Hash [HashSize]byte
@@ -24,7 +28,8 @@
 	return Hash(sum[:HashSize])
 }
 
-// Section is a part of a document that is stored and sent on its own.
+// Section is a part of a document that is stored and sent on its own. A page
+// is a section that lists other sections.
 type Section struct {
 	// Name is unique within a document.
 	Name string
@@ -33,55 +38,113 @@
 	Data []byte
 }
 
-// Names of the sections. Client blocks are divided over sections named
-// clientsPrefix plus a number, so that a change of one block costs one part.
+// Ref returns the section's reference.
+func (s Section) Ref() Ref { return Ref{Name: s.Name, Hash: s.Hash} }
+
+// Names of sections. A head refers to the sections named in full; the pages
+// among them refer to the rest.
 const (
 	sectionSettings = "settings"
-	sectionPlaces   = "places"
-	sectionServices = "services"
+	sectionLinks    = "links"
 	sectionCaps     = "caps"
 	sectionDrains   = "drains"
+	regionPrefix    = "region/"
+	servicePrefix   = "service/"
 	clientsPrefix   = "clients/"
+
+	pagePrefix   = "page/"
+	pageRegions  = "page/regions"
+	pageServices = "page/services"
+	pageClients  = "page/clients"
 )
 
-type settingsSection struct {
-	Weigh  Weigh  `json:"weigh"`
-	Lookup Lookup `json:"lookup"`
+var topNames = []string{
+	sectionSettings, sectionLinks, sectionCaps, sectionDrains, pageRegions, pageServices, pageClients,
 }
 
-type placesSection struct {
-	Regions []Region `json:"regions"`
-	Links   []Link   `json:"links,omitempty"`
+// IsPage reports whether a section lists other sections.
+func IsPage(name string) bool { return strings.HasPrefix(name, pagePrefix) }
+
+// isClients reports whether a section holds client blocks or lists sections
+// that do.
+func isClients(name string) bool {
+	return strings.HasPrefix(name, clientsPrefix) || strings.HasPrefix(name, pageClients)
+}
+
+// Refs returns the references of a head: those of the sections that no page
+// lists.
+func Refs(sections []Section) []Ref {
+	var out []Ref
+	for _, s := range sections {
+		if slices.Contains(topNames, s.Name) {
+			out = append(out, s.Ref())
+		}
+	}
+	return out
+}
+
+// Children returns the references that a page lists; other sections have none.
+//
+// Errors: *SectionError.
+func Children(s Section) ([]Ref, error) {
+	if !IsPage(s.Name) {
+		return nil, nil
+	}
+	var refs []Ref
+	if err := json.Unmarshal(s.Data, &refs); err != nil {
+		return nil, &SectionError{Name: s.Name, Err: err}
+	}
+	return refs, nil
 }
 
-// clientsPerSection is the mean number of client blocks in a section.
-const clientsPerSection = 128
+type settingsSection struct {
+	Weigh  Weigh  `json:"weigh"`
+	Lookup Lookup `json:"lookup"`
+}
 
-// Divide splits a document into sections in a stable order.
+// Divide splits a document into sections in a stable order. The division
+// depends on the document alone: equal documents have equal sections.
+//
+// Errors: *SectionError, also for a part that is over MaxSection.
 func Divide(doc *Document) ([]Section, error) {
-	parts := []struct {
-		name  string
-		value any
-	}{
-		{sectionSettings, settingsSection{Weigh: doc.Weigh, Lookup: doc.Lookup}},
-		{sectionPlaces, placesSection{Regions: doc.Regions, Links: doc.Links}},
-		{sectionServices, doc.Services},
-		{sectionCaps, doc.Caps},
-		{sectionDrains, doc.Drains},
-	}
-	out := make([]Section, 0, len(parts))
-	for _, p := range parts {
-		s, err := newSection(p.name, p.value)
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, s)
+	d := new(divider)
+	d.add(sectionSettings, settingsSection{Weigh: doc.Weigh, Lookup: doc.Lookup})
+	d.add(sectionLinks, doc.Links)
+	d.add(sectionCaps, doc.Caps)
+	d.add(sectionDrains, doc.Drains)
+	regions := make([]Ref, 0, len(doc.Regions))
+	for _, r := range doc.Regions {
+		regions = append(regions, d.add(regionPrefix+r.Name, r))
+	}
+	d.add(pageRegions, regions)
+	services := make([]Ref, 0, len(doc.Services))
+	for _, s := range doc.Services {
+		services = append(services, d.add(servicePrefix+s.Name, s))
+	}
+	d.add(pageServices, services)
+	if d.err != nil {
+		return nil, d.err
 	}
 	clients, err := divideClients(doc.Clients)
 	if err != nil {
 		return nil, err
 	}
-	return append(out, clients...), nil
+	return append(d.sections, clients...), nil
+}
+
+// divider collects sections until the first failure.
+type divider struct {
+	sections []Section
+	err      error
+}
+
+func (d *divider) add(name string, value any) Ref {
+	s, err := newSection(name, value)
+	if err != nil && d.err == nil {
+		d.err = err
+	}
+	d.sections = append(d.sections, s)
+	return s.Ref()
 }
 
 func newSection(name string, value any) (Section, error) {
@@ -89,33 +152,10 @@
 	if err != nil {
 		return Section{}, &SectionError{Name: name, Err: err}
 	}
-	return Section{Name: name, Hash: HashOf(data), Data: data}, nil
-}
-
-// divideClients spreads client blocks by a hash of the block, so that adding a
-// block changes one section. The number of sections is a power of two that
-// grows with the number of blocks.
-func divideClients(clients []Client) ([]Section, error) {
-	count := 1
-	for count*clientsPerSection < len(clients) {
-		count *= 2
-	}
-	parts := make([][]Client, count)
-	for _, c := range clients {
-		h := HashOf([]byte(c.Block.String()))
-		i := (int(h[0])<<16 | int(h[1])<<8 | int(h[2])) % count
-		parts[i] = append(parts[i], c)
-	}
-	out := make([]Section, 0, count)
-	for i, p := range parts {
-		slices.SortFunc(p, func(a, b Client) int { return a.Block.Compare(b.Block.Prefix) })
-		s, err := newSection(fmt.Sprintf("%s%05d", clientsPrefix, i), p)
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, s)
+	if len(data) > MaxSection {
+		return Section{}, &SectionError{Name: name, Err: ErrSectionSize}
 	}
-	return out, nil
+	return Section{Name: name, Hash: HashOf(data), Data: data}, nil
 }
 
 // SectionError is a section that cannot be written or read.
@@ -128,48 +168,79 @@
 
 func (e *SectionError) Unwrap() error { return e.Err }
 
-// Join puts a document together from all of its sections.
+// Join puts a document together from all of its sections, pages included.
 //
 // Errors: *SectionError for data that does not match its hash or its type.
 func Join(sections []Section) (*Document, error) {
-	doc := new(Document)
+	byName := make(map[string]Section, len(sections))
 	for _, s := range sections {
 		if HashOf(s.Data) != s.Hash {
 			return nil, &SectionError{Name: s.Name, Err: ErrHash}
 		}
-		if err := joinSection(doc, s); err != nil {
-			return nil, &SectionError{Name: s.Name, Err: err}
+		byName[s.Name] = s
+	}
+	doc, err := joinParts(func(name string) (Section, bool) { s, ok := byName[name]; return s, ok })
+	if err != nil {
+		return nil, err
+	}
+	for _, s := range sections {
+		if !strings.HasPrefix(s.Name, clientsPrefix) {
+			continue
 		}
+		list, err := parseClients(s)
+		if err != nil {
+			return nil, err
+		}
+		doc.Clients = append(doc.Clients, list...)
 	}
 	slices.SortFunc(doc.Clients, func(a, b Client) int { return a.Block.Compare(b.Block.Prefix) })
 	return doc, nil
 }
 
-func joinSection(doc *Document, s Section) error {
-	switch {
-	case s.Name == sectionSettings:
-		var v settingsSection
-		err := json.Unmarshal(s.Data, &v)
-		doc.Weigh, doc.Lookup = v.Weigh, v.Lookup
-		return err
-	case s.Name == sectionPlaces:
-		var v placesSection
-		err := json.Unmarshal(s.Data, &v)
-		doc.Regions, doc.Links = v.Regions, v.Links
-		return err
-	case s.Name == sectionServices:
-		return json.Unmarshal(s.Data, &doc.Services)
-	case s.Name == sectionCaps:
-		return json.Unmarshal(s.Data, &doc.Caps)
-	case s.Name == sectionDrains:
-		return json.Unmarshal(s.Data, &doc.Drains)
-	case strings.HasPrefix(s.Name, clientsPrefix):
-		var v []Client
-		err := json.Unmarshal(s.Data, &v)
-		doc.Clients = append(doc.Clients, v...)
-		return err
-	}
-	return ErrSectionName
+// joinParts puts a document together without its client blocks. Parts that
+// are not there stay empty.
+func joinParts(find func(name string) (Section, bool)) (*Document, error) {
+	doc := new(Document)
+	var set settingsSection
+	j := joiner{find: find}
+	j.read(sectionSettings, &set)
+	j.read(sectionLinks, &doc.Links)
+	j.read(sectionCaps, &doc.Caps)
+	j.read(sectionDrains, &doc.Drains)
+	for _, ref := range j.children(pageRegions) {
+		var r Region
+		j.read(ref.Name, &r)
+		doc.Regions = append(doc.Regions, r)
+	}
+	for _, ref := range j.children(pageServices) {
+		var s Service
+		j.read(ref.Name, &s)
+		doc.Services = append(doc.Services, s)
+	}
+	doc.Weigh, doc.Lookup = set.Weigh, set.Lookup
+	return doc, j.err
+}
+
+// joiner reads sections until the first failure.
+type joiner struct {
+	find func(name string) (Section, bool)
+	err  error
+}
+
+func (j *joiner) read(name string, into any) {
+	s, ok := j.find(name)
+	if !ok || j.err != nil {
+		return
+	}
+	if err := json.Unmarshal(s.Data, into); err != nil {
+		j.err = &SectionError{Name: name, Err: err}
+	}
+}
+
+func (j *joiner) children(page string) []Ref {
+	var refs []Ref
+	j.read(page, &refs)
+	return refs
 }
 
 func parseHash(text string) (Hash, error) {
--- a/internal/daemon/entry/feed.go
+++ b/internal/daemon/entry/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,8 @@
 	"cassiatray/internal/convert"
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/lookup"
+	"cassiatray/internal/core/relay"
+	"cassiatray/internal/daemon/fetch"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
 )
@@ -18,27 +21,44 @@
 // feedRetry is the pause before the steer process is followed again.
 const feedRetry = 200 * time.Millisecond
 
-// Feed follows this host's steer process and publishes snapshots. With no
-// steer process the last snapshot stays in force.
+// Times of the choice between this host's steer process and another.
+const (
+	// reportsMissed is how many reports in a row may fail before this host's
+	// steer process counts as gone.
+	reportsMissed = 4
+	// returnAfter is for how long another steer process is followed before
+	// this host's own is tried again.
+	returnAfter = 5 * time.Second
+)
+
+// Feed follows this host's steer process, or another of its failure domain
+// while its own is gone, and publishes snapshots. With no steer process the
+// last snapshot stays in force.
 type Feed struct {
 	cfg         Settings
 	incarnation uint64
 	peers       port.PeerCaller
 	log         *logrus.Entry
+	metrics     *feedMetrics
+	receiver    *relay.Receiver
 	snapshot    atomic.Pointer[Snapshot]
 	state       atomic.Int32
+	// source is the address followed now.
+	source atomic.Pointer[string]
+	// missed counts reports to this host's steer process that failed since
+	// one succeeded.
+	missed atomic.Int32
 
 	// Only the follow loop uses these.
-	replica *document.Replica
-	table   *lookup.Table
-	domains map[string]*peerv1.DomainView
+	table *lookup.Table
+	views *relay.Views
 }
 
 // NewFeed returns a feed with no snapshot.
 func NewFeed(cfg Settings, incarnation uint64, peers port.PeerCaller, log *logrus.Entry) *Feed {
 	f := &Feed{
-		cfg: cfg, incarnation: incarnation, peers: peers, log: log,
-		replica: document.NewReplica(), domains: map[string]*peerv1.DomainView{},
+		cfg: cfg, incarnation: incarnation, peers: peers, log: log, metrics: newFeedMetrics(),
+		receiver: relay.NewReceiver(cfg.Environment), views: relay.NewViews(""),
 	}
 	f.state.Store(int32(peerv1.HostState_HOST_STATE_STARTING))
 	return f
@@ -53,6 +73,14 @@
 // State returns the state that this process reports.
 func (f *Feed) State() peerv1.HostState { return peerv1.HostState(f.state.Load()) }
 
+// Source returns the address of the steer process followed now.
+func (f *Feed) Source() string {
+	if s := f.source.Load(); s != nil {
+		return *s
+	}
+	return ""
+}
+
 // Run follows and reports until the context ends.
 func (f *Feed) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -63,19 +91,64 @@
 
 func (f *Feed) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		req := &peerv1.Request{Body: &peerv1.Request_Follow{Follow: &peerv1.Follow{
-			Environment: f.cfg.Environment, HaveSequence: f.replica.Head().Sequence, Role: peerv1.Role_ROLE_ENTRY,
-		}}}
-		err := f.peers.Follow(ctx, f.cfg.Steer.String(), req, func(r *peerv1.Reply) error {
-			return f.take(r.GetUpdate())
-		})
-		if err != nil {
+		address := f.choose()
+		if err := f.followAddress(ctx, address); err != nil {
 			f.log.WithError(err).Debug("Follow ended.")
 		}
 		pause(ctx, feedRetry)
 	}
 }
 
+// choose returns the steer process to follow: this host's own unless it is
+// gone, else any other of the domain.
+func (f *Feed) choose() string {
+	own := f.cfg.Steer.String()
+	index := f.receiver.Index()
+	if index == nil || f.missed.Load() < reportsMissed {
+		return own
+	}
+	var others []string
+	for _, h := range index.Hosts(f.cfg.Domain) {
+		if a := h.Steer.String(); a != own {
+			others = append(others, a)
+		}
+	}
+	if len(others) == 0 {
+		return own
+	}
+	return others[rand.IntN(len(others))]
+}
+
+// followAddress follows one steer process until it fails. This host's own is
+// left when its reports fail; another one after a while.
+func (f *Feed) followAddress(ctx context.Context, address string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { f.guard(ctx, cancel, address == f.cfg.Steer.String()) })
+	f.source.Store(&address)
+	req := &peerv1.Request{Body: &peerv1.Request_Follow{Follow: &peerv1.Follow{
+		Environment: f.cfg.Environment, HaveSequence: f.receiver.Head().Sequence, Role: peerv1.Role_ROLE_ENTRY,
+		HaveDomains: f.views.Versions(),
+	}}}
+	return f.peers.Follow(ctx, address, req, func(r *peerv1.Reply) error {
+		return f.take(ctx, address, r.GetUpdate())
+	})
+}
+
+func (f *Feed) guard(ctx context.Context, cancel context.CancelFunc, own bool) {
+	defer cancel()
+	if !own {
+		pause(ctx, returnAfter)
+		return
+	}
+	for ctx.Err() == nil && f.missed.Load() < reportsMissed {
+		pause(ctx, f.cfg.Heartbeat.D())
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -86,21 +159,18 @@
 }
 
 // take puts an update in force and publishes a new snapshot.
-func (f *Feed) take(up *peerv1.Update) error {
+func (f *Feed) take(ctx context.Context, address string, up *peerv1.Update) error {
 	if up.GetHead() != nil {
-		if err := f.advance(up); err != nil {
+		if err := f.advance(ctx, address, up); err != nil {
 			return err
 		}
 	}
-	for _, v := range up.GetDomains() {
-		if old := f.domains[v.Domain]; old == nil || old.Version < v.Version {
-			f.domains[v.Domain] = v
-		}
-	}
-	if f.replica.Index() == nil {
+	f.views.Merge(up.GetDomains())
+	index := f.receiver.Index()
+	if index == nil {
 		return nil
 	}
-	f.snapshot.Store(newSnapshot(f.replica.Head(), f.replica.Index(), f.table, f.domains))
+	f.snapshot.Store(newSnapshot(f.receiver.Head(), index, f.table, f.views.All()))
 	if f.State() == peerv1.HostState_HOST_STATE_STARTING {
 		f.SetState(peerv1.HostState_HOST_STATE_SERVING)
 		f.log.Info("Serving.")
@@ -108,21 +178,20 @@
 	return nil
 }
 
-func (f *Feed) advance(up *peerv1.Update) error {
-	head, err := convert.Head(up.Head)
+func (f *Feed) advance(ctx context.Context, address string, up *peerv1.Update) error {
+	head, delta, err := convert.Update(up)
 	if err != nil {
 		return err
 	}
-	sections, err := convert.Sections(up.Sections)
-	if err != nil {
+	taken, err := f.receiver.Take(head, delta, func(refs []document.Ref) ([]document.Section, error) {
+		return fetch.Sections(ctx, f.peers, address, refs)
+	})
+	if err != nil || taken == nil {
 		return err
 	}
-	ok, err := f.replica.Advance(head, sections)
-	if err != nil || !ok {
-		return err
-	}
-	f.table = lookup.NewTable(f.replica.Index().Doc.Clients)
-	f.log.WithField("sequence", head.Sequence).Info("Document in force.")
+	f.table = lookup.NewTable(f.receiver.Clients())
+	f.metrics.taken(taken)
+	f.log.WithField("sequence", taken.Head.Sequence).Info("Document in force.")
 	return nil
 }
 
@@ -141,11 +210,12 @@
 		Host: f.cfg.Host, Domain: f.cfg.Domain, EntryIncarnation: f.incarnation, EntryState: f.State(),
 		CallerAddress: f.cfg.Caller.String(), EntryPeerAddress: f.cfg.Peer.String(),
 	}
-	if s := f.Snapshot(); s != nil {
-		m.EntrySequence = s.Head.Sequence
-	}
-	req := &peerv1.Request{Body: &peerv1.Request_Heartbeat{Heartbeat: &peerv1.Heartbeat{Member: m}}}
+	hb := &peerv1.Heartbeat{Member: m, EntrySequence: f.receiver.Head().Sequence}
+	req := &peerv1.Request{Body: &peerv1.Request_Heartbeat{Heartbeat: hb}}
 	if _, err := f.peers.Call(ctx, f.cfg.Steer.String(), req); err != nil {
+		f.missed.Add(1)
 		f.log.WithError(err).Debug("Report failed.")
+		return
 	}
+	f.missed.Store(0)
 }
--- /dev/null
+++ b/internal/daemon/entry/feedmetrics.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cassiatray/internal/core/relay"
+)
+
+// forceBuckets are bounds of the time from accepted to in force, in seconds.
+var forceBuckets = []float64{0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8, 16, 60}
+
+// feedMetrics counts what a feed does.
+type feedMetrics struct {
+	changes  *prometheus.CounterVec
+	inForce  prometheus.Histogram
+	sequence prometheus.Gauge
+}
+
+func newFeedMetrics() *feedMetrics {
+	return &feedMetrics{
+		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cassiatray_entry_changes_total", Help: "Documents put in force, by how they came: delta or sections.",
+		}, []string{"by"}),
+		inForce: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "cassiatray_entry_in_force_seconds", Help: "Time from the acceptance of a change to its being in force here.",
+			Buckets: forceBuckets,
+		}),
+		sequence: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "cassiatray_entry_sequence", Help: "Sequence of the document in force.",
+		}),
+	}
+}
+
+func (m *feedMetrics) taken(t *relay.Taken) {
+	by := "delta"
+	if t.Fetched > 0 {
+		by = "sections"
+	}
+	m.changes.WithLabelValues(by).Inc()
+	m.sequence.Set(float64(t.Head.Sequence))
+	m.inForce.Observe(max(0, time.Since(t.Head.Accepted).Seconds()))
+}
+
+// Register adds the feed's metrics to a registry.
+func (f *Feed) Register(reg *prometheus.Registry) {
+	reg.MustRegister(f.metrics.changes, f.metrics.inForce, f.metrics.sequence)
+}
--- a/internal/daemon/entry/module.go
+++ b/internal/daemon/entry/module.go
@@ -29,7 +29,7 @@
 // Module wires an entry process. It needs *Settings, *logrus.Logger and
 // *prometheus.Registry.
 var Module = fx.Module("entry",
-	fx.Provide(newIdentity, newPool, newFeed, newBackend, newNode, newServer, NewMetrics),
+	fx.Provide(newIdentity, newMeter, newPool, newFeed, newBackend, newNode, newServer, NewMetrics),
 	fx.Invoke(start),
 )
 
@@ -37,7 +37,11 @@
 	return peer.Identity{Host: cfg.Host, Incarnation: membership.NewIncarnation(time.Now(), rand.Uint64())}
 }
 
-func newPool(id peer.Identity) *peer.Pool { return peer.NewPool(id, peer.TCPDial) }
+func newMeter(reg *prometheus.Registry) *peer.Meter { return peer.NewMeter(reg) }
+
+func newPool(id peer.Identity, m *peer.Meter) *peer.Pool {
+	return peer.NewPool(id, m.Dial(peer.TCPDial))
+}
 
 func newFeed(cfg *Settings, id peer.Identity, pool *peer.Pool, log *logrus.Logger) *Feed {
 	return NewFeed(*cfg, id.Incarnation, pool, logging.Part(log, "feed"))
@@ -51,7 +55,7 @@
 
 func newServer(id peer.Identity, n *Node) *peer.Server { return peer.NewServer(id, n) }
 
-func start(lc fx.Lifecycle, cfg *Settings, n *Node, f *Feed, srv *peer.Server, pool *peer.Pool, reg *prometheus.Registry) {
+func start(lc fx.Lifecycle, cfg *Settings, n *Node, f *Feed, srv *peer.Server, pool *peer.Pool, m *peer.Meter, reg *prometheus.Registry) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	callers := callerhttp.NewServer(callerhttp.NewHandler(n, cfg.Host))
@@ -70,7 +74,8 @@
 				return err
 			}
 			operatorhttp.Serve(ol, operatorhttp.NewRouter(n, reg))
-			srv.Start(pl)
+			srv.Start(m.Listener(pl))
+			f.Register(reg)
 			wg.Go(func() { f.Run(ctx) })
 			go callers.Serve(cl)
 			return nil
--- a/internal/daemon/entry/snapshot.go
+++ b/internal/daemon/entry/snapshot.go
@@ -19,7 +19,7 @@
 }
 
 // newSnapshot joins a document with the members of all domains.
-func newSnapshot(head document.Head, index *document.Index, table *lookup.Table, domains map[string]*peerv1.DomainView) *Snapshot {
+func newSnapshot(head document.Head, index *document.Index, table *lookup.Table, domains []*peerv1.DomainView) *Snapshot {
 	s := &Snapshot{Head: head, Index: index, Table: table, Members: map[string]*peerv1.Member{}}
 	for _, view := range domains {
 		for _, m := range view.Members {
--- a/internal/daemon/steer/node.go
+++ b/internal/daemon/steer/node.go
@@ -3,9 +3,9 @@
 // to the entry process of its host and to other steer processes.
 //
 // One member of each domain leads: it watches the platform's store and
-// exchanges with the leads of other domains. The others follow it. Everything
-// that is passed on carries a sequence or a version, so that any number of
-// leads does no harm.
+// exchanges with the leads of a few other domains. The others follow it.
+// Everything that is passed on carries a sequence or a version, so that any
+// number of leads does no harm.
 package steer
 
 import (
@@ -14,9 +14,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"cassiatray/internal/convert"
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/membership"
+	"cassiatray/internal/core/relay"
 	"cassiatray/internal/envstore"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
@@ -24,7 +24,8 @@
 
 // Node is the state of a steer process.
 //
-// mu guards all that follows it. It is never held during I/O.
+// mu guards all that follows it. It is never held during I/O, and never taken
+// by receiver, which has a lock of its own.
 type Node struct {
 	cfg         Settings
 	incarnation uint64
@@ -32,30 +33,66 @@
 	peers       port.PeerCaller
 	clock       port.Clock
 	log         *logrus.Entry
-
-	mu      sync.Mutex
-	replica *document.Replica
-	view    *membership.View
-	self    *peerv1.Member
-	// entryHeard is when the entry process of this host last reported.
-	entryHeard time.Time
-	domains    map[string]*peerv1.DomainView
+	metrics     *metrics
+	receiver    *relay.Receiver
+	wg          sync.WaitGroup // exchanges started by loops
+
+	mu    sync.Mutex
+	view  *membership.View
+	lease *membership.Lease
+	self  *peerv1.Member
+	// entryTicks counts ticks since the entry process of this host reported.
+	entryTicks    int
+	entrySequence uint64
+	views         *relay.Views
+	contacts      map[string]*contact
+	behind        behind
+	// since is when the head in force was put in force here.
+	since time.Time
+	// ready is set once this process knows that its document is the newest
+	// that it can get.
+	ready bool
 	// changed is closed and replaced whenever followers have news.
 	changed chan struct{}
+	// news holds at most one signal that views of domains changed.
+	news chan struct{}
+	// fresh are the views that changed since the last report to partners.
+	fresh map[string]bool
+	// rotation varies the host of another domain that is called first.
+	rotation int
+}
+
+// contact is what this process knows of another steer process.
+type contact struct {
+	host string
+	// last is when an exchange with it last succeeded, failures how many
+	// failed since.
+	last     time.Time
+	failures int
+	// acked is this process's version that the other has confirmed, and
+	// incarnation the other's at that time.
+	acked       uint64
+	incarnation uint64
+	sequence    uint64
 }
 
 // NewNode returns a node with no document and no members but itself.
 func NewNode(cfg Settings, incarnation uint64, store *envstore.Store, peers port.PeerCaller, clock port.Clock, log *logrus.Entry) *Node {
 	return &Node{
 		cfg: cfg, incarnation: incarnation, store: store, peers: peers, clock: clock, log: log,
-		replica: document.NewReplica(),
-		view:    membership.NewView(heartbeatsMissed * cfg.Heartbeat.D()),
+		metrics:  newMetrics(),
+		receiver: relay.NewReceiver(cfg.Environment),
+		view:     membership.NewView(heartbeatsMissed),
+		lease:    membership.NewLease(leaseTTL),
 		self: &peerv1.Member{
 			Host: cfg.Host, Domain: cfg.Domain, SteerIncarnation: incarnation, Version: 1,
 			SteerPeerAddress: cfg.Peer.String(),
 		},
-		domains: map[string]*peerv1.DomainView{},
-		changed: make(chan struct{}),
+		views:    relay.NewViews(cfg.Domain),
+		contacts: map[string]*contact{},
+		changed:  make(chan struct{}),
+		news:     make(chan struct{}, 1),
+		fresh:    map[string]bool{},
 	}
 }
 
@@ -65,17 +102,21 @@
 	n.changed = make(chan struct{})
 }
 
-// advance puts a newer head in force.
-func (n *Node) advance(h document.Head, sections []document.Section) error {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	ok, err := n.replica.Advance(h, sections)
-	if err != nil || !ok {
+func (n *Node) head() document.Head { return n.receiver.Head() }
+
+// put takes in a head, by its delta or by sections from fetch.
+func (n *Node) put(h document.Head, d *document.Delta, fetch relay.Fetch) error {
+	taken, err := n.receiver.Take(h, d, fetch)
+	if err != nil || taken == nil {
 		return err
 	}
-	n.updateSelf(func(m *peerv1.Member) { m.SteerSequence = h.Sequence })
+	now := n.clock.Now()
+	n.metrics.taken(taken, now)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.since = now
 	n.notify()
-	n.log.WithField("sequence", h.Sequence).Info("Document in force.")
+	n.log.WithField("sequence", taken.Head.Sequence).WithField("fetched", taken.Fetched).Info("Document in force.")
 	return nil
 }
 
@@ -86,46 +127,44 @@
 	change(next)
 	next.Version++
 	n.self = next
-	n.view.Observe(n.clock.Now(), next)
-}
-
-func (n *Node) head() document.Head {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.replica.Head()
-}
-
-// refresh marks this host live in its own view and drops an entry process that
-// no longer reports.
-func (n *Node) refresh() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.clock.Now()
-	if n.self.EntryIncarnation != 0 && now.Sub(n.entryHeard) >= heartbeatsMissed*n.cfg.Heartbeat.D() {
-		n.updateSelf(func(m *peerv1.Member) {
-			m.EntryIncarnation, m.EntryState = 0, peerv1.HostState_HOST_STATE_UNSPECIFIED
-		})
-		n.log.Warn("Entry process is gone.")
-	}
-	n.view.Observe(now, n.self)
-	n.refreshOwnDomain(now)
+	n.view.Observe(next)
 }
 
 // refreshOwnDomain rebuilds this domain's view when its members changed. Only
 // the lead's view is passed to other domains; each member builds its own for
 // its entry process. It needs n.mu.
-func (n *Node) refreshOwnDomain(now time.Time) {
-	live := n.view.Live(now)
-	old := n.domains[n.cfg.Domain]
-	if old != nil && sameMembers(old.Members, live) {
+func (n *Node) refreshOwnDomain() {
+	if !n.view.Joined() {
+		return
+	}
+	live := n.view.Live()
+	lead, _ := n.view.Lead()
+	old := n.views.Get(n.cfg.Domain)
+	if old != nil && old.Lead == lead.GetHost() && sameMembers(old.Members, live) {
 		return
 	}
-	version := uint64(now.UnixMicro())
-	if old != nil {
+	n.setOwnDomain(live, lead.GetHost(), 0)
+}
+
+// setOwnDomain needs n.mu.
+func (n *Node) setOwnDomain(live []*peerv1.Member, lead string, least uint64) {
+	version := max(least, uint64(n.clock.Now().UnixMicro()))
+	if old := n.views.Get(n.cfg.Domain); old != nil {
 		version = max(version, old.Version+1)
 	}
-	n.domains[n.cfg.Domain] = &peerv1.DomainView{Domain: n.cfg.Domain, Version: version, Members: live}
+	n.views.SetOwn(&peerv1.DomainView{Domain: n.cfg.Domain, Version: version, Members: live, Lead: lead})
+	n.spread(n.cfg.Domain)
+}
+
+// spread marks the view of a domain as news for followers and partners. It
+// needs n.mu.
+func (n *Node) spread(domain string) {
+	n.fresh[domain] = true
 	n.notify()
+	select {
+	case n.news <- struct{}{}:
+	default:
+	}
 }
 
 func sameMembers(a, b []*peerv1.Member) bool {
@@ -140,56 +179,30 @@
 	return true
 }
 
-// mergeDomains takes in newer views of other domains.
-func (n *Node) mergeDomains(views []*peerv1.DomainView) {
+// mergeViews takes in newer views of other domains.
+func (n *Node) mergeViews(views []*peerv1.DomainView) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	changed := false
-	for _, v := range views {
-		old := n.domains[v.Domain]
-		if v.Domain == n.cfg.Domain || old != nil && old.Version >= v.Version {
-			continue
-		}
-		n.domains[v.Domain] = v
-		changed = true
-	}
-	if changed {
-		n.notify()
+	for _, v := range n.views.Merge(views) {
+		n.spread(v.Domain)
 	}
 }
 
-func (n *Node) domainViews() []*peerv1.DomainView {
-	out := make([]*peerv1.DomainView, 0, len(n.domains))
-	for _, v := range n.domains {
-		out = append(out, v)
-	}
-	return out
+// lead returns the member that leads this domain, as this host sees it, or nil.
+func (n *Node) lead() *peerv1.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m, _ := n.view.Lead()
+	return m
 }
 
-// update is what a follower that has head have needs next. It needs n.mu.
-func (n *Node) update(have document.Head, sent map[string]uint64) *peerv1.Update {
-	up := new(peerv1.Update)
-	if h := n.replica.Head(); h.Sequence > have.Sequence {
-		up.Head = convert.HeadMessage(h)
-		up.Sections = convert.SectionMessages(n.replica.Sections(have))
-	}
-	for name, v := range n.domains {
-		if sent[name] < v.Version {
-			sent[name] = v.Version
-			up.Domains = append(up.Domains, v)
-		}
-	}
-	if up.Head == nil && len(up.Domains) == 0 {
-		return nil
-	}
-	return up
-}
+func (n *Node) leads() bool { return n.lead().GetHost() == n.cfg.Host }
 
 func cloneMember(m *peerv1.Member) *peerv1.Member {
 	return &peerv1.Member{
 		Host: m.Host, Domain: m.Domain, SteerIncarnation: m.SteerIncarnation, EntryIncarnation: m.EntryIncarnation,
 		EntryState: m.EntryState, SteerSequence: m.SteerSequence, EntrySequence: m.EntrySequence, Version: m.Version,
 		CallerAddress: m.CallerAddress, EntryPeerAddress: m.EntryPeerAddress, SteerPeerAddress: m.SteerPeerAddress,
-		Loads: m.Loads,
+		Loads: m.Loads, Joined: m.Joined, HoldsLease: m.HoldsLease,
 	}
 }
--- a/internal/daemon/steer/serve.go
+++ b/internal/daemon/steer/serve.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 
-	"cassiatray/internal/core/document"
+	"cassiatray/internal/convert"
+	"cassiatray/internal/core/relay"
+	"cassiatray/internal/daemon/fetch"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
@@ -16,112 +18,114 @@
 // ErrorCode implements peer.CodedError.
 func (e *UnsupportedError) ErrorCode() string { return "unsupported" }
 
-// EnvironmentError is an exchange meant for another environment.
-type EnvironmentError struct{ Want, Got string }
-
-func (e *EnvironmentError) Error() string {
-	return fmt.Sprintf("this host runs environment %q, not %q", e.Want, e.Got)
-}
-
-// ErrorCode implements peer.CodedError.
-func (e *EnvironmentError) ErrorCode() string { return "wrong-environment" }
-
 // Serve implements peer.Handler.
 func (n *Node) Serve(_ context.Context, req *peerv1.Request) (*peerv1.Reply, error) {
 	switch body := req.Body.(type) {
 	case *peerv1.Request_Heartbeat:
-		return n.serveHeartbeat(body.Heartbeat.GetMember()), nil
+		return n.serveHeartbeat(body.Heartbeat), nil
 	case *peerv1.Request_DomainReport:
-		return n.serveDomainReport(body.DomainReport)
+		return n.serveDomainReport(req.FromHost, body.DomainReport)
 	case *peerv1.Request_FetchSections:
-		return n.serveFetch(body.FetchSections), nil
+		return fetch.Serve(body.FetchSections, n.receiver.Find), nil
 	}
 	return nil, &UnsupportedError{Body: fmt.Sprintf("%T", req.Body)}
 }
 
-// serveHeartbeat takes a heartbeat of another steer process of the domain, or
-// of this host's entry process.
-func (n *Node) serveHeartbeat(m *peerv1.Member) *peerv1.Reply {
+// serveHeartbeat takes a heartbeat of another steer process, or of this host's
+// entry process.
+func (n *Node) serveHeartbeat(hb *peerv1.Heartbeat) *peerv1.Reply {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	switch {
-	case m.GetHost() == n.cfg.Host && m.GetSteerIncarnation() == 0:
-		n.observeEntry(m)
-	case m.GetDomain() == n.cfg.Domain && m.GetHost() != n.cfg.Host:
-		now := n.clock.Now()
-		if n.view.Observe(now, m) {
-			n.refreshOwnDomain(now)
+	ack := &peerv1.HeartbeatAck{Member: n.self, SteerSequence: n.head().Sequence, EntrySequence: n.entrySequence}
+	if m := hb.GetMember(); m.GetHost() == n.cfg.Host && m.GetSteerIncarnation() == 0 {
+		n.observeEntry(m, hb.EntrySequence)
+	} else if m != nil {
+		if m.SteerPeerAddress != "" {
+			n.heardFrom(n.contact(m.SteerPeerAddress), m.Host, hb.SteerSequence, m.SteerPeerAddress)
+		} else if known := n.view.Member(m.Host); known != nil {
+			n.heardFrom(n.contact(known.SteerPeerAddress), m.Host, hb.SteerSequence, known.SteerPeerAddress)
 		}
+		ack.WantMember = !n.observe(m, hb.Stub)
 	}
-	return &peerv1.Reply{Body: &peerv1.Reply_HeartbeatAck{HeartbeatAck: &peerv1.HeartbeatAck{Member: n.self}}}
+	if hb.GetHaveIncarnation() == n.self.SteerIncarnation && hb.GetHaveVersion() == n.self.Version {
+		ack.Member, ack.Stub = stubOf(n.self), true
+	}
+	return &peerv1.Reply{Body: &peerv1.Reply_HeartbeatAck{HeartbeatAck: ack}}
 }
 
 // observeEntry takes in the state of this host's entry process. It needs n.mu.
-func (n *Node) observeEntry(m *peerv1.Member) {
+func (n *Node) observeEntry(m *peerv1.Member, sequence uint64) {
 	if m.EntryIncarnation < n.self.EntryIncarnation {
 		return
 	}
-	n.entryHeard = n.clock.Now()
-	if m.EntryIncarnation == n.self.EntryIncarnation && m.EntryState == n.self.EntryState && m.EntrySequence == n.self.EntrySequence {
+	n.entryTicks, n.entrySequence = 0, sequence
+	if m.EntryIncarnation == n.self.EntryIncarnation && m.EntryState == n.self.EntryState {
 		return
 	}
 	n.updateSelf(func(self *peerv1.Member) {
-		self.EntryIncarnation, self.EntryState, self.EntrySequence = m.EntryIncarnation, m.EntryState, m.EntrySequence
+		self.EntryIncarnation, self.EntryState = m.EntryIncarnation, m.EntryState
 		self.CallerAddress, self.EntryPeerAddress = m.CallerAddress, m.EntryPeerAddress
 	})
-	n.refreshOwnDomain(n.clock.Now())
+	n.refreshOwnDomain()
 }
 
-func (n *Node) serveDomainReport(r *peerv1.DomainReport) (*peerv1.Reply, error) {
+// serveDomainReport takes a report of another domain's lead. A host that does
+// not lead names the one that does.
+func (n *Node) serveDomainReport(from string, r *peerv1.DomainReport) (*peerv1.Reply, error) {
 	if r.Environment != n.cfg.Environment {
-		return nil, &EnvironmentError{Want: n.cfg.Environment, Got: r.Environment}
+		return nil, &relay.EnvironmentError{Want: n.cfg.Environment, Got: r.Environment}
+	}
+	ack := &peerv1.DomainReportAck{Sequence: n.head().Sequence}
+	n.hearReport(from, r.Sequence)
+	if lead := n.lead(); lead != nil && lead.Host != n.cfg.Host {
+		ack.LeadAddress = lead.SteerPeerAddress
+	} else {
+		n.mergeViews(r.Domains)
+		n.mu.Lock()
+		ack.Domains = n.views.Select(r.Want)
+		if n.views.Digest() != r.Digest && len(r.Want) == 0 {
+			ack.Versions = n.views.Versions()
+		}
+		n.mu.Unlock()
 	}
-	n.mergeDomains(r.Domains)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	ack := &peerv1.DomainReportAck{Sequence: n.replica.Head().Sequence, Domains: n.domainViews()}
 	return &peerv1.Reply{Body: &peerv1.Reply_DomainReportAck{DomainReportAck: ack}}, nil
 }
 
-func (n *Node) serveFetch(f *peerv1.FetchSections) *peerv1.Reply {
+// hearReport notes the sequence that the host of a report has in force.
+func (n *Node) hearReport(from string, sequence uint64) {
+	index := n.receiver.Index()
+	if index == nil {
+		return
+	}
+	h := index.Host(from)
+	if h == nil {
+		return
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	set := new(peerv1.SectionSet)
-	for _, raw := range f.Hashes {
-		if len(raw) != document.HashSize {
-			continue
-		}
-		if s, ok := n.replica.Find(document.Hash(raw)); ok {
-			set.Sections = append(set.Sections, &peerv1.Section{
-				Ref: &peerv1.SectionRef{Name: s.Name, Hash: raw}, Data: s.Data,
-			})
-		}
-	}
-	return &peerv1.Reply{Body: &peerv1.Reply_SectionSet{SectionSet: set}}
+	address := h.Steer.String()
+	n.heardFrom(n.contact(address), from, sequence, address)
 }
 
 // ServeFollow implements peer.Handler: it sends what is in force, then every
-// change, until the follower goes.
+// change, until the follower goes. A process that is not ready sends nothing
+// yet: there may be something newer.
 func (n *Node) ServeFollow(ctx context.Context, req *peerv1.Request, send func(*peerv1.Reply) error) error {
 	f := req.GetFollow()
 	if f.Environment != n.cfg.Environment {
-		return &EnvironmentError{Want: n.cfg.Environment, Got: f.Environment}
+		return &relay.EnvironmentError{Want: n.cfg.Environment, Got: f.Environment}
 	}
-	have := document.Head{Sequence: f.HaveSequence}
-	sent := map[string]uint64{}
+	have, views := f.HaveSequence, relay.NewKnown(f.HaveDomains)
+	n.metrics.followers.Inc()
+	defer n.metrics.followers.Dec()
 	for {
-		n.mu.Lock()
-		if n.replica.Head().Sequence == have.Sequence {
-			have = n.replica.Head()
-		}
-		up := n.update(have, sent)
-		have = n.replica.Head()
-		changed := n.changed
-		n.mu.Unlock()
+		up, changed := n.nextUpdate(have, views)
 		if up != nil {
 			if err := send(&peerv1.Reply{Body: &peerv1.Reply_Update{Update: up}}); err != nil {
 				return err
 			}
+			have = max(have, up.GetHead().GetSequence())
+			views.Add(up.Domains)
 		}
 		select {
 		case <-changed:
@@ -130,3 +134,25 @@
 		}
 	}
 }
+
+// nextUpdate returns what a follower needs, or nil, and a channel that is
+// closed when there is more.
+func (n *Node) nextUpdate(have uint64, views relay.Known) (*peerv1.Update, <-chan struct{}) {
+	n.mu.Lock()
+	changed, ready := n.changed, n.ready
+	newer := n.views.Newer(views)
+	n.mu.Unlock()
+	if !ready {
+		return nil, changed
+	}
+	h, d, ok := n.receiver.Next(have)
+	switch {
+	case ok:
+		up := convert.UpdateMessage(h, d)
+		up.Domains = newer
+		return up, changed
+	case len(newer) > 0:
+		return &peerv1.Update{Domains: newer}, changed
+	}
+	return nil, changed
+}
--- a/internal/envstore/store.go
+++ b/internal/envstore/store.go
@@ -6,8 +6,10 @@
 //	env/<environment>/change/<id>  document.Change
 //	section/<hash>                 section data
 //
-// Sections and the change record are written before the head, so a reader that
-// sees a head can read all of it.
+// Sections form a tree under the head. Those that a change makes and the change
+// record are written before the head, so a reader that sees a head can read
+// all of it. The head also carries the newest changes as deltas, so that a
+// reader a few changes behind needs no other read.
 package envstore
 
 import (
@@ -87,32 +89,6 @@
 	return h, nil
 }
 
-// Section reads one section and checks its hash.
-func (s *Store) Section(ctx context.Context, ref document.Ref) (document.Section, error) {
-	key := sectionKey(ref.Hash)
-	e, err := s.kv.Get(ctx, key)
-	if err != nil {
-		return document.Section{}, err
-	}
-	if document.HashOf(e.Value) != ref.Hash {
-		return document.Section{}, &CorruptError{Key: key, Err: document.ErrHash}
-	}
-	return document.Section{Name: ref.Name, Hash: ref.Hash, Data: e.Value}, nil
-}
-
-// Sections reads all sections of a list of references.
-func (s *Store) Sections(ctx context.Context, refs []document.Ref) ([]document.Section, error) {
-	out := make([]document.Section, 0, len(refs))
-	for _, ref := range refs {
-		sec, err := s.Section(ctx, ref)
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, sec)
-	}
-	return out, nil
-}
-
 // Change reads the record of one change.
 func (s *Store) Change(ctx context.Context, environment, id string) (document.Change, error) {
 	key := changeKey(environment, id)
@@ -136,8 +112,19 @@
 	Reason string
 	From   string
 	Diff   []string
-	// Sections are written unless the base already has them.
+	// Sections are the whole document. They are written unless the base
+	// already has them.
 	Sections []document.Section
+	// Refs, when there are no Sections, refer to sections that are stored
+	// already: the top of another head.
+	Refs []document.Ref
+}
+
+func (p Proposal) refs() []document.Ref {
+	if len(p.Sections) == 0 {
+		return p.Refs
+	}
+	return document.Refs(p.Sections)
 }
 
 // Apply makes a proposal the environment's new head.
@@ -153,18 +140,40 @@
 		return document.Head{}, s.conflict(ctx, p, cur)
 	}
 	change, head := s.next(p, cur)
-	if err := s.writeSections(ctx, cur, p.Sections); err != nil {
+	diff, err := s.Compare(ctx, cur.Sections, head.Sections, p.Sections)
+	if err != nil {
 		return document.Head{}, err
 	}
+	if len(p.Sections) > 0 {
+		if err := s.writeSections(ctx, diff.Added); err != nil {
+			return document.Head{}, err
+		}
+	}
 	if err := s.create(ctx, changeKey(p.Environment, change.ID), change); err != nil {
 		return document.Head{}, err
 	}
-	return s.swapHead(ctx, p, head, revision)
+	return s.swapHead(ctx, p, withDelta(head, cur, diff), revision)
+}
+
+// withDelta adds what the change amounts to. A change of much of the document
+// goes without: its readers take sections.
+func withDelta(head, cur document.Head, diff document.TreeDiff) document.Head {
+	if cur.Sequence == 0 || len(diff.Added)+len(diff.Removed) > maxDeltaSections {
+		return head.WithDelta(cur, nil)
+	}
+	d, err := document.NewDelta(cur.Sequence, diff)
+	if err != nil {
+		return head.WithDelta(cur, nil)
+	}
+	return head.WithDelta(cur, &d)
 }
 
+// maxDeltaSections bounds the sections from which a delta is computed.
+const maxDeltaSections = 256
+
 func (s *Store) next(p Proposal, cur document.Head) (document.Change, document.Head) {
 	now := s.clock.Now().UTC()
-	refs := document.Refs(p.Sections)
+	refs := p.refs()
 	change := document.Change{
 		ID: newID(), Environment: p.Environment, Sequence: cur.Sequence + 1, Parent: cur.ChangeID,
 		Author: p.Author, Reason: p.Reason, Time: now, From: p.From, Diff: p.Diff, Sections: refs,
@@ -176,20 +185,11 @@
 	return change, head
 }
 
-func (s *Store) writeSections(ctx context.Context, cur document.Head, sections []document.Section) error {
-	have := make(map[document.Hash]bool, len(cur.Sections))
-	for _, ref := range cur.Sections {
-		have[ref.Hash] = true
-	}
-	for _, sec := range sections {
-		if have[sec.Hash] {
-			continue
-		}
-		if err := s.createRaw(ctx, sectionKey(sec.Hash), sec.Data); err != nil {
-			return err
-		}
-	}
-	return nil
+// writeSections creates sections, a few at a time.
+func (s *Store) writeSections(ctx context.Context, sections []document.Section) error {
+	return inParallel(sections, func(sec document.Section) error {
+		return s.createRaw(ctx, sectionKey(sec.Hash), sec.Data)
+	})
 }
 
 func (s *Store) create(ctx context.Context, key string, value any) error {
@@ -203,6 +203,9 @@
 // createRaw creates an immutable key. Finding it there already is no failure:
 // its name is its content, or an ID that only this change uses.
 func (s *Store) createRaw(ctx context.Context, key string, data []byte) error {
+	if len(data) > document.MaxSection {
+		return &port.StoreError{Code: port.StoreTooLarge, Op: "create", Key: key}
+	}
 	err := s.kv.CompareAndSwap(ctx, key, data, 0)
 	if port.IsStoreCode(err, port.StoreConflict) {
 		return nil
