--- a/internal/core/document/clients.go
+++ b/internal/core/document/clients.go
@@ -29,21 +29,21 @@
 	return binary.BigEndian.Uint64(sum[:8])
 }
 
-// span is a run of items whose keys share their first depth bits.
-type span struct{ from, to, depth int }
+// keyRun is a run of items whose keys share their first depth bits.
+type keyRun struct{ from, to, depth int }
 
 // cut divides sorted keys into spans of at most limit keys, each as short a
 // prefix as that allows, below a depth at which all keys agree.
-func cut(keys []uint64, limit, depth int) []span {
+func cut(keys []uint64, limit, depth int) []keyRun {
 	return appendCut(nil, keys, 0, len(keys), limit, depth)
 }
 
-func appendCut(out []span, keys []uint64, from, to, limit, depth int) []span {
+func appendCut(out []keyRun, keys []uint64, from, to, limit, depth int) []keyRun {
 	if from == to {
 		return out
 	}
 	if to-from <= limit || depth == keyBits {
-		return append(out, span{from: from, to: to, depth: depth})
+		return append(out, keyRun{from: from, to: to, depth: depth})
 	}
 	bit := uint64(1) << (keyBits - 1 - depth)
 	mid := from + sort.Search(to-from, func(i int) bool { return keys[from+i]&bit != 0 })
