Keep operations at most once and truthful through every failure

Cause: records were dropped by age alone, resends relied on the clocks of callers, a host that did not own an operation could call it not run, and a forwarded operation that hopped twice came back to its owner and waited for itself.

Change: operation IDs begin with a part that a look-up gives; dropping a record raises a floor below which nothing is begun; refusals seal an operation before a caller is told; attempts are numbered and receivers refuse repeated ones; records are handed to an heir at a planned stop. Retries have a budget that is a share of traffic. Requests that crash servers are found, shared and refused. Peers have limits on sessions, streams and held bytes, and a stopping process refuses exchanges in a way that is known to have had no effect. Callers have limits on connections, paths and headers, with typed answers.

--- a/api/api.go
+++ b/api/api.go
@@ -52,9 +52,12 @@
 	Name    string `json:"name"`
 	Domain  string `json:"domain"`
 	Address string `json:"address"`
-	// Incarnation identifies the running process, for operation IDs. It is a
-	// decimal number in text, since it does not fit a JSON number.
+	// Incarnation identifies the running process. It is a decimal number in
+	// text, since it does not fit a JSON number.
 	Incarnation string `json:"incarnation"`
+	// Operation begins every operation ID that this process may run: the caller
+	// appends ":" and 16 random hexadecimal digits.
+	Operation string `json:"operation"`
 }
 
 // Error is the JSON body of every failure.
@@ -80,6 +83,7 @@
 	CodeBadClient         Code = "bad-client"
 	CodeBadRequest        Code = "bad-request"
 	CodeBodyTooLarge      Code = "body-too-large"
+	CodeHeaderTooLarge    Code = "header-too-large"
 	CodeOperationRequired Code = "operation-id-required"
 	CodeBadOperation      Code = "bad-operation-id"
 	CodeNotReady          Code = "not-ready"
@@ -91,4 +95,22 @@
 	CodePeer              Code = "peer-failed"
 	CodeStopping          Code = "stopping"
 	CodeInternal          Code = "internal"
+	// CodeOwnerGone means that the process that may run the operation has ended,
+	// was replaced or cannot be reached, and left no record of the operation.
+	// This copy of the request was not passed on: a caller that never sent
+	// another copy may begin anew with a new ID.
+	CodeOwnerGone Code = "owner-gone"
+	// CodeOwnerUnreachable means that the process that may run the operation
+	// did not answer. The same ID may be sent again, to any host.
+	CodeOwnerUnreachable Code = "owner-unreachable"
+	// CodeExpired means that the operation ID is older than the records kept.
+	CodeExpired Code = "operation-expired"
+	// CodeDuplicate means that another entry host sent the operation here
+	// before; it is not run again.
+	CodeDuplicate Code = "duplicate-dispatch"
+	// CodeSuspect means that the request was refused because servers that ran
+	// it crashed.
+	CodeSuspect Code = "suspect"
+	// CodeTooManyConnections means that one source holds too many connections.
+	CodeTooManyConnections Code = "too-many-connections"
 )
--- a/api/operation.go
+++ b/api/operation.go
@@ -10,65 +10,71 @@
 )
 
 // OperationID names one at-most-once request and the one process that may run
-// it. Its text is "host:incarnation:unix-microseconds:random", with the
-// numbers in hexadecimal.
+// it. Its text is "host:incarnation:issued:random", with the numbers in
+// hexadecimal. The first three parts are Host.Operation of a look-up answer, so
+// that no caller's clock is involved; the caller adds the random part.
 type OperationID struct {
 	Host        string
 	Incarnation uint64
-	// Created is the caller's clock when the ID was made.
-	Created time.Time
-	Random  [8]byte
+	// Issued is the entry host's clock when it answered the look-up, in whole
+	// microseconds.
+	Issued time.Time
+	Random [8]byte
 }
 
-// NewOperationID makes an ID for a host named in a look-up answer.
-func NewOperationID(h Host, now time.Time) (OperationID, error) {
-	inc, err := strconv.ParseUint(h.Incarnation, 10, 64)
-	if err != nil {
-		return OperationID{}, &OperationIDError{Text: h.Incarnation}
-	}
-	id := OperationID{Host: h.Name, Incarnation: inc, Created: now}
-	rand.Read(id.Random[:])
-	return id, nil
+// OperationPrefix returns the part of an operation ID that a look-up gives.
+func OperationPrefix(host string, incarnation uint64, issued time.Time) string {
+	return host + ":" + strconv.FormatUint(incarnation, 16) + ":" + strconv.FormatInt(issued.UnixMicro(), 16)
+}
+
+// NewOperationID makes a new ID for a host named in a look-up answer.
+//
+// Errors: *OperationIDError when the answer names no process.
+func NewOperationID(h Host) (OperationID, error) {
+	var random [8]byte
+	rand.Read(random[:])
+	return ParseOperationID(h.Operation + ":" + hex.EncodeToString(random[:]))
 }
 
 func (id OperationID) String() string {
-	return fmt.Sprintf("%s:%x:%x:%x", id.Host, id.Incarnation, id.Created.UnixMicro(), id.Random)
+	return OperationPrefix(id.Host, id.Incarnation, id.Issued) + ":" + hex.EncodeToString(id.Random[:])
 }
 
 // OperationIDError is a text that is no operation ID.
 type OperationIDError struct{ Text string }
 
 func (e *OperationIDError) Error() string {
-	return fmt.Sprintf("%q is not an operation ID (host:incarnation:microseconds:random)", e.Text)
+	return fmt.Sprintf("%q is not an operation ID (host:incarnation:issued:random)", e.Text)
 }
 
 // maxOperationID bounds the text of an ID, in bytes.
 const maxOperationID = 128
 
-// ParseOperationID reads an ID.
+// ParseOperationID reads an ID. Each ID has one text only: another spelling of
+// the same numbers is refused, so that texts can be compared.
 //
 // Errors: *OperationIDError.
 func ParseOperationID(text string) (OperationID, error) {
-	bad := &OperationIDError{Text: text}
 	if len(text) > maxOperationID {
-		bad.Text = text[:maxOperationID]
-		return OperationID{}, bad
+		return OperationID{}, &OperationIDError{Text: text[:maxOperationID]}
+	}
+	id, ok := parseOperationID(text)
+	if !ok || id.String() != text {
+		return OperationID{}, &OperationIDError{Text: text}
 	}
+	return id, nil
+}
+
+func parseOperationID(text string) (OperationID, bool) {
 	parts := strings.Split(text, ":")
 	if len(parts) != 4 || parts[0] == "" {
-		return OperationID{}, bad
-	}
-	inc, err := strconv.ParseUint(parts[1], 16, 64)
-	if err != nil {
-		return OperationID{}, bad
-	}
-	micros, err := strconv.ParseInt(parts[2], 16, 64)
-	if err != nil {
-		return OperationID{}, bad
+		return OperationID{}, false
 	}
-	raw, err := hex.DecodeString(parts[3])
-	if err != nil || len(raw) != 8 {
-		return OperationID{}, bad
+	inc, err1 := strconv.ParseUint(parts[1], 16, 64)
+	micros, err2 := strconv.ParseInt(parts[2], 16, 64)
+	raw, err3 := hex.DecodeString(parts[3])
+	if err1 != nil || err2 != nil || err3 != nil || len(raw) != 8 || inc == 0 {
+		return OperationID{}, false
 	}
-	return OperationID{Host: parts[0], Incarnation: inc, Created: time.UnixMicro(micros), Random: [8]byte(raw)}, nil
+	return OperationID{Host: parts[0], Incarnation: inc, Issued: time.UnixMicro(micros), Random: [8]byte(raw)}, true
 }
--- a/client/client.go
+++ b/client/client.go
@@ -1,26 +1,28 @@
 // Package client is the Go package for callers of a cassiatray system. It
 // looks up entry hosts, keeps the answers for their time to live, makes
 // operation IDs and sends requests.
+//
+// Do sends a request with these rules. A request without Once must be
+// idempotent: it goes to the next host of the look-up answer when one fails. A
+// request with Once is given an operation ID and is sent again only with that
+// ID, so that it runs at most once however often it is sent. It is given a new
+// ID only when the one before provably did not run and never will: its host
+// said not-run, or no copy with that ID ever reached a host.
 package client
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
-	"strconv"
 	"sync"
 	"time"
 
 	"cassiatray/api"
 )
 
+// DefaultTimeout bounds requests whose context has no deadline.
+const DefaultTimeout = 30 * time.Second
+
 // Config sets up a Client.
 type Config struct {
 	// Bootstrap are caller addresses ("ip:port") of any entry hosts.
@@ -29,6 +31,9 @@
 	Address netip.Addr
 	// HTTP sends requests; nil means a client with default settings.
 	HTTP *http.Client
+	// Timeout bounds each Do and Lookup whose context has no deadline; zero
+	// means DefaultTimeout.
+	Timeout time.Duration
 }
 
 // Client is safe for concurrent use.
@@ -51,92 +56,10 @@
 	if h == nil {
 		h = &http.Client{}
 	}
-	return &Client{cfg: cfg, http: h, answers: map[string]cached{}}
-}
-
-// LookupError means that no entry host answered a look-up.
-type LookupError struct {
-	Service string
-	Err     error
-}
-
-func (e *LookupError) Error() string { return fmt.Sprintf("look-up of %s: %v", e.Service, e.Err) }
-
-func (e *LookupError) Unwrap() error { return e.Err }
-
-// Lookup returns the entry hosts for a service, from the cache while the last
-// answer may be used.
-//
-// Errors: *LookupError, wrapping *api.Error when a host refused.
-func (c *Client) Lookup(ctx context.Context, service string) (*api.Lookup, error) {
-	c.mu.Lock()
-	old, ok := c.answers[service]
-	c.mu.Unlock()
-	if ok && time.Now().Before(old.expires) {
-		return old.lookup, nil
-	}
-	var last error
-	for _, address := range c.contacts(old.lookup) {
-		answer, err := c.lookupAt(ctx, address, service)
-		if err == nil {
-			c.keep(service, answer)
-			return answer, nil
-		}
-		last = err
-	}
-	return nil, &LookupError{Service: service, Err: last}
-}
-
-// contacts lists hosts to ask: those of an expired answer, then the bootstrap
-// list.
-func (c *Client) contacts(old *api.Lookup) []string {
-	var out []string
-	if old != nil {
-		for _, h := range old.Hosts {
-			out = append(out, h.Address)
-		}
-	}
-	return append(out, c.cfg.Bootstrap...)
-}
-
-func (c *Client) keep(service string, answer *api.Lookup) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	ttl := time.Duration(answer.TTLMillis) * time.Millisecond
-	c.answers[service] = cached{lookup: answer, expires: time.Now().Add(ttl)}
-}
-
-func (c *Client) lookupAt(ctx context.Context, address, service string) (*api.Lookup, error) {
-	target := "http://" + address + "/v1/lookup/" + url.PathEscape(service) + "?client=" + c.cfg.Address.String()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return nil, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, decodeError(resp, body)
-	}
-	out := new(api.Lookup)
-	if err := json.Unmarshal(body, out); err != nil {
-		return nil, err
-	}
-	return out, nil
-}
-
-func decodeError(resp *http.Response, body []byte) *api.Error {
-	out := new(api.Error)
-	if json.Unmarshal(body, out) != nil || out.Code == "" {
-		return &api.Error{Code: api.CodeInternal, Message: resp.Status, Outcome: api.OutcomeUnknown}
+	if cfg.Timeout == 0 {
+		cfg.Timeout = DefaultTimeout
 	}
-	return out
+	return &Client{cfg: cfg, http: h, answers: map[string]cached{}}
 }
 
 // Request is one request to a service.
@@ -148,7 +71,11 @@
 	Header http.Header
 	Body   []byte
 	// Once makes this an at-most-once request: it is given an operation ID.
+	// Without it the request must be idempotent.
 	Once bool
+	// OperationID, when set, continues an earlier request whose outcome was
+	// unknown: the same ID is sent and no other. It implies Once.
+	OperationID string
 }
 
 // Answer is one whole answer.
@@ -158,78 +85,68 @@
 	Body   []byte
 	// Host is the entry host that answered.
 	Host string
-	// OperationID is the ID that the request was given; empty without Once.
+	// OperationID is the ID that the request ran under; empty without Once.
 	OperationID string
 }
 
-// Do sends a request to the first entry host of the look-up answer that can be
-// reached. A request that may have been sent is not sent elsewhere.
+// Error is a request without an answer. It wraps the last *api.Error.
+type Error struct {
+	// OperationID is the last ID that was used; empty without Once.
+	OperationID string
+	Err         *api.Error
+}
+
+func (e *Error) Error() string {
+	if e.OperationID == "" {
+		return e.Err.Error()
+	}
+	return "operation " + e.OperationID + ": " + e.Err.Error()
+}
+
+func (e *Error) Unwrap() error { return e.Err }
+
+// Do sends a request and returns its one whole answer. The time left to ctx is
+// passed on as the request's deadline, and cancelling ctx cancels the request.
+// After an unknown outcome of an at-most-once request, a Request with the
+// OperationID of the error asks for the outcome again.
 //
-// Errors: *LookupError; *api.Error with the outcome.
+// Errors: *LookupError; *Error, wrapping *api.Error with the outcome.
 func (c *Client) Do(ctx context.Context, r *Request) (*Answer, error) {
-	answer, err := c.Lookup(ctx, r.Service)
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	if r.Once || r.OperationID != "" {
+		return c.once(ctx, r)
+	}
+	lookup, err := c.Lookup(ctx, r.Service)
 	if err != nil {
 		return nil, err
 	}
-	last := &api.Error{Code: api.CodeNoServer, Message: "no entry host named", Outcome: api.OutcomeNotRun}
-	for _, h := range answer.Hosts {
-		out, fail := c.send(ctx, h, r)
+	last := noHost()
+	for _, h := range lookup.Hosts {
+		out, fail := c.send(ctx, h.Address, r, "")
 		if fail == nil {
 			return out, nil
 		}
 		last = fail
-		if fail.Outcome != api.OutcomeNotRun || fail.Code != api.CodePeer {
+		if !elsewhere(fail) || ctx.Err() != nil {
 			break
 		}
 	}
-	return nil, last
+	return nil, &Error{Err: last.Error}
 }
 
-func (c *Client) send(ctx context.Context, h api.Host, r *Request) (*Answer, *api.Error) {
-	target := "http://" + h.Address + "/v1/request/" + url.PathEscape(r.Service) + r.Path
-	req, err := http.NewRequestWithContext(ctx, r.Method, target, bytes.NewReader(r.Body))
-	if err != nil {
-		return nil, &api.Error{Code: api.CodeBadRequest, Message: err.Error(), Outcome: api.OutcomeNotRun}
-	}
-	if r.Header != nil {
-		req.Header = r.Header.Clone()
-	}
-	out := new(Answer)
-	if r.Once {
-		id, err := api.NewOperationID(h, time.Now())
-		if err != nil {
-			return nil, &api.Error{Code: api.CodeBadOperation, Message: err.Error(), Outcome: api.OutcomeNotRun}
-		}
-		out.OperationID = id.String()
-		req.Header.Set(api.HeaderOperationID, out.OperationID)
-	}
-	if deadline, ok := ctx.Deadline(); ok {
-		req.Header.Set(api.HeaderTimeout, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, sendError(err)
-	}
-	defer resp.Body.Close()
-	out.Body, err = io.ReadAll(resp.Body)
-	if err != nil {
-		return nil, &api.Error{Code: api.CodePeer, Message: err.Error(), Outcome: api.OutcomeUnknown}
-	}
-	if resp.Header.Get(api.HeaderOutcome) != string(api.OutcomeDone) {
-		return nil, decodeError(resp, out.Body)
+func (c *Client) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
 	}
-	out.Status, out.Header, out.Host = resp.StatusCode, resp.Header, resp.Header.Get(api.HeaderHost)
-	return out, nil
+	return context.WithTimeout(ctx, c.cfg.Timeout)
 }
 
-func sendError(err error) *api.Error {
-	out := &api.Error{Code: api.CodePeer, Message: err.Error(), Outcome: api.OutcomeUnknown}
-	var op *net.OpError
-	switch {
-	case errors.As(err, &op) && op.Op == "dial":
-		out.Outcome = api.OutcomeNotRun
-	case errors.Is(err, context.DeadlineExceeded):
-		out.Code = api.CodeDeadline
+// elsewhere reports whether an idempotent request may do better at another
+// host. The hosts themselves retry at other servers.
+func elsewhere(fail *failure) bool {
+	if fail.kind != answered {
+		return true
 	}
-	return out
+	return fail.Code == api.CodeStopping || fail.Code == api.CodeNotReady || fail.Code == api.CodeTooManyConnections
 }
--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"log"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -25,6 +26,8 @@
 	headerTimeout  = 5 * time.Second
 	bodyTimeout    = 30 * time.Second
 	idleTimeout    = 90 * time.Second
+	// answerTimeout bounds how long a caller may take to read its answer.
+	answerTimeout = 30 * time.Second
 )
 
 // Handler serves callers from a port.CallerService.
@@ -45,14 +48,31 @@
 	}
 	r.NotFoundHandler = http.HandlerFunc(unknown)
 	r.MethodNotAllowedHandler = http.HandlerFunc(unknown)
-	return r
+	return h.guard(r)
+}
+
+// guard answers a panic with a typed failure, and tells callers not to reuse
+// their connections once this host is leaving.
+func (h *Handler) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.svc.Leaving() {
+			w.Header().Set("Connection", "close")
+		}
+		defer func() {
+			if recover() != nil {
+				h.fail(w, &api.Error{Code: api.CodeInternal, Message: "internal fault", Outcome: api.OutcomeUnknown})
+			}
+		}()
+		next.ServeHTTP(w, r)
+	})
 }
 
 // NewServer returns an HTTP server with the limits of a caller's connection.
 func NewServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeaderBytes,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeaderBytes, DisableGeneralOptionsHandler: true,
+		ErrorLog: log.New(io.Discard, "", 0),
 	}
 }
 
@@ -74,19 +94,24 @@
 }
 
 func (h *Handler) request(w http.ResponseWriter, r *http.Request) {
-	req := newRequest(r)
+	req, fail := newRequest(r)
+	if fail != nil {
+		h.refuse(w, r, fail)
+		return
+	}
 	limit, fail := h.svc.Limit(req.Service, req.Method, req.Path)
 	if fail != nil {
-		h.fail(w, fail)
+		h.refuse(w, r, fail)
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
-		h.fail(w, bodyError(err, limit))
+		h.refuse(w, r, bodyError(err, limit))
 		return
 	}
 	req.Body = body
 	answer, fail := h.svc.Do(r.Context(), req)
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout))
 	if fail != nil {
 		h.fail(w, fail)
 		return
@@ -94,17 +119,13 @@
 	h.write(w, answer)
 }
 
-func newRequest(r *http.Request) *port.CallerRequest {
-	service := mux.Vars(r)["service"]
-	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/request/"+service)
-	req := &port.CallerRequest{
-		Service: service, Method: r.Method, Path: path, RawQuery: r.URL.RawQuery,
-		Header: forwardable(r.Header), OperationID: r.Header.Get(api.HeaderOperationID),
-	}
-	if ms, err := strconv.ParseInt(r.Header.Get(api.HeaderTimeout), 10, 32); err == nil && ms > 0 {
-		req.Timeout = time.Duration(ms) * time.Millisecond
+// refuse answers a request that is not run. Other copies of its operation may
+// be on their way to other hosts, so its outcome is settled first.
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, fail *api.Error) {
+	if ids := r.Header.Values(api.HeaderOperationID); len(ids) == 1 {
+		fail = h.svc.Refuse(r.Context(), ids[0], fail)
 	}
-	return req
+	h.fail(w, fail)
 }
 
 // hopByHop are headers that concern one connection only.
@@ -166,6 +187,14 @@
 	api.CodeBackend:           http.StatusBadGateway,
 	api.CodePeer:              http.StatusBadGateway,
 	api.CodeInternal:          http.StatusInternalServerError,
+	api.CodeHeaderTooLarge:    http.StatusRequestHeaderFieldsTooLarge,
+	api.CodeOwnerGone:         http.StatusBadGateway,
+	api.CodeOwnerUnreachable:  http.StatusBadGateway,
+	api.CodeExpired:           http.StatusGone,
+	api.CodeDuplicate:         http.StatusConflict,
+	api.CodeSuspect:           http.StatusUnprocessableEntity,
+
+	api.CodeTooManyConnections: http.StatusServiceUnavailable,
 }
 
 func (h *Handler) fail(w http.ResponseWriter, e *api.Error) {
--- a/internal/adapter/peer/pool.go
+++ b/internal/adapter/peer/pool.go
@@ -203,8 +203,9 @@
 
 func failureError(address string, f *peerv1.Failure) error {
 	code := port.PeerRefused
-	if f.Code == string(port.PeerIncarnation) {
-		code = port.PeerIncarnation
+	switch own := port.PeerCode(f.Code); own {
+	case port.PeerIncarnation, port.PeerStopping:
+		code = own
 	}
 	return &port.PeerError{
 		Code: code, Address: address, Sent: true, Reason: f.Code,
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -54,7 +55,11 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
-
+	held    held
+	// inFlight counts exchanges that are not yet answered, but for Follow.
+	inFlight atomic.Int64
+	// draining is set once no new exchange is taken.
+	draining atomic.Bool
 	mu       sync.Mutex
 	listener net.Listener
 	sessions map[*yamux.Session]struct{}
@@ -108,19 +113,26 @@
 		return
 	}
 	defer s.remove(mux)
+	// A peer over its streams is not accepted from until one ends: what it has
+	// opened beyond that waits in yamux, which bounds it by streamBacklog.
+	slots := make(chan struct{}, maxStreams)
 	for {
+		slots <- struct{}{}
 		stream, err := mux.AcceptStream()
 		if err != nil {
 			return
 		}
-		s.wg.Go(func() { s.stream(stream) })
+		s.wg.Go(func() {
+			defer func() { <-slots }()
+			s.stream(stream)
+		})
 	}
 }
 
 func (s *Server) add(mux *yamux.Session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ctx.Err() != nil {
+	if s.ctx.Err() != nil || len(s.sessions) >= maxSessions {
 		return false
 	}
 	s.sessions[mux] = struct{}{}
@@ -138,7 +150,11 @@
 	stream.SetReadDeadline(time.Now().Add(firstFrameTimeout))
 	r := bufio.NewReader(stream)
 	req := new(peerv1.Request)
-	if err := readFrame(r, req); err != nil {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	size, err := s.held.readRequest(r, req)
+	defer s.held.release(size)
+	if err != nil {
 		return
 	}
 	ctx, cancel := s.context(req)
@@ -172,7 +188,12 @@
 	if req.ToIncarnation != 0 && req.ToIncarnation != s.self.Incarnation {
 		return &port.PeerError{Code: port.PeerIncarnation}
 	}
+	if s.draining.Load() {
+		return &port.PeerError{Code: port.PeerStopping}
+	}
 	if req.GetFollow() != nil {
+		s.inFlight.Add(-1)
+		defer s.inFlight.Add(1)
 		return s.handler.ServeFollow(ctx, req, send)
 	}
 	reply, err := s.handler.Serve(ctx, req)
--- a/internal/core/operation/table.go
+++ b/internal/core/operation/table.go
@@ -1,99 +1,193 @@
 // Package operation decides whether an at-most-once request may be dispatched.
 // It is pure: time is an argument, and the caller does the dispatch.
 //
-// Only the process named in an operation ID may dispatch it, once. The table
-// of that process is the record of it; no other process runs the operation.
+// Only the process named in an operation ID may dispatch it, once, and only
+// after Begin has recorded it. A record is dropped only together with raising
+// the floor, below which no unrecorded ID is ever begun: an ID is thus begun
+// once, whatever clocks say and however small the table is.
 package operation
 
 import (
+	"container/heap"
 	"fmt"
 	"time"
 )
 
-// State is where an operation stands.
-type State int
-
-// States of an operation, in the order they are passed.
-const (
-	// Admitted: recorded, and nothing of it has been sent.
-	Admitted State = iota
-	// Dispatched: it may have reached a backend server.
-	Dispatched
-	// Finished: its outcome is final.
-	Finished
-)
+// Limits bound what a table keeps.
+type Limits struct {
+	// Window is how old an ID may be when it first arrives, and how long a
+	// finished record is kept.
+	Window time.Duration
+	// Records and Bytes bound the finished records and their results. The
+	// oldest are dropped first.
+	Records int
+	Bytes   int
+	// Running bounds the operations in progress.
+	Running int
+}
 
 // Table holds the operations of one process. It is not safe for concurrent use.
 type Table[R any] struct {
-	window  time.Duration
-	records map[string]*Record[R]
+	limits   Limits
+	records  map[string]*Record[R]
+	finished byIssued[R]
+	bytes    int
+	floor    time.Time
+	closed   bool
 }
 
 // Record is one operation.
 type Record[R any] struct {
-	ID      string
-	State   State
-	Started time.Time
-	// Result is the answer of a finished operation.
+	ID     string
+	Issued time.Time
+	// Result is final once Done is closed.
 	Result R
 	// Done is closed when the operation is finished.
 	Done chan struct{}
-}
 
-// NewTable returns a table that keeps records for window. An ID that is older
-// than the window is refused, so a record is never needed after it is dropped.
-func NewTable[R any](window time.Duration) *Table[R] {
-	return &Table[R]{window: window, records: map[string]*Record[R]{}}
+	finished bool
+	size     int
 }
 
-// ExpiredError is an operation ID whose record may have been dropped.
-type ExpiredError struct {
-	ID  string
-	Age time.Duration
+// Finished reports whether the result is final.
+func (r *Record[R]) Finished() bool { return r.finished }
+
+// NewTable returns an empty table.
+func NewTable[R any](limits Limits) *Table[R] {
+	return &Table[R]{limits: limits, records: map[string]*Record[R]{}}
 }
 
-func (e *ExpiredError) Error() string {
-	return fmt.Sprintf("operation %s is %s old and no longer kept", e.ID, e.Age)
+// Reason says why an operation cannot begin.
+type Reason string
+
+// Reasons of a RefusedError.
+const (
+	// Expired means that the record of the ID may have been dropped.
+	Expired Reason = "expired"
+	// Ahead means that the ID was issued later than this process can hold.
+	Ahead Reason = "issued in the future"
+	// Full means that too many operations are in progress.
+	Full Reason = "too many in progress"
+	// Closed means that the table begins nothing any more: an ID that it does
+	// not hold and that is above the floor never ran and never will.
+	Closed Reason = "closed"
+)
+
+// RefusedError is an operation that was not begun and not recorded.
+type RefusedError struct {
+	ID     string
+	Reason Reason
 }
 
+func (e *RefusedError) Error() string { return fmt.Sprintf("operation %s: %s", e.ID, e.Reason) }
+
 // Begin returns the record of an ID and whether the caller is the one to run
-// it. Created is the time in the ID.
+// it, and must then Finish it.
 //
-// Errors: *ExpiredError.
-func (t *Table[R]) Begin(now time.Time, id string, created time.Time) (*Record[R], bool, error) {
+// Errors: *RefusedError.
+func (t *Table[R]) Begin(now time.Time, id string, issued time.Time) (*Record[R], bool, error) {
 	if r, ok := t.records[id]; ok {
 		return r, false, nil
 	}
-	if age := now.Sub(created); age > t.window {
-		return nil, false, &ExpiredError{ID: id, Age: age}
+	t.Expire(now)
+	if reason := t.refuse(now, issued); reason != "" {
+		return nil, false, &RefusedError{ID: id, Reason: reason}
 	}
-	r := &Record[R]{ID: id, Started: now, Done: make(chan struct{})}
+	r := &Record[R]{ID: id, Issued: issued, Done: make(chan struct{})}
 	t.records[id] = r
 	return r, true, nil
 }
 
-// Finish sets the final result.
-func (t *Table[R]) Finish(r *Record[R], result R) {
-	if r.State == Finished {
+func (t *Table[R]) refuse(now, issued time.Time) Reason {
+	switch {
+	case !issued.After(t.floor) || now.Sub(issued) > t.limits.Window:
+		return Expired
+	case t.closed:
+		return Closed
+	case issued.Sub(now) > t.limits.Window:
+		return Ahead
+	case len(t.records)-len(t.finished) >= t.limits.Running:
+		return Full
+	}
+	return ""
+}
+
+// Finish sets the final result. Size is what the result takes, in bytes.
+func (t *Table[R]) Finish(r *Record[R], result R, size int) {
+	if r.finished {
 		return
 	}
-	r.State = Finished
+	r.finished = true
 	r.Result = result
+	r.size = len(r.ID) + size
+	t.bytes += r.size
+	heap.Push(&t.finished, r)
+	for len(t.finished) > t.limits.Records || t.bytes > t.limits.Bytes {
+		t.drop()
+	}
 	close(r.Done)
 }
 
+// Seal finishes an ID that was never begun, so that it never will be. It
+// returns the record, which is another's when the ID was begun before.
+//
+// Errors: *RefusedError.
+func (t *Table[R]) Seal(now time.Time, id string, issued time.Time, result R, size int) (*Record[R], error) {
+	r, mine, err := t.Begin(now, id, issued)
+	if err == nil && mine {
+		t.Finish(r, result, size)
+	}
+	return r, err
+}
+
+// Close ends the beginning of operations. It returns the floor: an ID issued
+// after it that has no record here never ran and never will.
+func (t *Table[R]) Close() time.Time {
+	t.closed = true
+	return t.floor
+}
+
+// Finished returns the finished records, in no order.
+func (t *Table[R]) Finished() []*Record[R] { return t.finished }
+
+// Running returns the number of operations in progress.
+func (t *Table[R]) Running() int { return len(t.records) - len(t.finished) }
+
 // Len returns the number of records kept.
 func (t *Table[R]) Len() int { return len(t.records) }
 
-// keepFactor is how many windows a record is kept: an ID may be up to one
-// window ahead of this host's clock when it arrives.
-const keepFactor = 2
-
-// Expire drops finished records that no resend can need.
+// Expire drops finished records older than the window.
 func (t *Table[R]) Expire(now time.Time) {
-	for id, r := range t.records {
-		if r.State == Finished && now.Sub(r.Started) > keepFactor*t.window {
-			delete(t.records, id)
-		}
+	for len(t.finished) > 0 && now.Sub(t.finished[0].Issued) > t.limits.Window {
+		t.drop()
 	}
 }
+
+// drop forgets the oldest finished record and raises the floor to it.
+func (t *Table[R]) drop() {
+	r := heap.Pop(&t.finished).(*Record[R])
+	delete(t.records, r.ID)
+	t.bytes -= r.size
+	if r.Issued.After(t.floor) {
+		t.floor = r.Issued
+	}
+}
+
+// byIssued is a heap of finished records, oldest first.
+type byIssued[R any] []*Record[R]
+
+func (h byIssued[R]) Len() int           { return len(h) }
+func (h byIssued[R]) Less(i, j int) bool { return h[i].Issued.Before(h[j].Issued) }
+func (h byIssued[R]) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *byIssued[R]) Push(r any) { *h = append(*h, r.(*Record[R])) }
+
+// Pop implements heap.Interface.
+func (h *byIssued[R]) Pop() any {
+	last := len(*h) - 1
+	r := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return r
+}
--- a/internal/daemon/entry/dispatch.go
+++ b/internal/daemon/entry/dispatch.go
@@ -34,7 +34,8 @@
 		deadline = n.clock.Now().Add(x.class.Deadline.D())
 	}
 	a, err := n.backend.Do(ctx, server.Address.String(), &port.BackendRequest{
-		Method: x.req.Method, Path: x.req.Path, RawQuery: x.req.RawQuery, Header: x.req.Header, Body: x.req.Body,
+		Service: x.svc.Name,
+		Method:  x.req.Method, Path: x.req.Path, RawQuery: x.req.RawQuery, Header: x.req.Header, Body: x.req.Body,
 		RequestID: n.nextRequestID(), Deadline: deadline, MaxAnswer: int64(x.class.MaxAnswer),
 		AtMostOnce: x.class.Execution == document.AtMostOnce,
 	})
--- a/internal/daemon/entry/errors.go
+++ b/internal/daemon/entry/errors.go
@@ -51,6 +51,8 @@
 		out.Code = api.CodeDeadline
 	case port.BackendCanceled:
 		out.Code = api.CodeCanceled
+	case port.BackendSuspect:
+		out.Code = api.CodeSuspect
 	}
 	return out
 }
@@ -62,7 +64,7 @@
 	if !errors.As(err, &pe) {
 		return out
 	}
-	if !pe.Sent || pe.Code == port.PeerIncarnation {
+	if pe.NoEffect() {
 		out.Outcome = api.OutcomeNotRun
 	}
 	if pe.Code == port.PeerTimeout {
@@ -77,3 +79,32 @@
 	}
 	return &api.Error{Code: api.CodeCanceled, Message: "caller gave up", Outcome: api.OutcomeUnknown}
 }
+
+func badOperation(err error) *api.Error {
+	return &api.Error{Code: api.CodeBadOperation, Message: err.Error(), Outcome: api.OutcomeNotRun}
+}
+
+// interrupted is the result of an operation whose goroutine ended without one.
+func interrupted() *api.Error {
+	return &api.Error{Code: api.CodeInternal, Message: "interrupted", Outcome: api.OutcomeUnknown}
+}
+
+func ownerGone(id api.OperationID) *api.Error {
+	msg := "the process that may run operation " + id.String() + " cannot be reached and left no record here"
+	return &api.Error{Code: api.CodeOwnerGone, Message: msg, Outcome: api.OutcomeUnknown}
+}
+
+func ownerUnreachable(id api.OperationID, err error) *api.Error {
+	msg := "the process that may run operation " + id.String() + " did not answer: " + err.Error()
+	return &api.Error{
+		Code: api.CodeOwnerUnreachable, Message: msg, Outcome: api.OutcomeUnknown,
+		RetryAfterMillis: overloadRetry.Milliseconds(),
+	}
+}
+
+// neverRan is the result of an operation that was never begun and never will
+// be.
+func neverRan(id api.OperationID) *api.Error {
+	msg := "operation " + id.String() + " never ran"
+	return &api.Error{Code: api.CodeStopping, Message: msg, Outcome: api.OutcomeNotRun}
+}
--- a/internal/daemon/entry/lookup.go
+++ b/internal/daemon/entry/lookup.go
@@ -26,9 +26,11 @@
 		answer.Block = c.Block.String()
 		q.Regions = c.Regions
 	}
+	now := n.clock.Now()
 	for _, h := range lookup.Choose(q, snap.Hosts) {
 		answer.Hosts = append(answer.Hosts, api.Host{
 			Name: h.Name, Domain: h.Domain, Address: h.Caller, Incarnation: strconv.FormatUint(h.Incarnation, 10),
+			Operation: api.OperationPrefix(h.Name, h.Incarnation, now),
 		})
 	}
 	n.metrics.lookups.Inc()
--- a/internal/daemon/entry/metrics.go
+++ b/internal/daemon/entry/metrics.go
@@ -10,6 +10,7 @@
 type Metrics struct {
 	lookups  prometheus.Counter
 	requests *prometheus.CounterVec
+	retries  *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of an entry process.
@@ -21,8 +22,11 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cassiatray_entry_requests_total", Help: "Requests of callers, by service, class, outcome and failure code.",
 		}, []string{"service", "class", "outcome", "code"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cassiatray_entry_retries_total", Help: "Requests sent again, by service and class.",
+		}, []string{"service", "class"}),
 	}
-	reg.MustRegister(m.lookups, m.requests)
+	reg.MustRegister(m.lookups, m.requests, m.retries)
 	return m
 }
 
--- a/internal/daemon/entry/module.go
+++ b/internal/daemon/entry/module.go
@@ -72,12 +72,11 @@
 			operatorhttp.Serve(ol, operatorhttp.NewRouter(n, reg))
 			srv.Start(pl)
 			wg.Go(func() { f.Run(ctx) })
-			go callers.Serve(cl)
+			go callers.Serve(callerhttp.NewListener(cl, callerhttp.MaxPerSource, callerhttp.MaxConnections))
 			return nil
 		},
 		OnStop: func(stop context.Context) error {
-			n.leave(stop)
-			err := callers.Shutdown(stop)
+			err := n.stop(stop, callers, srv)
 			cancel()
 			wg.Wait()
 			srv.Close()
@@ -87,16 +86,6 @@
 	})
 }
 
-// leave reports this process as leaving and goes on serving for as long as
-// callers may hold a look-up answer that names it.
-func (n *Node) leave(ctx context.Context) {
-	n.feed.SetState(peerv1.HostState_HOST_STATE_LEAVING)
-	n.feed.reportOnce(ctx)
-	if snap := n.feed.Snapshot(); snap != nil {
-		pause(ctx, snap.Index.Doc.Lookup.TTL.D())
-	}
-}
-
 // NotReadyError says why a process cannot serve yet.
 type NotReadyError struct{ Reason string }
 
@@ -120,6 +109,8 @@
 	Members     []*peerv1.Member `json:"members"`
 	InFlight    []ServiceState   `json:"inFlight"`
 	Operations  int              `json:"operations"`
+	// Suspects are requests seen in flight when servers crashed.
+	Suspects []SuspectState `json:"suspects"`
 }
 
 // ServiceState is the load of one service on this host.
@@ -137,9 +128,10 @@
 			s.Members = append(s.Members, m)
 		}
 	}
+	s.Operations = n.operations.len()
+	s.Suspects = n.dumpSuspects()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	s.Operations = n.operations.Len()
 	for name, g := range n.gates {
 		s.InFlight = append(s.InFlight, ServiceState{Service: name, InFlight: g.InFlight()})
 	}
--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -6,21 +6,18 @@
 import (
 	"context"
 	"sync"
-	"time"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
 	"cassiatray/api"
 	"cassiatray/internal/core/admission"
 	"cassiatray/internal/core/document"
-	"cassiatray/internal/core/operation"
 	"cassiatray/internal/port"
 )
 
-// operationWindow is how old an operation ID may be when it arrives.
-const operationWindow = 10 * time.Minute
-
-// result is the final answer of a request: exactly one field is set.
+// result is the final answer of a request: exactly one of answer and fail is
+// set.
 type result struct {
 	answer *port.CallerAnswer
 	fail   *api.Error
@@ -28,7 +25,7 @@
 
 // Node serves callers and other entry hosts.
 //
-// mu guards gates and operations; it is never held during I/O.
+// mu guards gates; it is never held during I/O.
 type Node struct {
 	cfg         Settings
 	incarnation uint64
@@ -38,20 +35,28 @@
 	clock       port.Clock
 	log         *logrus.Entry
 	metrics     *Metrics
+	operations  *operations
+	budgets     *budgets
+	suspects    *suspects
+	leaving     atomic.Bool
 
-	mu         sync.Mutex
-	gates      map[string]*admission.Gate
-	operations *operation.Table[result]
+	mu    sync.Mutex
+	gates map[string]*admission.Gate
 }
 
 // NewNode returns a node that reads its snapshots from feed.
 func NewNode(cfg Settings, incarnation uint64, feed *Feed, backend port.Backend, peers port.PeerCaller, clock port.Clock, log *logrus.Entry, m *Metrics) *Node {
-	return &Node{
-		cfg: cfg, incarnation: incarnation, feed: feed, backend: backend, peers: peers, clock: clock, log: log, metrics: m,
-		gates: map[string]*admission.Gate{}, operations: operation.NewTable[result](operationWindow),
+	n := &Node{
+		cfg: cfg, incarnation: incarnation, feed: feed, peers: peers, clock: clock, log: log, metrics: m,
+		operations: newOperations(), budgets: newBudgets(), suspects: newSuspects(), gates: map[string]*admission.Gate{},
 	}
+	n.backend = &watchedBackend{Backend: backend, node: n}
+	return n
 }
 
+// Leaving implements port.CallerService.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
 // Limit implements port.CallerService.
 func (n *Node) Limit(service, method, path string) (int64, *api.Error) {
 	_, _, class, fail := n.match(service, method, path)
@@ -79,22 +84,17 @@
 
 // Do implements port.CallerService.
 func (n *Node) Do(ctx context.Context, req *port.CallerRequest) (*port.CallerAnswer, *api.Error) {
-	snap, svc, class, fail := n.match(req.Service, req.Method, req.Path)
+	x, fail := n.exchange(req)
 	if fail != nil {
-		return nil, fail
+		return nil, n.Refuse(ctx, req.OperationID, fail)
 	}
-	limit := class.Deadline.D()
-	if req.Timeout > 0 {
-		limit = min(limit, req.Timeout)
-	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := x.context(ctx)
 	defer cancel()
-	x := &exchange{snap: snap, svc: svc, class: class, req: req}
 	var out result
-	if class.Execution == document.AtMostOnce {
+	if x.once() {
 		out = n.operate(ctx, x)
 	} else {
-		out = n.route(ctx, x)
+		out = n.attempts(ctx, x)
 	}
 	n.metrics.observe(x, out)
 	return out.answer, out.fail
@@ -108,4 +108,27 @@
 	req   *port.CallerRequest
 	// hops is how many entry hosts have passed the request on.
 	hops uint32
+	// attempt is the first entry host's number of this attempt, from 1.
+	attempt uint32
+}
+
+func (n *Node) exchange(req *port.CallerRequest) (*exchange, *api.Error) {
+	snap, svc, class, fail := n.match(req.Service, req.Method, req.Path)
+	if fail != nil {
+		return nil, fail
+	}
+	return &exchange{snap: snap, svc: svc, class: class, req: req}, nil
+}
+
+// once reports whether the request runs at most once.
+func (x *exchange) once() bool { return x.class.Execution == document.AtMostOnce }
+
+// context bounds the request by the shorter of its class's deadline and the
+// time its caller waits.
+func (x *exchange) context(ctx context.Context) (context.Context, context.CancelFunc) {
+	limit := x.class.Deadline.D()
+	if x.req.Timeout > 0 {
+		limit = min(limit, x.req.Timeout)
+	}
+	return context.WithTimeout(ctx, limit)
 }
--- /dev/null
+++ b/internal/daemon/entry/suspect.go
@@ -0,0 +1,278 @@
+package entry
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cassiatray/api"
+	"cassiatray/internal/core/suspect"
+	"cassiatray/internal/port"
+	peerv1 "cassiatray/proto/peer/v1"
+)
+
+// suspects are the requests seen in flight when servers crashed.
+//
+// mu guards table and probation; it is never held during I/O.
+type suspects struct {
+	// any is set while the table may hold something, so that the path of a
+	// request computes no fingerprint when it does not.
+	any atomic.Bool
+
+	mu    sync.Mutex
+	table suspect.Table
+	// probation holds a channel for each suspect that runs; it is closed when
+	// the run ends.
+	probation map[suspect.Fingerprint]chan struct{}
+}
+
+func newSuspects() *suspects {
+	return &suspects{probation: map[suspect.Fingerprint]chan struct{}{}}
+}
+
+func (x *exchange) fingerprint() suspect.Fingerprint {
+	return suspect.Of(x.svc.Name, x.req.Method, x.req.Path, x.req.RawQuery, x.req.Body)
+}
+
+// enter waits until a request may run. The function that it returns, if any,
+// must be called when the run has ended.
+func (s *suspects) enter(ctx context.Context, clock port.Clock, x *exchange) (func(), *api.Error) {
+	if !s.any.Load() {
+		return nil, nil
+	}
+	f := x.fingerprint()
+	for {
+		state, wait, leave := s.claim(clock.Now(), f)
+		switch {
+		case state == suspect.Refused:
+			return nil, suspected(f)
+		case wait == nil:
+			return leave, nil
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			// Nothing of this attempt was sent.
+			fail := contextError(ctx.Err())
+			fail.Outcome = api.OutcomeNotRun
+			return nil, fail
+		}
+	}
+}
+
+// claim takes the right to run a suspect, or returns a channel to wait on.
+func (s *suspects) claim(now time.Time, f suspect.Fingerprint) (state suspect.State, wait <-chan struct{}, leave func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state = s.table.State(now, f)
+	s.any.Store(!s.table.Empty())
+	if state != suspect.Probation {
+		return state, nil, nil
+	}
+	if running := s.probation[f]; running != nil {
+		return state, running, nil
+	}
+	done := make(chan struct{})
+	s.probation[f] = done
+	return state, nil, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.probation, f)
+		close(done)
+	}
+}
+
+func suspected(f suspect.Fingerprint) *api.Error {
+	msg := "servers that ran request " + hex.EncodeToString(f[:4]) + " crashed; it is refused for a time"
+	return &api.Error{
+		Code: api.CodeSuspect, Message: msg, Outcome: api.OutcomeNotRun, RetryAfterMillis: suspect.Keep.Milliseconds(),
+	}
+}
+
+// crash records a crash and reports whether it is news.
+func (s *suspects) crash(now time.Time, f suspect.Fingerprint, server suspect.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.any.Store(true)
+	return s.table.Crash(now, f, server)
+}
+
+func (s *suspects) clear(now time.Time, f suspect.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Clear(now, f)
+}
+
+func (s *suspects) list(now time.Time) []suspect.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.List(now)
+}
+
+// acquit clears a suspect that ran to its end, here and on other hosts.
+func (n *Node) acquit(x *exchange, out result) {
+	if out.fail != nil {
+		return
+	}
+	f := x.fingerprint()
+	if n.suspects.clear(n.clock.Now(), f) {
+		go n.shareSuspect(&peerv1.Suspect{Fingerprint: f[:], Cleared: true})
+	}
+}
+
+// watchedBackend refuses suspects and notes requests that were in flight when
+// a server's connection broke.
+type watchedBackend struct {
+	port.Backend
+	node *Node
+}
+
+// Do implements port.Backend.
+func (b *watchedBackend) Do(ctx context.Context, address string, req *port.BackendRequest) (*port.BackendAnswer, error) {
+	if b.refuses(req) {
+		return nil, &port.BackendError{Code: port.BackendSuspect, Address: address, Err: suspected(fingerprintOf(req))}
+	}
+	a, err := b.Backend.Do(ctx, address, req)
+	var be *port.BackendError
+	if errors.As(err, &be) && be.Code == port.BackendBroken {
+		b.node.accuse(fingerprintOf(req), req.Service, address)
+	}
+	return a, err
+}
+
+func fingerprintOf(req *port.BackendRequest) suspect.Fingerprint {
+	return suspect.Of(req.Service, req.Method, req.Path, req.RawQuery, req.Body)
+}
+
+func (b *watchedBackend) refuses(req *port.BackendRequest) bool {
+	s := b.node.suspects
+	if !s.any.Load() {
+		return false
+	}
+	f := fingerprintOf(req)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.State(b.node.clock.Now(), f) == suspect.Refused
+}
+
+// accuse notes a request that was in flight when a server crashed, and shares
+// that before its caller is answered and can send it again.
+func (n *Node) accuse(f suspect.Fingerprint, service, address string) {
+	server := n.serverAt(service, address)
+	if !n.suspects.crash(n.clock.Now(), f, server) {
+		return
+	}
+	n.log.WithField("server", server.Name).Warn("Server crashed with a request in flight.")
+	n.shareSuspect(&peerv1.Suspect{Fingerprint: f[:], Service: service, Server: server.Name, Domain: server.Domain})
+}
+
+func (n *Node) serverAt(service, address string) suspect.Server {
+	out := suspect.Server{Service: service, Name: address, Domain: n.cfg.Domain}
+	snap := n.feed.Snapshot()
+	if snap == nil || snap.Index.Service(service) == nil {
+		return out
+	}
+	for _, b := range snap.Index.Service(service).Servers {
+		if b.Address.String() == address {
+			return suspect.Server{Service: service, Name: b.Name, Domain: b.Domain}
+		}
+	}
+	return out
+}
+
+// shareTimeout bounds how long an answer waits for other hosts to learn of a
+// suspect.
+const shareTimeout = 300 * time.Millisecond
+
+// shareSuspect tells the other hosts of this failure domain, and one of each
+// other domain, which passes it on.
+func (n *Node) shareSuspect(s *peerv1.Suspect) {
+	snap := n.feed.Snapshot()
+	if snap == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
+	defer cancel()
+	told := map[string]bool{}
+	var wg sync.WaitGroup
+	for _, h := range snap.Hosts {
+		far := h.Domain != n.cfg.Domain
+		if h.Name == n.cfg.Host || far && told[h.Domain] {
+			continue
+		}
+		told[h.Domain] = true
+		wg.Go(func() { n.tellSuspect(ctx, snap.Members[h.Name], s, far) })
+	}
+	wg.Wait()
+}
+
+func (n *Node) tellSuspect(ctx context.Context, m *peerv1.Member, s *peerv1.Suspect, relay bool) {
+	report := &peerv1.SuspectReport{Suspects: []*peerv1.Suspect{s}, Relay: relay}
+	req := &peerv1.Request{Body: &peerv1.Request_SuspectReport{SuspectReport: report}}
+	if _, err := n.peers.Call(ctx, m.EntryPeerAddress, req); err != nil {
+		n.log.WithError(err).Debug("Suspect not shared.")
+	}
+}
+
+// serveSuspects takes a report of another host and passes it on when asked to.
+func (n *Node) serveSuspects(ctx context.Context, r *peerv1.SuspectReport) *peerv1.Reply {
+	var wg sync.WaitGroup
+	for _, s := range r.Suspects {
+		if n.takeSuspect(s) && r.Relay {
+			wg.Go(func() { n.relaySuspect(ctx, s) })
+		}
+	}
+	wg.Wait()
+	return &peerv1.Reply{Body: &peerv1.Reply_SuspectReportAck{SuspectReportAck: &peerv1.SuspectReportAck{}}}
+}
+
+// takeSuspect stamps a report with this host's clock and reports whether it is
+// news.
+func (n *Node) takeSuspect(s *peerv1.Suspect) bool {
+	if len(s.Fingerprint) != len(suspect.Fingerprint{}) {
+		return false
+	}
+	f := suspect.Fingerprint(s.Fingerprint)
+	if s.Cleared {
+		return n.suspects.clear(n.clock.Now(), f)
+	}
+	return n.suspects.crash(n.clock.Now(), f, suspect.Server{Service: s.Service, Name: s.Server, Domain: s.Domain})
+}
+
+func (n *Node) relaySuspect(ctx context.Context, s *peerv1.Suspect) {
+	snap := n.feed.Snapshot()
+	if snap == nil {
+		return
+	}
+	var wg sync.WaitGroup
+	for _, h := range snap.Hosts {
+		if h.Domain == n.cfg.Domain && h.Name != n.cfg.Host {
+			wg.Go(func() { n.tellSuspect(ctx, snap.Members[h.Name], s, false) })
+		}
+	}
+	wg.Wait()
+}
+
+// SuspectState is one suspect in a dump.
+type SuspectState struct {
+	Fingerprint string    `json:"fingerprint"`
+	Service     string    `json:"service"`
+	Server      string    `json:"server"`
+	Crashes     int       `json:"crashes"`
+	Since       time.Time `json:"since"`
+	State       string    `json:"state"`
+}
+
+func (n *Node) dumpSuspects() []SuspectState {
+	out := []SuspectState{}
+	for _, e := range n.suspects.list(n.clock.Now()) {
+		out = append(out, SuspectState{
+			Fingerprint: hex.EncodeToString(e.Fingerprint[:]), Service: e.Server.Service, Server: e.Server.Name,
+			Crashes: e.Crashes, Since: e.Since, State: e.State.String(),
+		})
+	}
+	return out
+}
--- a/internal/daemon/steer/module.go
+++ b/internal/daemon/steer/module.go
@@ -66,7 +66,8 @@
 			wg.Go(func() { n.Run(ctx) })
 			return nil
 		},
-		OnStop: func(context.Context) error {
+		OnStop: func(stop context.Context) error {
+			n.linger(stop)
 			cancel()
 			wg.Wait()
 			srv.Close()
--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -9,6 +9,8 @@
 
 // BackendRequest is one request to a backend server, with its body whole.
 type BackendRequest struct {
+	// Service is the service that the server belongs to.
+	Service  string
 	Method   string
 	Path     string
 	RawQuery string
@@ -69,6 +71,9 @@
 	BackendTooLarge BackendCode = "too-large"
 	// BackendCanceled means that the caller gave up after sending began.
 	BackendCanceled BackendCode = "canceled"
+	// BackendSuspect means that the request was refused, since servers that
+	// ran it crashed: nothing was sent.
+	BackendSuspect BackendCode = "suspect"
 )
 
 // BackendError is a failed request to a backend server.
--- a/internal/port/caller.go
+++ b/internal/port/caller.go
@@ -42,4 +42,11 @@
 	Limit(service, method, path string) (int64, *api.Error)
 	// Do runs one request.
 	Do(ctx context.Context, req *CallerRequest) (*CallerAnswer, *api.Error)
+	// Refuse settles the operation of a request that is refused with fail, and
+	// returns fail with the outcome that is true for the operation. The ID may
+	// be empty or no ID.
+	Refuse(ctx context.Context, operationID string, fail *api.Error) *api.Error
+	// Leaving reports whether this host is stopping: callers are then told not
+	// to reuse their connections.
+	Leaving() bool
 }
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -36,6 +36,9 @@
 	// PeerIncarnation means that the address is now another incarnation; the
 	// exchange was refused and had no effect.
 	PeerIncarnation PeerCode = "incarnation"
+	// PeerStopping means that the receiver is stopping and takes no exchanges;
+	// the exchange had no effect.
+	PeerStopping PeerCode = "stopping"
 	// PeerRefused means that the receiver answered with a typed failure.
 	PeerRefused PeerCode = "refused"
 	// PeerTooLarge means that a frame was over its limit.
@@ -63,6 +66,15 @@
 
 func (e *PeerError) Unwrap() error { return e.Err }
 
+// NoEffect reports whether the receiver provably did nothing.
+func (e *PeerError) NoEffect() bool {
+	switch e.Code {
+	case PeerIncarnation, PeerStopping:
+		return true
+	}
+	return !e.Sent
+}
+
 // IsPeerCode reports whether err is a PeerError with the given code.
 func IsPeerCode(err error, code PeerCode) bool {
 	var pe *PeerError
