--- a/internal/core/document/parse.go
+++ b/internal/core/document/parse.go
@@ -109,7 +109,8 @@
 // Lines maps the path of a key to its line.
 type Lines map[string]int
 
-// At returns the line of a key, or of the nearest key above it.
+// At returns the line of a key, or of the nearest key above it; for a missing
+// key at the top it is where the mapping begins.
 func (l Lines) At(key string) int {
 	for key != "" {
 		if n, ok := l[key]; ok {
@@ -121,7 +122,7 @@
 		}
 		key = key[:cut]
 	}
-	return 0
+	return l[""]
 }
 
 func syntaxError(file string, err error) error {
