Steer by plans, paced drains and caps at the receiver; explain look-ups

Cause: requests left a domain only when it had no servers, no cap bounded them, drains of places took effect at once, and look-ups ignored capacity. Excluded: moving callers between regions by load reports: late or lying ones would move them for nothing; overload is handed on host to host instead, and the receiver decides. Change: look-ups weigh failure domains by slots and fresh load; a request is offered to its own domain, the region's others, then other regions with a part of the cap, while it was provably not run; the home region travels with it; links are reserved by the sender of the bytes; GET /explain. A duplicate block in a table took either of two regions once more than 12 were equal: the sort is stable now.

--- a/api/api.go
+++ b/api/api.go
@@ -17,6 +17,9 @@
 	// HeaderTimeout is the time the caller waits, in milliseconds. The class's
 	// deadline applies when it is shorter or absent.
 	HeaderTimeout = "Cassiatray-Timeout-Ms"
+	// HeaderClient is the address that the caller's look-ups are made for. It
+	// tells which region the request belongs to.
+	HeaderClient = "Cassiatray-Client"
 	// HeaderHost names the entry host that answered.
 	HeaderHost = "Cassiatray-Host"
 )
--- a/client/send.go
+++ b/client/send.go
@@ -66,7 +66,7 @@
 
 // send sends one copy of a request to one host.
 func (c *Client) send(ctx context.Context, address string, r *Request, id string) (*Answer, *failure) {
-	req, err := newRequest(ctx, address, r, id)
+	req, err := c.newRequest(ctx, address, r, id)
 	if err != nil {
 		return nil, &failure{Error: &api.Error{Code: api.CodeBadRequest, Message: err.Error(), Outcome: api.OutcomeNotRun}, kind: answered}
 	}
@@ -86,7 +86,7 @@
 	}, nil
 }
 
-func newRequest(ctx context.Context, address string, r *Request, id string) (*http.Request, error) {
+func (c *Client) newRequest(ctx context.Context, address string, r *Request, id string) (*http.Request, error) {
 	target := "http://" + address + "/v1/request/" + url.PathEscape(r.Service) + r.Path
 	req, err := http.NewRequestWithContext(ctx, r.Method, target, bytes.NewReader(r.Body))
 	if err != nil {
@@ -98,6 +98,9 @@
 	if id != "" {
 		req.Header.Set(api.HeaderOperationID, id)
 	}
+	if c.cfg.Address.IsValid() {
+		req.Header.Set(api.HeaderClient, c.cfg.Address.String())
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		req.Header.Set(api.HeaderTimeout, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
 	}
--- a/internal/adapter/callerhttp/request.go
+++ b/internal/adapter/callerhttp/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strconv"
 	"strings"
@@ -32,9 +33,13 @@
 	if fail != nil {
 		return nil, fail
 	}
+	client, fail := callerClient(r.Header)
+	if fail != nil {
+		return nil, fail
+	}
 	return &port.CallerRequest{
 		Service: service, Method: r.Method, Path: path, RawQuery: r.URL.RawQuery,
-		Header: forwardable(r.Header), OperationID: id, Timeout: timeout,
+		Header: forwardable(r.Header), OperationID: id, Timeout: timeout, Client: client,
 	}, nil
 }
 
@@ -66,6 +71,18 @@
 	return h.Get(api.HeaderOperationID), nil
 }
 
+func callerClient(h http.Header) (netip.Addr, *api.Error) {
+	text := h.Get(api.HeaderClient)
+	if text == "" {
+		return netip.Addr{}, nil
+	}
+	client, err := netip.ParseAddr(text)
+	if err != nil {
+		return netip.Addr{}, badRequest("the header " + api.HeaderClient + " is not an IP address")
+	}
+	return client, nil
+}
+
 func callerTimeout(h http.Header) (time.Duration, *api.Error) {
 	text := h.Get(api.HeaderTimeout)
 	if text == "" {
--- a/internal/core/document/index.go
+++ b/internal/core/document/index.go
@@ -137,6 +137,17 @@
 	return out
 }
 
+// ServerDraining reports whether a drain names a server itself at a time. Such
+// a drain takes effect at once; those of regions and domains are paced.
+func (ix *Index) ServerDraining(service string, b BackendServer, now time.Time) bool {
+	for _, d := range ix.Doc.Drains {
+		if d.Server == service+"/"+b.Name && !now.Before(d.At) && (d.Until.IsZero() || now.Before(d.Until)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Draining reports whether a server is in a planned drain at a time.
 func (ix *Index) Draining(service string, b BackendServer, now time.Time) bool {
 	region := ""
--- a/internal/core/lookup/choose.go
+++ b/internal/core/lookup/choose.go
@@ -89,22 +89,27 @@
 		return dst
 	}
 	last, ok := sp.elsewhere(home, in, q, mix(u+1))
-	middle := q.Count - 1
-	if ok {
-		middle--
+	if !ok { // the region's only domain is the only one
+		return home.middle(dst, first+1, len(home.hosts)-1, q.Count-1, "")
 	}
-	dst = home.middle(dst, first, middle, last)
-	if ok {
-		dst = append(dst, last)
+	room := q.Count - 2
+	begin := len(dst)
+	dst = home.middle(dst, first+1, len(home.hosts)-1, room, last.Name)
+	for i := 0; i < len(sp.order) && len(dst)-begin < room; i++ {
+		if pl := sp.order[i]; pl != home {
+			_, from := pl.pick(u)
+			dst = pl.middle(dst, from, len(pl.hosts), room-(len(dst)-begin), last.Name)
+		}
 	}
-	return dst
+	return append(dst, last)
 }
 
-// middle appends up to n hosts of the region besides the first and the last.
-func (p *pool) middle(dst []Host, first, n int, last Host) []Host {
-	for k := 1; k < len(p.hosts) && n > 0; k++ {
-		i := (first + k) % len(p.hosts)
-		if p.serves(i) && p.hosts[i].Name != last.Name {
+// middle appends up to n hosts out of size hosts from index start on, round the
+// region, that are not named last.
+func (p *pool) middle(dst []Host, start, size, n int, last string) []Host {
+	for k := 0; k < size && n > 0; k++ {
+		i := (start + k) % len(p.hosts)
+		if p.serves(i) && p.hosts[i].Name != last {
 			dst = append(dst, p.hosts[i])
 			n--
 		}
--- a/internal/core/lookup/choose_test.go
+++ b/internal/core/lookup/choose_test.go
@@ -74,6 +74,9 @@
 		if len(names) != len(got) || len(got) == 0 || len(got) > q.Count {
 			t.Fatalf("hosts %v for count %d", got, q.Count)
 		}
+		if want := min(q.Count, len(live)); len(got) != want {
+			t.Fatalf("%d hosts of %d live for count %d", len(got), len(live), q.Count)
+		}
 		if last := got[len(got)-1]; q.Count > 1 && len(places) > 1 && last.Domain == got[0].Domain {
 			t.Fatalf("first and last are both of %s", last.Domain)
 		}
--- a/internal/core/lookup/trie.go
+++ b/internal/core/lookup/trie.go
@@ -80,8 +80,9 @@
 	bits    uint8
 }
 
+// sortLeaves keeps the order of equal blocks.
 func sortLeaves(list []leaf) {
-	sort.Slice(list, func(i, j int) bool {
+	sort.SliceStable(list, func(i, j int) bool {
 		if list[i].key == list[j].key {
 			return list[i].bits < list[j].bits
 		}
--- a/internal/core/share/limits.go
+++ b/internal/core/share/limits.go
@@ -141,17 +141,21 @@
 	return n
 }
 
-// Part returns a host's part of a flow under a document: senders use it to
-// find hosts that can take work.
-func Part(ix *document.Index, f Flow, host string) int {
-	h := ix.Host(host)
-	if h == nil {
-		return 0
+// Takers returns the hosts of a region that have a part of a flow under a
+// document: senders use it to find hosts that can take work.
+func Takers(ix *document.Index, f Flow, region string) map[string]bool {
+	out := map[string]bool{}
+	r := ix.Region(region)
+	if r == nil {
+		return out
+	}
+	share, _ := ix.Doc.Caps.Taken(f.Service, f.From, region)
+	total := capOf(share, Slots(ix, f.Service, region))
+	hosts := hostsOf(r)
+	for i, h := range hosts {
+		out[h] = place{rank: i, count: len(hosts)}.part(total, f.Service+"/"+f.From) > 0
 	}
-	hosts := hostsOf(ix.Region(h.Region))
-	share, _ := ix.Doc.Caps.Taken(f.Service, f.From, h.Region)
-	p := place{rank: slices.Index(hosts, host), count: len(hosts)}
-	return p.part(capOf(share, Slots(ix, f.Service, h.Region)), f.Service+"/"+f.From)
+	return out
 }
 
 // atMost returns the smaller of two hosts' parts for every cap.
--- a/internal/core/share/pace.go
+++ b/internal/core/share/pace.go
@@ -150,7 +150,6 @@
 // document arrives late, or withdraws a shift. Levels move towards those of
 // the schedule. It is not safe for concurrent use.
 type Pacer struct {
-	rate   Rate
 	last   time.Time
 	levels map[string]float64
 	sizes  map[string]float64
--- a/internal/daemon/entry/dispatch.go
+++ b/internal/daemon/entry/dispatch.go
@@ -10,12 +10,13 @@
 	"cassiatray/internal/port"
 )
 
-// servers returns the servers of this domain that are not in a planned drain.
+// servers returns the servers of this domain that no drain names. Drains of regions
+// and domains are paced: see view.open.
 func (n *Node) servers(x *exchange) []document.BackendServer {
 	now := n.clock.Now()
 	var out []document.BackendServer
 	for _, b := range x.svc.In(n.cfg.Domain) {
-		if !x.snap.Index.Draining(x.svc.Name, b, now) {
+		if !x.snap.Index.ServerDraining(x.svc.Name, b, now) {
 			out = append(out, b)
 		}
 	}
--- a/internal/daemon/entry/lookup.go
+++ b/internal/daemon/entry/lookup.go
@@ -8,31 +8,49 @@
 	"cassiatray/internal/core/lookup"
 )
 
+// maxLookupHosts bounds the hosts of an answer.
+const maxLookupHosts = 16
+
 // Lookup implements port.CallerService.
 func (n *Node) Lookup(service string, client netip.Addr) (*api.Lookup, *api.Error) {
 	snap := n.feed.Snapshot()
 	if snap == nil {
 		return nil, notReady()
 	}
-	svc := snap.Index.Service(service)
-	if svc == nil {
+	if snap.Index.Service(service) == nil {
 		return nil, unknownService(service)
 	}
+	now := n.clock.Now()
+	v := n.steering.at(snap, now)
 	answer := &api.Lookup{
 		Service: service, Sequence: snap.Head.Sequence, TTLMillis: snap.Index.Doc.Lookup.TTL.D().Milliseconds(),
 	}
-	q := lookup.Query{Service: svc, Spread: client.String(), Count: snap.Index.Doc.Lookup.Hosts}
-	if c, ok := snap.Table.Find(client); ok {
-		answer.Block = c.Prefix.String()
-		q.Regions = c.Regions
+	block, ok := snap.Table.Find(client)
+	if ok {
+		answer.Block = block.Prefix.String()
 	}
-	now := n.clock.Now()
-	for _, h := range lookup.Choose(q, snap.Hosts) {
-		answer.Hosts = append(answer.Hosts, api.Host{
+	var buf [maxLookupHosts]lookup.Host
+	hosts := v.plan.Choose(buf[:0], n.query(snap, service, client, block))
+	answer.Hosts = make([]api.Host, len(hosts))
+	for i, h := range hosts {
+		answer.Hosts[i] = api.Host{
 			Name: h.Name, Domain: h.Domain, Address: h.Caller, Incarnation: strconv.FormatUint(h.Incarnation, 10),
 			Operation: api.OperationPrefix(h.Name, h.Incarnation, now),
-		})
+		}
 	}
 	n.metrics.lookups.Inc()
 	return answer, nil
 }
+
+// query says what an answer is chosen for. A caller of no known block is served
+// by this host's own region.
+func (n *Node) query(snap *Snapshot, service string, client netip.Addr, block lookup.Block) lookup.Query {
+	q := lookup.Query{
+		Service: service, Regions: block.Regions, Spread: lookup.SpreadOf(client),
+		Count: min(snap.Index.Doc.Lookup.Hosts, maxLookupHosts),
+	}
+	if h := snap.Index.Host(n.cfg.Host); h != nil && len(q.Regions) == 0 {
+		q.Regions = []string{h.Region}
+	}
+	return q
+}
--- a/internal/daemon/entry/module.go
+++ b/internal/daemon/entry/module.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -73,7 +74,9 @@
 			if err != nil {
 				return err
 			}
-			operatorhttp.Serve(ol, operatorhttp.NewRouter(n, reg))
+			operators := operatorhttp.NewRouter(n, reg)
+			operators.HandleFunc("/explain", n.serveExplain).Methods(http.MethodGet)
+			operatorhttp.Serve(ol, operators)
 			srv.Start(m.Listener(pl))
 			f.Register(reg)
 			wg.Go(func() { f.Run(ctx) })
--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -38,6 +38,7 @@
 	operations  *operations
 	budgets     *budgets
 	suspects    *suspects
+	steering    *steering
 	leaving     atomic.Bool
 
 	mu    sync.Mutex
@@ -48,7 +49,8 @@
 func NewNode(cfg Settings, incarnation uint64, feed *Feed, backend port.Backend, peers port.PeerCaller, clock port.Clock, log *logrus.Entry, m *Metrics) *Node {
 	n := &Node{
 		cfg: cfg, incarnation: incarnation, feed: feed, peers: peers, clock: clock, log: log, metrics: m,
-		operations: newOperations(), budgets: newBudgets(), suspects: newSuspects(), gates: map[string]*admission.Gate{},
+		operations: newOperations(), budgets: newBudgets(), suspects: newSuspects(),
+		steering: newSteering(cfg, clock.Now()), gates: map[string]*admission.Gate{},
 	}
 	n.backend = &watchedBackend{Backend: backend, node: n}
 	return n
@@ -110,6 +112,12 @@
 	hops uint32
 	// attempt is the first entry host's number of this attempt, from 1.
 	attempt uint32
+	// home is the region that the caller belongs to; empty when not known.
+	home string
+	// from is the region of the entry host that passed the request on, and
+	// sequence its document's.
+	from     string
+	sequence uint64
 }
 
 func (n *Node) exchange(req *port.CallerRequest) (*exchange, *api.Error) {
@@ -117,7 +125,11 @@
 	if fail != nil {
 		return nil, fail
 	}
-	return &exchange{snap: snap, svc: svc, class: class, req: req}, nil
+	x := &exchange{snap: snap, svc: svc, class: class, req: req}
+	if block, ok := snap.Table.Find(req.Client); ok {
+		x.home = block.Regions[0]
+	}
+	return x, nil
 }
 
 // once reports whether the request runs at most once.
--- a/internal/daemon/entry/peer.go
+++ b/internal/daemon/entry/peer.go
@@ -26,7 +26,7 @@
 	d := &peerv1.Dispatch{
 		Service: x.req.Service, Method: x.req.Method, Path: x.req.Path, RawQuery: x.req.RawQuery,
 		Headers: headerMessages(x.req.Header), Body: x.req.Body, Hops: x.hops + 1, Class: x.class.Name,
-		Attempt: max(1, x.attempt),
+		Attempt: max(1, x.attempt), HomeRegion: x.home, Sequence: x.snap.Head.Sequence,
 	}
 	if x.once() {
 		d.OperationId = x.req.OperationID
@@ -70,6 +70,10 @@
 		return result{fail: fail}
 	}
 	x.hops, x.attempt = d.Hops, d.Attempt
+	x.home, x.sequence = d.HomeRegion, d.Sequence
+	if origin := x.snap.Index.Domain(d.OriginDomain); origin != nil {
+		x.from = origin.Region
+	}
 	ctx, cancel := x.context(ctx)
 	defer cancel()
 	if !x.once() {
--- a/internal/daemon/entry/route.go
+++ b/internal/daemon/entry/route.go
@@ -1,41 +1,251 @@
 package entry
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
+	"slices"
+	"time"
 
 	"cassiatray/api"
-	peerv1 "cassiatray/proto/peer/v1"
+	"cassiatray/internal/core/lookup"
+	"cassiatray/internal/core/share"
 )
 
-// maxHops bounds how often a request is passed on.
-const maxHops = 2
+const (
+	// maxPlaces bounds the places that one attempt of a request is offered to.
+	maxPlaces = 4
+	// leastWork is the time that a server must be left after both crossings.
+	leastWork = 20 * time.Millisecond
+)
 
-// route runs a request on a server of this domain, or in another domain when
-// this one has none.
+// route runs a request that another host has placed here on a server of this
+// domain; a caller's own is offered to one place after another until one takes
+// it. A request goes on only while it was provably not run.
 func (n *Node) route(ctx context.Context, x *exchange) result {
-	if servers := n.servers(x); len(servers) > 0 {
-		return n.dispatch(ctx, x, servers)
+	if x.hops > 0 {
+		return n.receive(ctx, x)
+	}
+	out := result{fail: noServer(x.svc.Name)}
+	places := n.places(x)
+	for _, p := range places[:min(len(places), maxPlaces)] {
+		if !n.inTime(ctx, x, p) {
+			continue
+		}
+		out = n.offer(ctx, x, p)
+		if !refused(out) || ctx.Err() != nil {
+			return out
+		}
+	}
+	return out
+}
+
+// refused reports whether another place may be tried: this one had no room and
+// did not run the request.
+func refused(out result) bool {
+	if out.fail == nil || out.fail.Outcome != api.OutcomeNotRun {
+		return false
+	}
+	switch out.fail.Code {
+	case api.CodeOverloaded, api.CodeNoServer, api.CodePeer, api.CodeStopping:
+		return true
 	}
-	return n.forward(ctx, x)
+	return false
 }
 
-// forward passes a request to an entry host of a domain that has servers.
-func (n *Node) forward(ctx context.Context, x *exchange) result {
-	if x.hops >= maxHops {
+// offer gives a request to one place.
+func (n *Node) offer(ctx context.Context, x *exchange, p lookup.Host) result {
+	if p.Name == n.cfg.Host {
+		return n.receive(ctx, x)
+	}
+	m := x.snap.Members[p.Name]
+	if p.Region == n.region(x) {
+		return n.send(ctx, x, m.EntryPeerAddress, m.EntryIncarnation)
+	}
+	permit, err := n.steering.reserve(x, p.Region, n.clock.Now())
+	if err != nil {
+		return result{fail: notAdmitted(err)}
+	}
+	out := n.send(ctx, x, m.EntryPeerAddress, m.EntryIncarnation)
+	permit.end(n.clock.Now(), permit.reserved)
+	return out
+}
+
+// receive runs a request on a server of this domain, under the caps on work of
+// other regions.
+func (n *Node) receive(ctx context.Context, x *exchange) result {
+	servers := n.servers(x)
+	now := n.clock.Now()
+	v := n.steering.at(x.snap, now)
+	if len(servers) == 0 || !v.open(x, n.self(x)) {
 		return result{fail: noServer(x.svc.Name)}
 	}
-	var hosts []*peerv1.Member
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = now.Add(x.class.Deadline.D())
+	}
+	permit, err := n.steering.admit(x, n.region(x), now, deadline)
+	if err != nil {
+		return result{fail: notAdmitted(err)}
+	}
+	out := n.dispatch(ctx, x, servers)
+	permit.end(n.clock.Now(), answerSize(out))
+	return out
+}
+
+func (n *Node) self(x *exchange) lookup.Host {
+	return lookup.Host{Name: n.cfg.Host, Domain: n.cfg.Domain, Region: n.region(x)}
+}
+
+// region returns this host's region.
+func (n *Node) region(x *exchange) string {
+	if d := x.snap.Index.Domain(n.cfg.Domain); d != nil {
+		return d.Region
+	}
+	return ""
+}
+
+// inTime reports whether the deadline leaves time to cross to a place and back.
+func (n *Node) inTime(ctx context.Context, x *exchange, p lookup.Host) bool {
+	deadline, ok := ctx.Deadline()
+	link := x.snap.Index.Doc.Link(n.region(x), p.Region)
+	if !ok || link == nil {
+		return true
+	}
+	return deadline.Sub(n.clock.Now()) >= 2*link.Delay.D()+leastWork
+}
+
+// places lists hosts that may run a request, in the order to try them: this
+// one, one of each other domain of the region, then one of each other region in
+// the order of the caller's preference.
+func (n *Node) places(x *exchange) []lookup.Host {
+	v := n.steering.at(x.snap, n.clock.Now())
+	region := n.region(x)
+	var out []lookup.Host
+	if self := n.self(x); len(n.servers(x)) > 0 && v.open(x, self) {
+		out = append(out, self)
+	}
+	near := n.near(x, v, region)
+	if len(out) > 0 && len(near) > 0 && v.spills(x.svc.Name, n.cfg.Domain, near[0].Domain, n.clock.Now()) {
+		out[0], near[0] = near[0], out[0]
+	}
+	out = append(out, near...)
+	for _, r := range n.regions(x) {
+		if h, ok := n.pickIn(x, r, region); ok {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// near returns one host of each other domain of the region, the least used
+// domain first.
+func (n *Node) near(x *exchange, v *view, region string) []lookup.Host {
+	now := n.clock.Now()
+	byDomain := map[string][]lookup.Host{}
+	for _, h := range x.snap.Hosts {
+		if h.Region == region && h.Domain != n.cfg.Domain && v.open(x, h) && n.mayTake(x, h, region) {
+			byDomain[h.Domain] = append(byDomain[h.Domain], h)
+		}
+	}
+	var out []lookup.Host
+	for _, hosts := range byDomain {
+		out = append(out, hosts[rand.IntN(len(hosts))])
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	slices.SortStableFunc(out, func(a, b lookup.Host) int {
+		switch ua, ub := v.used(x.svc.Name, a.Domain, now), v.used(x.svc.Name, b.Domain, now); {
+		case ua < ub:
+			return -1
+		case ua > ub:
+			return 1
+		}
+		return 0
+	})
+	return out
+}
+
+// regions returns the other regions in the order of the caller's preference.
+func (n *Node) regions(x *exchange) []string {
+	block, _ := x.snap.Table.Find(x.req.Client)
+	out := slices.Clone(block.Regions)
+	for _, r := range x.snap.Index.Doc.Regions {
+		if !slices.Contains(out, r.Name) {
+			out = append(out, r.Name)
+		}
+	}
+	own := n.region(x)
+	return slices.DeleteFunc(out, func(r string) bool { return r == own })
+}
+
+// pickIn returns a host of a region that the document lets take work of this
+// caller's region.
+func (n *Node) pickIn(x *exchange, region, own string) (lookup.Host, bool) {
+	v := n.steering.at(x.snap, n.clock.Now())
+	var list []lookup.Host
 	for _, h := range x.snap.Hosts {
-		if h.Domain != n.cfg.Domain && len(x.svc.In(h.Domain)) > 0 {
-			hosts = append(hosts, x.snap.Members[h.Name])
+		if h.Region == region && v.open(x, h) && n.mayTake(x, h, own) {
+			list = append(list, h)
 		}
 	}
-	if len(hosts) == 0 {
-		return result{fail: noServer(x.svc.Name)}
+	if len(list) == 0 {
+		return lookup.Host{}, false
+	}
+	return list[rand.IntN(len(list))], true
+}
+
+// mayTake reports whether the document gives a host part of the cap that the
+// request comes under. A request without a known home counts as this region's.
+func (n *Node) mayTake(x *exchange, h lookup.Host, own string) bool {
+	home := cmp.Or(x.home, own)
+	if home == h.Region {
+		return true
+	}
+	v := n.steering.at(x.snap, n.clock.Now())
+	return v.takersOf(takerKey{x.svc.Name, home, h.Region})[h.Name]
+}
+
+type takerKey struct{ service, home, region string }
+
+func (v *view) takersOf(k takerKey) map[string]bool {
+	if m, ok := v.takers.Load(k); ok {
+		return m.(map[string]bool)
+	}
+	m := share.Takers(v.snap.Index, share.Flow{Service: k.service, From: k.home}, k.region)
+	v.takers.Store(k, m)
+	return m
+}
+
+// open reports whether a host's domain has servers and is not drained.
+func (v *view) open(x *exchange, h lookup.Host) bool {
+	return len(x.svc.In(h.Domain)) > 0 && !v.levels[x.svc.Name].Done(h.Domain, h.Region)
+}
+
+// used returns the part of a domain's slots in use, and 1 when it is not known.
+func (v *view) used(service, domain string, now time.Time) float64 {
+	l := v.loads[loadKey{service, domain}]
+	if !l.Fresh(now) {
+		return 1
+	}
+	return l.Used()
+}
+
+func (v *view) spills(service, own, other string, now time.Time) bool {
+	return v.policy.Spills(v.loads[loadKey{service, own}], v.loads[loadKey{service, other}], now)
+}
+
+// notAdmitted says what refused work of another region means to its caller.
+func notAdmitted(err error) *api.Error {
+	out := &api.Error{
+		Code: api.CodeOverloaded, Message: err.Error(), Outcome: api.OutcomeNotRun,
+		RetryAfterMillis: overloadRetry.Milliseconds(),
+	}
+	var refused *share.RefusedError
+	if errors.As(err, &refused) {
+		out.RetryAfterMillis = refused.RetryAfter.Milliseconds()
 	}
-	m := hosts[rand.IntN(len(hosts))]
-	return n.send(ctx, x, m.EntryPeerAddress, m.EntryIncarnation)
+	return out
 }
 
 func noServer(service string) *api.Error {
--- a/internal/port/caller.go
+++ b/internal/port/caller.go
@@ -19,6 +19,9 @@
 	Body     []byte
 	// OperationID is the text the caller sent; empty when none.
 	OperationID string
+	// Client is the address that the caller's look-ups are made for; not valid
+	// when it did not say.
+	Client netip.Addr
 	// Timeout is how long the caller waits; zero when it did not say.
 	Timeout time.Duration
 }
