--- a/internal/core/share/balance.go
+++ b/internal/core/share/balance.go
@@ -49,36 +49,25 @@
 	slope float64
 	// floor bounds what a load report, true or not, can take away.
 	floor float64
-	// spill is the part of its slots in use from which a domain hands work to
-	// another one that has less than ease in use.
-	spill, ease float64
 }
 
-// PolicyOf returns the policy of an environment. Latency leaves weights alone
-// until a domain is nearly full, and hands work on only when it is; headroom
-// evens out from half load on.
-//
-// Both slopes are gentle enough that two domains which answer to each other's
-// late reports settle: a domain's share changes by less than its load did.
+// PolicyOf returns the policy of an environment. Latency weighs domains by
+// their slots alone; headroom evens out from half load on. The slope is gentle:
+// with a steep one the domains of a region answer to each other's late reports
+// in turn and swing.
 func PolicyOf(w document.Weigh) Policy {
 	if w == document.WeighHeadroom {
-		return Policy{calm: 0.5, slope: 0.75, floor: 0.25, spill: 0.9, ease: 0.7}
+		return Policy{calm: 0.5, slope: 0.2, floor: 0.75}
 	}
-	return Policy{calm: 0.8, slope: 0.5, floor: 0.5, spill: 1, ease: 0.8}
+	return Policy{calm: 1, floor: 1}
 }
 
 // Weight returns the weight of a domain in look-ups: its slots, less what its
 // load takes away. Without a fresh load it is the slots alone.
 func (p Policy) Weight(slots int, l Load, now time.Time) float64 {
-	factor := 1.0
-	if l.Fresh(now) {
-		factor -= p.slope * max(0, l.Used()-p.calm) / (1 - p.calm)
+	if p.slope == 0 || !l.Fresh(now) {
+		return float64(slots)
 	}
+	factor := 1 - p.slope*max(0, l.Used()-p.calm)/(1-p.calm)
 	return float64(slots) * max(p.floor, factor)
 }
-
-// Spills reports whether work should go to another domain before the own one
-// refuses it.
-func (p Policy) Spills(own, other Load, now time.Time) bool {
-	return own.Fresh(now) && other.Fresh(now) && own.Used() >= p.spill && other.Used() < p.ease
-}
--- a/internal/core/share/limits.go
+++ b/internal/core/share/limits.go
@@ -128,14 +128,22 @@
 // place is a host's rank among the hosts that divide a cap.
 type place struct{ rank, count int }
 
+// leastPart is what a host is given before the next one is given anything:
+// caps of a few slots would fall into parts too small to be found free.
+const leastPart = 2
+
 // part returns this host's part of a whole number. For one set of hosts the
 // parts add up to total, and no part shrinks when total grows: hosts that
 // divide different totals stay under the larger one together. The seed varies
-// which hosts get the remainder.
+// which hosts come first.
 func (p place) part(total int, seed string) int {
 	rank := (p.rank + int(xxhash.Sum64String(seed)%uint64(p.count))) % p.count
-	n := total / p.count
-	if rank < total%p.count {
+	rest := total - leastPart*p.count
+	if rest < 0 {
+		return min(leastPart, max(0, total-leastPart*rank))
+	}
+	n := leastPart + rest/p.count
+	if rank < rest%p.count {
 		n++
 	}
 	return n
--- a/internal/daemon/entry/route.go
+++ b/internal/daemon/entry/route.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	// maxPlaces bounds the places that one attempt of a request is offered to.
-	maxPlaces = 4
+	// maxPlaces bounds the places that one attempt of a request is offered to;
+	// nearTakers and farTakers bound those of this region, for work of another,
+	// and those of each other region.
+	maxPlaces  = 6
+	nearTakers = 3
+	farTakers  = 2
 	// leastWork is the time that a server must be left after both crossings.
 	leastWork = 20 * time.Millisecond
 )
@@ -117,8 +121,9 @@
 }
 
 // places lists hosts that may run a request, in the order to try them: this
-// one, one of each other domain of the region, then one of each other region in
-// the order of the caller's preference.
+// one, others of the region, then those of the other regions in the order of
+// the caller's preference. Work of another region goes to hosts that the
+// document gives a part of its cap.
 func (n *Node) places(x *exchange) []lookup.Host {
 	v := n.steering.at(x.snap, n.clock.Now())
 	region := n.region(x)
@@ -126,17 +131,32 @@
 	if self := n.self(x); len(n.servers(x)) > 0 && v.open(x, self) {
 		out = append(out, self)
 	}
-	near := n.near(x, v, region)
-	if len(out) > 0 && len(near) > 0 && v.spills(x.svc.Name, n.cfg.Domain, near[0].Domain, n.clock.Now()) {
-		out[0], near[0] = near[0], out[0]
+	if x.home != "" && x.home != region {
+		out = append(out, n.takers(x, v, region, nearTakers)...)
+	} else {
+		out = append(out, n.near(x, v, region)...)
 	}
-	out = append(out, near...)
 	for _, r := range n.regions(x) {
-		if h, ok := n.pickIn(x, r, region); ok {
+		out = append(out, n.takers(x, v, r, farTakers)...)
+	}
+	return out
+}
+
+// takers picks up to limit other hosts of a region that may take a request.
+func (n *Node) takers(x *exchange, v *view, region string, limit int) []lookup.Host {
+	home := cmp.Or(x.home, n.region(x))
+	var part map[string]bool
+	if home != region {
+		part = v.takersOf(takerKey{x.svc.Name, home, region})
+	}
+	var out []lookup.Host
+	for _, h := range x.snap.Hosts {
+		if h.Region == region && h.Name != n.cfg.Host && v.open(x, h) && (home == region || part[h.Name]) {
 			out = append(out, h)
 		}
 	}
-	return out
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), limit)]
 }
 
 // near returns one host of each other domain of the region, the least used
@@ -145,7 +165,7 @@
 	now := n.clock.Now()
 	byDomain := map[string][]lookup.Host{}
 	for _, h := range x.snap.Hosts {
-		if h.Region == region && h.Domain != n.cfg.Domain && v.open(x, h) && n.mayTake(x, h, region) {
+		if h.Region == region && h.Domain != n.cfg.Domain && v.open(x, h) {
 			byDomain[h.Domain] = append(byDomain[h.Domain], h)
 		}
 	}
@@ -179,33 +199,6 @@
 	return slices.DeleteFunc(out, func(r string) bool { return r == own })
 }
 
-// pickIn returns a host of a region that the document lets take work of this
-// caller's region.
-func (n *Node) pickIn(x *exchange, region, own string) (lookup.Host, bool) {
-	v := n.steering.at(x.snap, n.clock.Now())
-	var list []lookup.Host
-	for _, h := range x.snap.Hosts {
-		if h.Region == region && v.open(x, h) && n.mayTake(x, h, own) {
-			list = append(list, h)
-		}
-	}
-	if len(list) == 0 {
-		return lookup.Host{}, false
-	}
-	return list[rand.IntN(len(list))], true
-}
-
-// mayTake reports whether the document gives a host part of the cap that the
-// request comes under. A request without a known home counts as this region's.
-func (n *Node) mayTake(x *exchange, h lookup.Host, own string) bool {
-	home := cmp.Or(x.home, own)
-	if home == h.Region {
-		return true
-	}
-	v := n.steering.at(x.snap, n.clock.Now())
-	return v.takersOf(takerKey{x.svc.Name, home, h.Region})[h.Name]
-}
-
 type takerKey struct{ service, home, region string }
 
 func (v *view) takersOf(k takerKey) map[string]bool {
@@ -231,10 +224,6 @@
 	return l.Used()
 }
 
-func (v *view) spills(service, own, other string, now time.Time) bool {
-	return v.policy.Spills(v.loads[loadKey{service, own}], v.loads[loadKey{service, other}], now)
-}
-
 // notAdmitted says what refused work of another region means to its caller.
 func notAdmitted(err error) *api.Error {
 	out := &api.Error{
--- /dev/null
+++ b/internal/daemon/entry/steering_test.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"cassiatray/internal/adapter/callerhttp"
+	"cassiatray/internal/core/document"
+	"cassiatray/internal/core/lookup"
+	"cassiatray/internal/core/share"
+	"cassiatray/internal/port"
+	peerv1 "cassiatray/proto/peer/v1"
+)
+
+var testNow = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+type fixedClock struct{ now time.Time }
+
+func (c *fixedClock) Now() time.Time { return c.now }
+
+// newTestDocument is the franchise in small: two hosts in each domain.
+func newTestDocument() *document.Document {
+	regions := []string{"sask", "alta", "mani"}
+	doc := &document.Document{Weigh: document.WeighHeadroom, Lookup: document.Lookup{TTL: document.Duration(2 * time.Second), Hosts: 3}}
+	doc.Caps.Shift = document.ShiftCap{Share: 10, Per: document.Duration(time.Minute)}
+	svc := document.Service{Name: "depot-orders", Slots: 3, Classes: []document.Class{{
+		Name: "stock", Methods: []string{http.MethodGet}, Path: "/stock/", Execution: document.Idempotent,
+		Deadline: document.Duration(2 * time.Second), MaxAnswer: 1 << 20,
+	}}}
+	for i, name := range regions {
+		region := document.Region{Name: name}
+		for _, domain := range []string{name + "-a", name + "-b"} {
+			hosts := []document.EntryHost{{Name: domain + "-1"}, {Name: domain + "-2"}}
+			region.Domains = append(region.Domains, document.Domain{Name: domain, EntryHosts: hosts})
+			for j := range 3 {
+				svc.Servers = append(svc.Servers, document.BackendServer{Name: fmt.Sprint(domain, j), Domain: domain})
+			}
+		}
+		doc.Regions = append(doc.Regions, region)
+		block := netip.PrefixFrom(netip.AddrFrom4([4]byte{10, byte(i), 0, 0}), 16)
+		order := slices.Concat(regions[i:], regions[:i])
+		doc.Clients = append(doc.Clients, document.Client{Block: document.Prefix{Prefix: block}, Regions: order})
+	}
+	doc.Services = []document.Service{svc}
+	return doc
+}
+
+// newTestNode returns sask-a-1 of the franchise with every host serving, an
+// hour after its start.
+func newTestNode(t testing.TB, change func(*document.Document)) (*Node, *fixedClock) {
+	t.Helper()
+	doc := newTestDocument()
+	doc.Caps.Regions = []document.RegionCap{{Service: "depot-orders", From: "alta", To: "sask", Share: 30}}
+	if change != nil {
+		change(doc)
+	}
+	clock := &fixedClock{now: testNow.Add(-time.Hour)}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	feed := NewFeed(Settings{}, 1, nil, logrus.NewEntry(log))
+	n := NewNode(Settings{Host: "sask-a-1", Domain: "sask-a"}, 1, feed, nil, nil, clock, logrus.NewEntry(log), NewMetrics(prometheus.NewRegistry()))
+	clock.now = testNow
+	ix := document.NewIndex(doc)
+	view := &peerv1.DomainView{}
+	for _, name := range ix.DomainNames() {
+		for _, h := range ix.Hosts(name) {
+			view.Members = append(view.Members, &peerv1.Member{
+				Host: h.Name, Domain: name, EntryIncarnation: 1, EntryState: peerv1.HostState_HOST_STATE_SERVING,
+			})
+		}
+	}
+	head := document.Head{Sequence: 1, Accepted: testNow.Add(-time.Hour)}
+	feed.snapshot.Store(newSnapshot(head, ix, lookup.NewTable(doc.Clients), []*peerv1.DomainView{view}))
+	return n, clock
+}
+
+func testExchange(t testing.TB, n *Node, client string) *exchange {
+	t.Helper()
+	x, fail := n.exchange(&port.CallerRequest{
+		Service: "depot-orders", Method: http.MethodGet, Path: "/stock/1", Client: netip.MustParseAddr(client),
+	})
+	if fail != nil {
+		t.Fatal(fail)
+	}
+	return x
+}
+
+const (
+	saskClient = "10.0.0.9"
+	altaClient = "10.1.0.9"
+)
+
+// TestReceiverHoldsCap admits work of another region up to this host's part of
+// the cap, and the region's own without bound.
+func TestReceiverHoldsCap(t *testing.T) {
+	n, clock := newTestNode(t, nil)
+	snap := n.feed.Snapshot()
+	n.steering.at(snap, clock.now)
+	limit := share.LimitsOf(snap.Index, "sask-a-1").Flows[share.Flow{Service: "depot-orders", From: "alta"}]
+	for client, want := range map[string]int{altaClient: limit, saskClient: 100} {
+		x := testExchange(t, n, client)
+		got := 0
+		for i := range 100 {
+			// Later requests come when the flow has warmed up.
+			clock.now = testNow.Add(time.Duration(i) * 100 * time.Millisecond)
+			if _, err := n.steering.admit(x, "sask", clock.now, testNow.Add(time.Hour)); err == nil {
+				got++
+			}
+		}
+		if got != want {
+			t.Errorf("%s: %d admitted, want %d", client, got, want)
+		}
+	}
+}
+
+func domainsOf(hosts []lookup.Host) []string {
+	var out []string
+	for _, h := range hosts {
+		out = append(out, h.Domain)
+	}
+	return out
+}
+
+func TestPlacesGoOutward(t *testing.T) {
+	n, _ := newTestNode(t, nil)
+	got := n.places(testExchange(t, n, saskClient))
+	if len(got) < 3 || got[0].Name != "sask-a-1" || got[1].Domain != "sask-b" || got[2].Region != "alta" {
+		t.Errorf("places %v, want own host, sask-b, alta", domainsOf(got))
+	}
+	for _, h := range n.places(testExchange(t, n, altaClient)) {
+		takers := share.Takers(n.feed.Snapshot().Index, share.Flow{Service: "depot-orders", From: "alta"}, h.Region)
+		if h.Name != n.cfg.Host && h.Region != "alta" && !takers[h.Name] {
+			t.Errorf("%s has no part of the cap", h.Name)
+		}
+	}
+}
+
+func TestDrainedPlacesAreLeftOut(t *testing.T) {
+	n, _ := newTestNode(t, func(doc *document.Document) {
+		doc.Drains = []document.Drain{{Domain: "sask-a", At: testNow.Add(-time.Hour)}}
+	})
+	got := domainsOf(n.places(testExchange(t, n, saskClient)))
+	if slices.Contains(got, "sask-a") || len(got) == 0 {
+		t.Errorf("places %v after the drain of sask-a", got)
+	}
+}
+
+func TestStaleSenderAndReceiver(t *testing.T) {
+	n, clock := newTestNode(t, nil)
+	n.steering.at(n.feed.Snapshot(), clock.now)
+	x := testExchange(t, n, altaClient)
+	x.sequence = 2
+	_, err := n.steering.admit(x, "sask", clock.now, testNow.Add(time.Second))
+	refused, ok := err.(*share.RefusedError)
+	if !ok || refused.Reason != share.ReasonStale {
+		t.Errorf("work of a sender with a newer document: %v, want a refusal as stale", err)
+	}
+}
+
+func TestExplain(t *testing.T) {
+	n, _ := newTestNode(t, func(doc *document.Document) {
+		doc.Drains = []document.Drain{{Region: "sask", At: testNow.Add(-time.Hour)}}
+	})
+	for query, want := range map[string]int{
+		"service=depot-orders&client=" + saskClient: http.StatusOK,
+		"service=depot-orders&client=nowhere":       http.StatusBadRequest,
+		"service=nothing&client=" + saskClient:      http.StatusNotFound,
+	} {
+		rec := httptest.NewRecorder()
+		n.serveExplain(rec, httptest.NewRequest(http.MethodGet, "/explain?"+query, nil))
+		if rec.Code != want {
+			t.Errorf("%s: status %d, want %d", query, rec.Code, want)
+		}
+		if want != http.StatusOK {
+			continue
+		}
+		var out Explanation
+		if err := json.Unmarshal(rec.Body.Bytes(), &out); err != nil {
+			t.Fatal(err)
+		}
+		if out.Hosts[0].Region != "alta" || len(out.Notes) != 1 {
+			t.Errorf("explanation %+v, want a host of alta and a note of the drain", out)
+		}
+	}
+}
+
+// discard is a response that keeps nothing.
+type discard struct{ h http.Header }
+
+func (d *discard) Header() http.Header         { return d.h }
+func (d *discard) WriteHeader(int)             {}
+func (d *discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// BenchmarkLookupHTTP is a look-up through the HTTP handler, without sockets.
+func BenchmarkLookupHTTP(b *testing.B) {
+	n, _ := newTestNode(b, nil)
+	h := callerhttp.NewHandler(n, "sask-a-1")
+	var reqs []*http.Request
+	for i := range 256 {
+		reqs = append(reqs, httptest.NewRequest(http.MethodGet, fmt.Sprintf("/v1/lookup/depot-orders?client=10.0.1.%d", i), nil))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		h.ServeHTTP(&discard{h: http.Header{}}, reqs[i%len(reqs)])
+	}
+}
+
+// BenchmarkLookup is a look-up as the handler asks for it.
+func BenchmarkLookup(b *testing.B) {
+	n, _ := newTestNode(b, nil)
+	client := netip.MustParseAddr(saskClient)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, fail := n.Lookup("depot-orders", client); fail != nil {
+			b.Fatal(fail)
+		}
+	}
+}
