Name the right line of syntax errors

Cause: the YAML library counts lines from 0 in its parser's errors and from 1 in its scanner's. Change: syntaxLine. Run: go test ./internal/core/document ./internal/program passes.

--- a/internal/core/document/parse.go
+++ b/internal/core/document/parse.go
@@ -94,13 +94,13 @@
 	var root, extra yaml.Node
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	if err := dec.Decode(&root); err != nil {
-		return nil, syntaxError(file, err)
+		return nil, syntaxError(file, data, err)
 	}
 	switch err := dec.Decode(&extra); {
 	case err == io.EOF:
 		return root.Content[0], nil
 	case err != nil:
-		return nil, syntaxError(file, err)
+		return nil, syntaxError(file, data, err)
 	}
 	p := Problem{Line: extra.Line, Message: "expected one YAML document only"}
 	return nil, &InvalidError{File: file, Problems: []Problem{p}}
@@ -124,24 +124,48 @@
 	return 0
 }
 
-func syntaxError(file string, err error) error {
+func syntaxError(file string, data []byte, err error) error {
 	p := Problem{Message: strings.TrimPrefix(err.Error(), "yaml: ")}
 	if err == io.EOF {
 		p = Problem{Line: 1, Message: "the file is empty"}
 	}
 	var line int
 	if n, _ := fmt.Sscanf(p.Message, "line %d:", &line); n == 1 {
-		p.Line = line
-		// The library counts lines from 0 in errors of its parser, from 1 in
-		// those of its scanner.
-		if strings.Contains(p.Message, "did not find expected") {
-			p.Line++
-		}
 		p.Message = strings.TrimSpace(p.Message[strings.Index(p.Message, ":")+1:])
+		p.Line = syntaxLine(data, line, p.Message)
 	}
 	return &InvalidError{File: file, Problems: []Problem{p}}
 }
 
+// syntaxLine corrects the line of a syntax error. The YAML library counts from
+// 1 in errors of its scanner and from 0 in those of its parser; the latter
+// mark where a list or mapping begins, but for one that begins on the first
+// line, where they mark its end.
+func syntaxLine(data []byte, line int, message string) int {
+	if !strings.HasPrefix(message, "did not find expected") {
+		return line
+	}
+	inBrackets := strings.Contains(message, "',' or")
+	if inBrackets && !opens(lineAt(data, line+1)) {
+		return line
+	}
+	return line + 1
+}
+
+// opens reports whether a line opens more brackets than it closes.
+func opens(line string) bool {
+	return strings.Count(line, "[")+strings.Count(line, "{") > strings.Count(line, "]")+strings.Count(line, "}")
+}
+
+func lineAt(data []byte, n int) string {
+	for l := range bytes.Lines(data) {
+		if n--; n == 0 {
+			return string(l)
+		}
+	}
+	return ""
+}
+
 // Parse reads a document and checks it.
 //
 // Errors: *InvalidError with the line and key of every fault.
