--- a/internal/core/document/diff.go
+++ b/internal/core/document/diff.go
@@ -101,3 +101,7 @@
 	}
 	return out
 }
+
+// HoldsClients reports whether a section holds client blocks or lists sections
+// that do.
+func HoldsClients(name string) bool { return isClients(name) }
--- a/internal/envstore/store.go
+++ b/internal/envstore/store.go
@@ -17,6 +17,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -132,6 +133,24 @@
 // Errors: *ConflictError when the environment has moved on; *port.StoreError.
 // A write whose reply was lost is settled by reading back the change ID.
 func (s *Store) Apply(ctx context.Context, p Proposal) (document.Head, error) {
+	for range maxRaces {
+		head, err := s.applyOnce(ctx, p)
+		if !errors.Is(err, errFenced) {
+			return head, err
+		}
+	}
+	return document.Head{}, &RaceError{Key: HeadKey(p.Environment)}
+}
+
+// storeFault is a fault that needs no further detail.
+type storeFault string
+
+func (f storeFault) Error() string { return string(f) }
+
+// errFenced means that a collection moved the head's revision, and only that.
+const errFenced storeFault = "the head was written anew"
+
+func (s *Store) applyOnce(ctx context.Context, p Proposal) (document.Head, error) {
 	cur, revision, err := s.Head(ctx, p.Environment)
 	if err != nil {
 		return document.Head{}, err
@@ -144,10 +163,8 @@
 	if err != nil {
 		return document.Head{}, err
 	}
-	if len(p.Sections) > 0 {
-		if err := s.writeSections(ctx, diff.Added); err != nil {
-			return document.Head{}, err
-		}
+	if err := s.writeSections(ctx, diff.Added); err != nil {
+		return document.Head{}, err
 	}
 	if err := s.create(ctx, changeKey(p.Environment, change.ID), change); err != nil {
 		return document.Head{}, err
@@ -185,11 +202,10 @@
 	return change, head
 }
 
-// writeSections creates sections, a few at a time.
+// writeSections claims sections, a few at a time. Sections that are stored
+// already are written too; see Collect.
 func (s *Store) writeSections(ctx context.Context, sections []document.Section) error {
-	return inParallel(sections, func(sec document.Section) error {
-		return s.createRaw(ctx, sectionKey(sec.Hash), sec.Data)
-	})
+	return inParallel(sections, func(sec document.Section) error { return s.claim(ctx, sec) })
 }
 
 func (s *Store) create(ctx context.Context, key string, value any) error {
@@ -235,9 +251,21 @@
 	if cur.ChangeID == head.ChangeID {
 		return head, nil
 	}
+	if cur.ChangeID == p.Base.ChangeID {
+		return document.Head{}, unmoved(err)
+	}
 	return document.Head{}, s.conflict(ctx, p, cur)
 }
 
+// unmoved is the error of a swap that the head does not show. One whose reply
+// was lost may still take effect, and is not tried again.
+func unmoved(err error) error {
+	if port.IsStoreCode(err, port.StoreUnknown) {
+		return err
+	}
+	return errFenced
+}
+
 func (s *Store) conflict(ctx context.Context, p Proposal, cur document.Head) error {
 	winner, err := s.Change(ctx, p.Environment, cur.ChangeID)
 	if err != nil {
