--- a/internal/envstore/effects.go
+++ b/internal/envstore/effects.go
@@ -91,3 +91,8 @@
 	}
 	return append(out, read...), err
 }
+
+// Frame reads a document without its client blocks.
+func (s *Store) Frame(ctx context.Context, refs []document.Ref) (*document.Document, error) {
+	return newReader(s).partly(ctx, refs, nil)
+}
