Faults and counts of the store stand-in

Cause: watch outages, a cut of one client and calls by kind could not be produced or seen; a waiting watch outlived an outage. Waits end when the client goes.

--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -31,10 +31,21 @@
 // Client implements port.Platform.
 type Client struct {
 	base    string
+	name    string
 	http    *http.Client
 	timeout time.Duration
 }
 
+// clientHeader names this client to the service, for its logs and limits.
+const clientHeader = "X-Platform-Client"
+
+// Named returns the client with a name that it shows to the service.
+func (c *Client) Named(name string) *Client {
+	named := *c
+	named.name = name
+	return &named
+}
+
 // New returns a client of the service at address ("ip:port"). Each call that
 // does not wait takes at most timeout.
 func New(address string, timeout time.Duration) *Client {
@@ -87,6 +98,9 @@
 	if err != nil {
 		return 0, nil, k.fail(port.StoreUnavailable, err)
 	}
+	if c.name != "" {
+		req.Header.Set(clientHeader, c.name)
+	}
 	// Without GetBody the transport cannot send a write a second time.
 	req.GetBody = nil
 	resp, err := c.http.Do(req)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -63,7 +63,7 @@
 func NewApp(ctx context.Context, cli *CLI, out io.Writer) *App {
 	app := &App{Out: out, Ctx: ctx, Form: cli.Output, Clock: port.SystemClock{}}
 	if cli.Platform != "" {
-		app.Store = envstore.New(platform.New(cli.Platform, callTimeout), app.Clock)
+		app.Store = envstore.New(platform.New(cli.Platform, callTimeout).Named("cassiatrayctl"), app.Clock)
 	}
 	return app
 }
--- a/internal/daemon/steer/module.go
+++ b/internal/daemon/steer/module.go
@@ -38,7 +38,7 @@
 }
 
 func newStore(cfg *Settings) *envstore.Store {
-	return envstore.New(platform.New(cfg.Platform.String(), cfg.PlatformTimeout.D()), port.SystemClock{})
+	return envstore.New(platform.New(cfg.Platform.String(), cfg.PlatformTimeout.D()).Named(cfg.Host), port.SystemClock{})
 }
 
 func newNode(cfg *Settings, id peer.Identity, store *envstore.Store, pool *peer.Pool, log *logrus.Logger) *Node {
--- a/internal/standin/store/http.go
+++ b/internal/standin/store/http.go
@@ -12,30 +12,6 @@
 
 const maxValue = 1 << 20
 
-// Faults are the failures that the stand-in shows until told otherwise.
-type Faults struct {
-	// Down refuses every call.
-	Down bool `json:"down"`
-	// DelayMillis is added before each call takes effect.
-	DelayMillis int `json:"delayMillis"`
-	// LoseReplies is how many of the next writes take effect and then lose
-	// their reply.
-	LoseReplies int `json:"loseReplies"`
-}
-
-// SetFaults replaces the faults.
-func (s *Store) SetFaults(f Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
-
-func (s *Store) currentFaults() Faults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults
-}
-
 // Handler serves the key-value interface, and the stand-in's own controls
 // under /standin/.
 func (s *Store) Handler() http.Handler {
@@ -53,56 +29,6 @@
 	return r
 }
 
-// withFaults counts the call and applies the faults in force.
-func (s *Store) withFaults(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.count(r)
-		f := s.currentFaults()
-		if f.DelayMillis > 0 {
-			time.Sleep(time.Duration(f.DelayMillis) * time.Millisecond)
-		}
-		if f.Down {
-			http.Error(w, "down", http.StatusServiceUnavailable)
-			return
-		}
-		if r.Method != http.MethodGet && s.takeLostReply() {
-			next.ServeHTTP(discard{header: http.Header{}}, r)
-			panic(http.ErrAbortHandler)
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-func (s *Store) count(r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case r.Method != http.MethodGet:
-		s.counts.Writes++
-	case r.URL.Query().Has("index"):
-		s.counts.Watches++
-	default:
-		s.counts.Reads++
-	}
-}
-
-func (s *Store) takeLostReply() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.faults.LoseReplies == 0 {
-		return false
-	}
-	s.faults.LoseReplies--
-	return true
-}
-
-// discard is a response writer whose reply is lost.
-type discard struct{ header http.Header }
-
-func (d discard) Header() http.Header         { return d.header }
-func (d discard) Write(p []byte) (int, error) { return len(p), nil }
-func (d discard) WriteHeader(int)             {}
-
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
 	key, q := mux.Vars(r)["key"], r.URL.Query()
 	if q.Has("recurse") {
@@ -117,8 +43,8 @@
 			http.Error(w, "bad index or wait", http.StatusBadRequest)
 			return
 		}
-		p, ok = s.wait(key, after, limit, r.Context().Done())
-		if s.currentFaults().Down {
+		p, ok = s.wait(key, after, limit, r)
+		if s.currentFaults().stops(r) {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
 		}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -25,13 +26,6 @@
 	timer   *time.Timer
 }
 
-// Counts are the calls received, by kind.
-type Counts struct {
-	Reads   uint64 `json:"reads"`
-	Writes  uint64 `json:"writes"`
-	Watches uint64 `json:"watches"`
-}
-
 // Store is the state of the stand-in. The zero value is not usable; see New.
 type Store struct {
 	mu      sync.Mutex
@@ -49,13 +43,6 @@
 	return &Store{pairs: map[string]pair{}, leases: map[string]*lease{}, changed: make(chan struct{})}
 }
 
-// Counts returns the calls received so far.
-func (s *Store) Counts() Counts {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.counts
-}
-
 func (s *Store) get(key string) (pair, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -76,24 +63,27 @@
 	return out
 }
 
-// wait blocks until the key has a revision above after, the time is up or done
-// is closed.
-func (s *Store) wait(key string, after uint64, limit time.Duration, done <-chan struct{}) (pair, bool) {
+// wait blocks until the key has a revision above after, the time is up, the
+// client goes or a fault stops the call.
+func (s *Store) wait(key string, after uint64, limit time.Duration, r *http.Request) (pair, bool) {
+	s.watching(1)
+	defer s.watching(-1)
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
 		p, ok := s.pairs[key]
 		changed := s.changed
+		stopped := s.faults.stops(r)
 		s.mu.Unlock()
-		if p.ModifyIndex > after {
+		if p.ModifyIndex > after || stopped {
 			return p, ok
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
 			return p, ok
-		case <-done:
+		case <-r.Context().Done():
 			return p, ok
 		}
 	}
