--- /dev/null
+++ b/internal/drill/faults.go
@@ -0,0 +1,103 @@
+package drill
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"cassiatray/internal/site"
+)
+
+// Fault is what is done to one process.
+type Fault int
+
+// Values of Fault.
+const (
+	// Kill ends a process by SIGKILL and starts it again on its addresses.
+	Kill Fault = iota
+	// Freeze stops a process by SIGSTOP for a time and lets it go on.
+	Freeze
+)
+
+const faults = 2
+
+// daemon is one process of a site.
+type daemon struct{ name, program string }
+
+func daemonOf(h site.HostPlan, entry bool) daemon {
+	if entry {
+		return daemon{h.Name + "-entry", "cassiatray-entry"}
+	}
+	return daemon{h.Name + "-steer", "cassiatray-steer"}
+}
+
+// Harm does faults to processes drawn at random, each once the callers have
+// ended more requests since the one before, until the context ends or there
+// were enough.
+func Harm(ctx context.Context, c *Callers, rng *rand.Rand, count int, requests int64) (int, error) {
+	for i := range count {
+		before := c.Ended()
+		err := site.Await(ctx, "requests", func() bool { return c.Ended() >= before+requests })
+		if ctx.Err() != nil {
+			return i, nil
+		}
+		if err != nil {
+			return i, err
+		}
+		h := c.site.Hosts[rng.IntN(len(c.site.Hosts))]
+		// Entry processes hold the operations: they are struck more often.
+		d := daemonOf(h, rng.IntN(4) > 0)
+		if err := c.strike(ctx, d, Fault(rng.IntN(faults)), rng); err != nil {
+			return i, err
+		}
+	}
+	return count, nil
+}
+
+// longestFreeze is longer than members wait for a heartbeat.
+const longestFreeze = 4 * time.Second
+
+func (c *Callers) strike(ctx context.Context, d daemon, f Fault, rng *rand.Rand) error {
+	p := c.site.Process(d.name)
+	if f == Kill {
+		p.Kill()
+		_, err := c.site.Start(d.name, d.program)
+		return err
+	}
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	wait(ctx, time.Duration(rng.Int64N(int64(longestFreeze))))
+	return p.Signal(syscall.SIGCONT)
+}
+
+// ExitError is a planned stop that did not end with status 0.
+type ExitError struct {
+	Process string
+	Status  int
+}
+
+func (e *ExitError) Error() string { return fmt.Sprintf("%s ended with status %d", e.Process, e.Status) }
+
+// Replace stops both processes of a host in order and starts them again.
+//
+// Errors: *ExitError, *site.WaitError.
+func Replace(ctx context.Context, s *site.Site, h site.HostPlan, sig syscall.Signal) error {
+	for _, entry := range []bool{true, false} {
+		if err := s.Process(daemonOf(h, entry).name).Signal(sig); err != nil {
+			return err
+		}
+	}
+	for _, entry := range []bool{true, false} {
+		name := daemonOf(h, entry).name
+		if status := s.Process(name).Wait(ctx); status != 0 {
+			return &ExitError{Process: name, Status: status}
+		}
+	}
+	if err := s.StartHost(h); err != nil {
+		return err
+	}
+	return serving(ctx, h.EntryOperator)
+}
