Hold a crashing request to two servers; drills for it and for retries

Cause: hosts learn of one crash at different times, so an innocent request's broken connection was taken for a crash of its own and excused the culprit; and a second crash counted even when its run had begun before the first.

Change: broken connections soon after a crash belong to it; a second crash counts only for a run begun after the first; reports carry how long the request had run.

--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -52,10 +52,12 @@
 }
 
 // guard answers a panic with a typed failure, and tells callers not to reuse
-// their connections once this host is leaving.
+// their connections once this host is leaving. A chunked request is the last of
+// its connection: net/http hides whether it gave a length as well, after which
+// an intermediary may disagree on where it ended.
 func (h *Handler) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if h.svc.Leaving() {
+		if h.svc.Leaving() || len(r.TransferEncoding) > 0 {
 			w.Header().Set("Connection", "close")
 		}
 		defer func() {
--- a/internal/core/suspect/table.go
+++ b/internal/core/suspect/table.go
@@ -3,11 +3,12 @@
 //
 // A request in flight when its server's connection broke is a suspect. So are
 // all others that were in flight there, and when a failure domain dies a great
-// many are. Three rules tell them apart: a run to the end clears a request; a
-// crash is not held against a request when another server of the same failure
-// domain crashed at about the same time without it; and a request is refused
-// only after a second crash, which a suspect can cause only alone, since
-// suspects run one at a time.
+// many are. These rules tell them apart. A run to the end clears a request. A
+// second crash counts only when its run began after the first, which a suspect
+// does alone, since suspects run one at a time. A crash does not count when
+// another server of the same failure domain crashed at about the same time
+// without the request, nor when more servers crashed at about the same time
+// than one request can take down before it is refused.
 package suspect
 
 import (
@@ -40,8 +41,11 @@
 	CrashLimit = 2
 	// Keep is how long a crash is remembered.
 	Keep = 10 * time.Minute
-	// sameCrash joins what was in flight on one server when it crashed.
-	sameCrash = time.Second
+	// aftermath is how long after a crash broken connections of the server are
+	// taken to come from it.
+	aftermath = 5 * time.Second
+	// reportDelay is how late another host may learn of a crash.
+	reportDelay = 500 * time.Millisecond
 	// sameCause is how near in time crashes of servers of one failure domain
 	// are taken to have one cause.
 	sameCause = 2 * time.Second
@@ -71,9 +75,10 @@
 
 // crash is one crash of one server with the requests seen in flight on it.
 type crash struct {
-	server   Server
-	at       time.Time
-	inFlight map[Fingerprint]struct{}
+	server Server
+	at     time.Time
+	// inFlight holds the begin of each request's run.
+	inFlight map[Fingerprint]time.Time
 }
 
 func (c *crash) has(f Fingerprint) bool {
@@ -87,25 +92,35 @@
 // Empty reports whether nothing is held against any request.
 func (t *Table) Empty() bool { return len(t.crashes) == 0 }
 
-// Crash records that a request was in flight when a server crashed. It reports
-// whether that was news.
-func (t *Table) Crash(now time.Time, f Fingerprint, s Server) bool {
+// Crash records that a request, sent at began, was in flight when a server
+// crashed. It reports whether that was news. A connection that breaks soon
+// after a crash of its server, with a request sent after it, says nothing new,
+// unless that request was in flight at the crash as well.
+func (t *Table) Crash(now time.Time, f Fingerprint, s Server, began time.Time) bool {
 	t.expire(now)
-	c := t.find(now, s)
-	if c.has(f) || len(c.inFlight) >= maxInFlight {
+	c := t.last(s)
+	if c == nil || now.Sub(c.at) > aftermath || c.has(f) && !began.Before(c.at) {
+		c = t.add(now, s)
+	}
+	if c.has(f) || began.Sub(c.at) > reportDelay || len(c.inFlight) >= maxInFlight {
 		return false
 	}
-	c.inFlight[f] = struct{}{}
+	c.inFlight[f] = began
 	return true
 }
 
-func (t *Table) find(now time.Time, s Server) *crash {
-	for _, c := range t.crashes {
-		if c.server == s && now.Sub(c.at) < sameCrash {
+// last returns the newest crash of a server, or nil.
+func (t *Table) last(s Server) *crash {
+	for _, c := range slices.Backward(t.crashes) {
+		if c.server == s {
 			return c
 		}
 	}
-	c := &crash{server: s, at: now, inFlight: map[Fingerprint]struct{}{}}
+	return nil
+}
+
+func (t *Table) add(now time.Time, s Server) *crash {
+	c := &crash{server: s, at: now, inFlight: map[Fingerprint]time.Time{}}
 	if len(t.crashes) == maxCrashes {
 		t.crashes = slices.Delete(t.crashes, 0, 1)
 	}
@@ -147,27 +162,36 @@
 // count returns the crashes that a request was in flight at, and how many of
 // them are held against it.
 func (t *Table) count(f Fingerprint) (seen, counted int) {
+	var last time.Time
 	for _, c := range t.crashes {
-		if !c.has(f) {
+		began, ok := c.inFlight[f]
+		if !ok {
 			continue
 		}
 		seen++
-		if !t.excused(c, f) {
+		if !began.Before(last) && !t.excused(c, f) {
 			counted++
+			last = c.at
 		}
 	}
 	return seen, counted
 }
 
-// excused reports whether another server of the failure domain crashed at
-// about the same time without the request.
+// excused reports whether a crash had another cause than the request.
 func (t *Table) excused(c *crash, f Fingerprint) bool {
+	near := map[Server]struct{}{}
 	for _, o := range t.crashes {
-		if o.server != c.server && o.server.Domain == c.server.Domain && !o.has(f) && o.at.Sub(c.at).Abs() <= sameCause {
+		if o.at.Sub(c.at).Abs() > sameCause {
+			continue
+		}
+		if o.server != c.server && o.server.Domain == c.server.Domain && !o.has(f) {
 			return true
 		}
+		if o.server.Service == c.server.Service {
+			near[o.server] = struct{}{}
+		}
 	}
-	return false
+	return len(near) > CrashLimit
 }
 
 // Entry is what is held against one request.
--- a/internal/daemon/entry/suspect.go
+++ b/internal/daemon/entry/suspect.go
@@ -93,11 +93,11 @@
 }
 
 // crash records a crash and reports whether it is news.
-func (s *suspects) crash(now time.Time, f suspect.Fingerprint, server suspect.Server) bool {
+func (s *suspects) crash(now time.Time, f suspect.Fingerprint, server suspect.Server, began time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.any.Store(true)
-	return s.table.Crash(now, f, server)
+	return s.table.Crash(now, f, server, began)
 }
 
 func (s *suspects) clear(now time.Time, f suspect.Fingerprint) bool {
@@ -135,10 +135,11 @@
 	if b.refuses(req) {
 		return nil, &port.BackendError{Code: port.BackendSuspect, Address: address, Err: suspected(fingerprintOf(req))}
 	}
+	began := b.node.clock.Now()
 	a, err := b.Backend.Do(ctx, address, req)
 	var be *port.BackendError
 	if errors.As(err, &be) && be.Code == port.BackendBroken {
-		b.node.accuse(fingerprintOf(req), req.Service, address)
+		b.node.accuse(fingerprintOf(req), req.Service, address, began)
 	}
 	return a, err
 }
@@ -160,13 +161,17 @@
 
 // accuse notes a request that was in flight when a server crashed, and shares
 // that before its caller is answered and can send it again.
-func (n *Node) accuse(f suspect.Fingerprint, service, address string) {
+func (n *Node) accuse(f suspect.Fingerprint, service, address string, began time.Time) {
 	server := n.serverAt(service, address)
-	if !n.suspects.crash(n.clock.Now(), f, server) {
+	now := n.clock.Now()
+	if !n.suspects.crash(now, f, server, began) {
 		return
 	}
 	n.log.WithField("server", server.Name).Warn("Server crashed with a request in flight.")
-	n.shareSuspect(&peerv1.Suspect{Fingerprint: f[:], Service: service, Server: server.Name, Domain: server.Domain})
+	n.shareSuspect(&peerv1.Suspect{
+		Fingerprint: f[:], Service: service, Server: server.Name, Domain: server.Domain,
+		RunMicros: now.Sub(began).Microseconds(),
+	})
 }
 
 func (n *Node) serverAt(service, address string) suspect.Server {
@@ -239,7 +244,9 @@
 	if s.Cleared {
 		return n.suspects.clear(n.clock.Now(), f)
 	}
-	return n.suspects.crash(n.clock.Now(), f, suspect.Server{Service: s.Service, Name: s.Server, Domain: s.Domain})
+	now := n.clock.Now()
+	server := suspect.Server{Service: s.Service, Name: s.Server, Domain: s.Domain}
+	return n.suspects.crash(now, f, server, now.Add(-time.Duration(s.RunMicros)*time.Microsecond))
 }
 
 func (n *Node) relaySuspect(ctx context.Context, s *peerv1.Suspect) {
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -9,7 +9,10 @@
 	"testing"
 	"time"
 
+	"cassiatray/internal/core/retry"
+	"cassiatray/internal/core/suspect"
 	"cassiatray/internal/site"
+	"cassiatray/internal/standin/server"
 )
 
 // setting returns a number that a longer run sets by an environment variable.
@@ -84,3 +87,66 @@
 		t.Fatal("a request failed or a promise was broken")
 	}
 }
+
+// TestCrashingRequest sends one request that crashes every server that runs
+// it, again and again and to every host in turn, among innocent requests. Then
+// all servers of a failure domain die at once.
+func TestCrashingRequest(t *testing.T) {
+	ctx, s := start(t, 2*time.Minute)
+	c := Start(ctx, s, Load{Callers: 8, Pace: 2 * time.Millisecond})
+	var last string
+	for i := range 5 * len(s.Hosts) {
+		last = c.crash(ctx, s.Hosts[i%len(s.Hosts)])
+	}
+	stats, err := Stats(ctx, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lost := 0
+	for _, b := range stats {
+		lost += b.Operations[crashID]
+	}
+	if err := c.killServers(ctx, s.Servers[0].Domain); err != nil {
+		t.Fatal(err)
+	}
+	v, err := c.Stop(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d servers lost, last answer %s; %d requests, %d failed %v: %s", lost, last, c.Ended(), c.Failed(), c.Failures(), v)
+	if lost == 0 || lost > suspect.CrashLimit || last != "suspect not-run" {
+		t.Fatal("the crashing request was not held to its bound")
+	}
+	if c.Failures()["suspect not-run"] > 0 || v.MaxRuns > 1 || v.FalseNotRun > 0 {
+		t.Fatal("an innocent request was refused or a promise was broken")
+	}
+}
+
+// TestAmplification lets every server fail every request: retries stay within
+// the class's share.
+func TestAmplification(t *testing.T) {
+	ctx, s := start(t, 2*time.Minute)
+	if err := SetBehavior(ctx, s, server.Behavior{Short: true}); err != nil {
+		t.Fatal(err)
+	}
+	c := Start(ctx, s, Load{Callers: 8, Pace: time.Millisecond, Only: Reads})
+	if err := site.Await(ctx, "requests", func() bool { return c.Ended() >= 3000 }); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Stop(ctx); err != nil {
+		t.Fatal(err)
+	}
+	stats, err := Stats(ctx, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var runs uint64
+	for _, b := range stats {
+		runs += b.Runs
+	}
+	share := 1 + s.Document.Services[0].Classes[0].Retries.Fraction()
+	t.Logf("%d requests, %d failed, %d runs, amplification %.3f", c.Ended(), c.Failed(), runs, float64(runs)/float64(c.Ended()))
+	if c.Failed() != c.Ended() || float64(runs) > share*float64(c.Ended())+retry.Burst*float64(len(s.Hosts)) {
+		t.Fatal("retries are over their share")
+	}
+}
--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"syscall"
 	"time"
 
@@ -67,19 +68,34 @@
 		return err
 	}
 	if err := p.Signal(syscall.SIGSTOP); err != nil {
-		return err
+		log, _ := os.ReadFile(c.site.File(d.name + ".log"))
+		return &DiedError{Process: d.name, Log: string(log[max(0, len(log)-logTail):])}
 	}
 	wait(ctx, time.Duration(rng.Int64N(int64(longestFreeze))))
 	return p.Signal(syscall.SIGCONT)
 }
 
+// logTail is how much of the log of a process that died is shown, in bytes.
+const logTail = 4 << 10
+
+// DiedError is a process that ended by itself.
+type DiedError struct {
+	Process string
+	// Log is the end of its log.
+	Log string
+}
+
+func (e *DiedError) Error() string { return fmt.Sprintf("%s ended by itself:\n%s", e.Process, e.Log) }
+
 // ExitError is a planned stop that did not end with status 0.
 type ExitError struct {
 	Process string
 	Status  int
 }
 
-func (e *ExitError) Error() string { return fmt.Sprintf("%s ended with status %d", e.Process, e.Status) }
+func (e *ExitError) Error() string {
+	return fmt.Sprintf("%s ended with status %d", e.Process, e.Status)
+}
 
 // Replace stops both processes of a host in order and starts them again.
 //
@@ -99,5 +115,5 @@
 	if err := s.StartHost(h); err != nil {
 		return err
 	}
-	return serving(ctx, h.EntryOperator)
+	return awaitMembers(ctx, s)
 }
