--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -6,257 +6,127 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net/http"
-	"os"
 	"os/user"
+	"strings"
 	"time"
 
 	"cassiatray/internal/adapter/platform"
 	"cassiatray/internal/core/document"
-	"cassiatray/internal/daemon/steer"
 	"cassiatray/internal/envstore"
 	"cassiatray/internal/port"
 )
 
-// Exit statuses of the command line.
-const (
-	ExitOK          = 0
-	ExitFailure     = 1
-	ExitInvalid     = 2
-	ExitConflict    = 3
-	ExitUnavailable = 4
-)
-
 // callTimeout bounds one call to the platform or to a host.
 const callTimeout = 5 * time.Second
 
+// Output is the form of a command's output.
+type Output string
+
+// Values of Output.
+const (
+	OutputText Output = "text"
+	OutputJSON Output = "json"
+)
+
 // CLI is the command line.
 type CLI struct {
 	Platform string `help:"Address of the platform's key-value service." env:"CASSIATRAY_PLATFORM" placeholder:"IP:PORT"`
+	Output   Output `help:"Form of the output: text, or json for scripts." short:"o" enum:"text,json" default:"text"`
 
 	Validate ValidateCmd `cmd:"" help:"Check a document."`
+	Diff     DiffCmd     `cmd:"" help:"Tell in plain words what a change does."`
 	Apply    ApplyCmd    `cmd:"" help:"Put a document in force in an environment."`
-	Promote  PromoteCmd  `cmd:"" help:"Put the document of one environment in force in another."`
-	Show     ShowCmd     `cmd:"" help:"Show the head of an environment."`
+	Promote  PromoteCmd  `cmd:"" help:"Put the sections of one environment in force in another."`
+	Rollback RollbackCmd `cmd:"" help:"Put an earlier change in force again, as a new step forward."`
+	Show     ShowCmd     `cmd:"" help:"Show an environment's document, its head or one change."`
 	History  HistoryCmd  `cmd:"" help:"List the changes of an environment, newest first."`
-	Status   StatusCmd   `cmd:"" help:"Show what each host has in force."`
+	Status   StatusCmd   `cmd:"" help:"Show what each failure domain and host has in force."`
+	Explain  ExplainCmd  `cmd:"" help:"Tell why a client gets the answer it gets."`
+	Suspects SuspectsCmd `cmd:"" help:"List requests suspected of crashing servers."`
+	Dump     DumpCmd     `cmd:"" help:"Print the whole state of one process."`
+	Collect  CollectCmd  `cmd:"" help:"Bound the history and delete what nothing refers to."`
 }
 
 // App is what commands run with.
 type App struct {
+	Ctx   context.Context
 	Out   io.Writer
+	Form  Output
+	Clock port.Clock
+	// Store is nil when no platform is given.
 	Store *envstore.Store
-	Ctx   context.Context
 }
 
-// NewApp returns an App on the platform of a command line.
+// NewApp returns an App for a parsed command line.
 func NewApp(ctx context.Context, cli *CLI, out io.Writer) *App {
-	return &App{Out: out, Ctx: ctx, Store: envstore.New(platform.New(cli.Platform, callTimeout), port.SystemClock{})}
-}
-
-// ExitCode returns the exit status for the error of a command.
-func ExitCode(err error) int {
-	var invalid *document.InvalidError
-	var conflict *envstore.ConflictError
-	var store *port.StoreError
-	switch {
-	case err == nil:
-		return ExitOK
-	case errors.As(err, &invalid):
-		return ExitInvalid
-	case errors.As(err, &conflict):
-		return ExitConflict
-	case errors.As(err, &store) && store.Code == port.StoreUnavailable:
-		return ExitUnavailable
-	}
-	return ExitFailure
-}
-
-func readDocument(file string) (*document.Document, error) {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return nil, err
+	app := &App{Out: out, Ctx: ctx, Form: cli.Output, Clock: port.SystemClock{}}
+	if cli.Platform != "" {
+		app.Store = envstore.New(platform.New(cli.Platform, callTimeout).Named("cassiatrayctl"), app.Clock)
 	}
-	return document.Parse(file, data)
+	return app
 }
 
-func author() string {
-	if u, err := user.Current(); err == nil {
-		return u.Username
-	}
-	return "unknown"
-}
-
-// ValidateCmd checks a document.
-type ValidateCmd struct {
-	File string `arg:"" help:"Document in YAML."`
-}
-
-// Run implements the command.
-func (c *ValidateCmd) Run(app *App) error {
-	if _, err := readDocument(c.File); err != nil {
-		return err
-	}
-	fmt.Fprintf(app.Out, "%s: valid\n", c.File)
-	return nil
-}
-
-// ApplyCmd puts a document in force.
-type ApplyCmd struct {
-	File        string `arg:"" help:"Document in YAML."`
-	Environment string `help:"Environment to change." short:"e" default:"trial"`
-	Reason      string `help:"Why the change is made." short:"r" required:""`
-}
-
-// Run implements the command.
-func (c *ApplyCmd) Run(app *App) error {
-	doc, err := readDocument(c.File)
-	if err != nil {
-		return err
-	}
-	sections, err := document.Divide(doc)
-	if err != nil {
-		return err
+// store returns the store, or an error when no platform is given.
+func (app *App) store() (*envstore.Store, error) {
+	if app.Store == nil {
+		return nil, &UsageError{Message: "no platform: set --platform or CASSIATRAY_PLATFORM to its address"}
 	}
-	base, _, err := app.Store.Head(app.Ctx, c.Environment)
-	if err != nil {
-		return err
-	}
-	return app.propose(envstore.Proposal{
-		Environment: c.Environment, Base: base, Author: author(), Reason: c.Reason, From: "file", Sections: sections,
-	})
+	return app.Store, nil
 }
 
-func (app *App) propose(p envstore.Proposal) error {
-	head, err := app.Store.Apply(app.Ctx, p)
-	if err != nil {
-		return err
+// emit writes a result as JSON or by text.
+func (app *App) emit(value any, text func(io.Writer)) error {
+	if app.Form == OutputJSON {
+		enc := json.NewEncoder(app.Out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(value)
 	}
-	fmt.Fprintf(app.Out, "%s: change %s accepted as sequence %d\n", head.Environment, head.ChangeID, head.Sequence)
+	text(app.Out)
 	return nil
 }
 
-// PromoteCmd puts the sections of one environment in force in another.
-type PromoteCmd struct {
-	From   string `help:"Environment to take the document from." default:"trial"`
-	To     string `help:"Environment to change." default:"production"`
+// Signed are the flags of every command that makes a change.
+type Signed struct {
 	Reason string `help:"Why the change is made." short:"r" required:""`
+	Author string `help:"Who makes the change; the user of this host when not given." env:"CASSIATRAY_AUTHOR"`
 }
 
-// Run implements the command.
-func (c *PromoteCmd) Run(app *App) error {
-	from, _, err := app.Store.Head(app.Ctx, c.From)
-	if err != nil {
-		return err
-	}
-	if from.Sequence == 0 {
-		return &EmptyError{Environment: c.From}
-	}
-	base, _, err := app.Store.Head(app.Ctx, c.To)
-	if err != nil {
-		return err
+// check refuses a blank reason and fills in the author.
+func (s *Signed) check() error {
+	if strings.TrimSpace(s.Reason) == "" {
+		return &UsageError{Message: "--reason: expected some words on why the change is made"}
 	}
-	sections, err := app.Store.Sections(app.Ctx, from.Sections)
-	if err != nil {
-		return err
-	}
-	return app.propose(envstore.Proposal{
-		Environment: c.To, Base: base, Author: author(), Reason: c.Reason,
-		From: fmt.Sprintf("%s@%d", c.From, from.Sequence), Sections: sections,
-	})
-}
-
-// EmptyError is an environment that has no document.
-type EmptyError struct{ Environment string }
-
-func (e *EmptyError) Error() string {
-	return fmt.Sprintf("environment %s has no document", e.Environment)
-}
-
-// ShowCmd shows the head of an environment.
-type ShowCmd struct {
-	Environment string `arg:"" default:"production" help:"Environment to show."`
-}
-
-// Run implements the command.
-func (c *ShowCmd) Run(app *App) error {
-	head, _, err := app.Store.Head(app.Ctx, c.Environment)
-	if err != nil {
-		return err
+	if s.Author != "" {
+		return nil
 	}
-	return app.writeJSON(head)
-}
-
-func (app *App) writeJSON(value any) error {
-	enc := json.NewEncoder(app.Out)
-	enc.SetIndent("", "  ")
-	return enc.Encode(value)
-}
-
-// HistoryCmd lists changes.
-type HistoryCmd struct {
-	Environment string `arg:"" default:"production" help:"Environment to list."`
-	Limit       int    `help:"Most changes to list." default:"20"`
-}
-
-// Run implements the command.
-func (c *HistoryCmd) Run(app *App) error {
-	head, _, err := app.Store.Head(app.Ctx, c.Environment)
-	if err != nil {
-		return err
-	}
-	for id := head.ChangeID; id != "" && c.Limit > 0; c.Limit-- {
-		change, err := app.Store.Change(app.Ctx, c.Environment, id)
-		if err != nil {
-			return err
-		}
-		fmt.Fprintf(app.Out, "%d  %s  %s  from %s: %s\n",
-			change.Sequence, change.Time.Format(time.RFC3339), change.Author, change.From, change.Reason)
-		id = change.Parent
+	s.Author = "unknown"
+	if u, err := user.Current(); err == nil {
+		s.Author = u.Username
 	}
 	return nil
 }
 
-// StatusCmd shows what each host has in force.
-type StatusCmd struct {
-	Environment string   `help:"Environment to show." short:"e" default:"production"`
-	Operators   []string `arg:"" help:"Operator addresses of steer processes to ask." placeholder:"IP:PORT"`
+// environment refuses a text that cannot name an environment.
+func environment(name string) error {
+	if document.ValidName(name) {
+		return nil
+	}
+	return &UsageError{Message: fmt.Sprintf("environment %q: expected lower-case letters, digits, dots, dashes and underscores", name)}
 }
 
-// Run implements the command.
-func (c *StatusCmd) Run(app *App) error {
-	head, _, err := app.Store.Head(app.Ctx, c.Environment)
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(app.Out, "%s: sequence %d accepted %s\n", c.Environment, head.Sequence, head.Accepted.Format(time.RFC3339))
-	for _, address := range c.Operators {
-		state, err := fetchState(app.Ctx, address)
-		if err != nil {
-			fmt.Fprintf(app.Out, "  %s  unreachable: %v\n", address, err)
-			continue
-		}
-		fmt.Fprintf(app.Out, "  %s  %s  lead %s  steer at %d  entry at %d\n",
-			state.Domain, state.Host, state.Lead, state.Self.SteerSequence, state.Self.EntrySequence)
-	}
-	return nil
+// accepted shows a change in force.
+func (app *App) accepted(a envstore.Accepted) error {
+	return app.emit(a, func(w io.Writer) {
+		h := a.Head
+		fmt.Fprintf(w, "%s: change %s accepted as sequence %d\n", h.Environment, h.ChangeID, h.Sequence)
+		writeEffects(w, a.Effects)
+	})
 }
 
-func fetchState(ctx context.Context, address string) (*steer.State, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/dump", nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, err
+func writeEffects(w io.Writer, effects []document.Effect) {
+	for _, e := range effects {
+		fmt.Fprintf(w, "  %-6s %s\n", e.Severity, e.Text)
 	}
-	defer resp.Body.Close()
-	out := new(steer.State)
-	return out, json.NewDecoder(resp.Body).Decode(out)
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -296,13 +296,7 @@
 	return stats.Runs, nil
 }
 
-func (d *Demo) status(ctx context.Context, s *site.Site) error {
-	args := []string{"status"}
-	for _, h := range s.Hosts {
-		args = append(args, h.SteerOperator.String())
-	}
-	return d.ctl(ctx, s, args...)
-}
+func (d *Demo) status(ctx context.Context, s *site.Site) error { return d.ctl(ctx, s, "status") }
 
 // end stops everything in order.
 func (d *Demo) end(sites ...*site.Site) error {
