Pace the callers that a change of preferences moves

Cause: a document that sent blocks to another region moved all their callers as soon as answers ran out. Change: tables tell how much moves between two of them at the cost of the change; such a change is a shift like a drain, under the same cap. Run: go test -race ./internal/core/lookup ./internal/daemon/entry passes. A process that starts during such a shift knows no earlier table and answers by the newest.

--- a/internal/core/lookup/table.go
+++ b/internal/core/lookup/table.go
@@ -3,6 +3,7 @@
 package lookup
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -23,7 +24,10 @@
 type Table struct {
 	v4, v6 *node
 	len    int
-	lists  *listPool
+	// homes counts the blocks by their first region; not written to once the
+	// table is given out.
+	homes map[string]int
+	lists *listPool
 }
 
 // regionList is one order of preference, shared by the blocks that have it.
@@ -51,7 +55,7 @@
 
 // NewTable builds a table of client blocks. Of equal blocks the last counts.
 func NewTable(clients []document.Client) *Table {
-	t := &Table{lists: &listPool{lists: map[string]*regionList{}}}
+	t := &Table{homes: map[string]int{}, lists: &listPool{lists: map[string]*regionList{}}}
 	var v4, v6 []leaf
 	for _, c := range clients {
 		if l := t.leaf(c); c.Block.Addr().Is4() {
@@ -63,6 +67,9 @@
 	v4, v6 = distinct(v4), distinct(v6)
 	t.v4, t.v6 = build(v4), build(v6)
 	t.len = len(v4) + len(v6)
+	for _, l := range slices.Concat(v4, v6) {
+		t.homes[l.regions.first()]++
+	}
 	return t
 }
 
@@ -81,7 +88,7 @@
 // block that the table already has takes its new regions. Only the blocks of
 // removed count, not their regions.
 func (t *Table) With(added, removed []document.Client) *Table {
-	out := &Table{v4: t.v4, v6: t.v6, len: t.len, lists: t.lists}
+	out := &Table{v4: t.v4, v6: t.v6, len: t.len, homes: maps.Clone(t.homes), lists: t.lists}
 	for _, c := range removed {
 		out.remove(c.Block.Prefix)
 	}
@@ -100,19 +107,32 @@
 
 func (t *Table) add(c document.Client) {
 	root := t.root(c.Block.Addr())
-	if _, ok := t.get(c.Block.Prefix); !ok {
-		t.len++
-	}
-	*root = (*root).with(t.leaf(c))
+	t.uncount(c.Block.Prefix)
+	l := t.leaf(c)
+	t.len++
+	t.homes[l.regions.first()]++
+	*root = (*root).with(l)
 }
 
 func (t *Table) remove(p netip.Prefix) {
-	if _, ok := t.get(p); !ok {
+	if !t.uncount(p) {
 		return
 	}
 	root := t.root(p.Addr())
 	*root = (*root).without(keyOf(p.Addr()), uint8(p.Bits()))
+}
+
+// uncount takes a block out of the counts and reports whether it was there.
+func (t *Table) uncount(p netip.Prefix) bool {
+	l, ok := t.get(p)
+	if !ok {
+		return false
+	}
 	t.len--
+	if t.homes[l.first()]--; t.homes[l.first()] == 0 {
+		delete(t.homes, l.first())
+	}
+	return true
 }
 
 // get returns the regions of exactly one block.
--- a/internal/core/lookup/table_test.go
+++ b/internal/core/lookup/table_test.go
@@ -91,3 +91,52 @@
 		}
 	})
 }
+
+// moved is the plain form of Table.Moved.
+func (s scan) moved(next scan) float64 {
+	homes, lost, gained := map[string]int{}, map[string]int{}, map[string]int{}
+	for p, regions := range s {
+		homes[regions[0]]++
+		if now, ok := next[p]; !ok || now[0] != regions[0] {
+			lost[regions[0]]++
+		}
+	}
+	for p, regions := range next {
+		if old, ok := s[p]; !ok || old[0] != regions[0] {
+			gained[regions[0]]++
+		}
+	}
+	most := 0.0
+	for _, m := range []map[string]int{lost, gained} {
+		for r, n := range m {
+			blocks := float64(homes[r])
+			if blocks == 0 {
+				blocks = float64(len(s)) / float64(len(homes))
+			}
+			most = max(most, float64(n)/blocks)
+		}
+	}
+	return most
+}
+
+func TestMovedAgainstScan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first := rapid.SliceOfN(rapid.Custom(drawClient), 1, 20).Draw(t, "first")
+		added := rapid.SliceOfN(rapid.Custom(drawClient), 0, 5).Draw(t, "added")
+		removed := rapid.SliceOfN(rapid.SampledFrom(first), 0, 5).Draw(t, "removed")
+		before, after := scan{}, scan{}
+		for _, c := range first {
+			before[c.Block.Prefix], after[c.Block.Prefix] = c.Regions, c.Regions
+		}
+		for _, c := range removed {
+			delete(after, c.Block.Prefix)
+		}
+		for _, c := range added {
+			after[c.Block.Prefix] = c.Regions
+		}
+		table := NewTable(first)
+		if got, want := table.Moved(table.With(added, removed)), before.moved(after); got != want {
+			t.Fatalf("Moved() = %v, want %v", got, want)
+		}
+	})
+}
--- a/internal/core/share/pace.go
+++ b/internal/core/share/pace.go
@@ -193,6 +193,12 @@
 	return next
 }
 
+// Forget drops a shift that has ended for good.
+func (p *Pacer) Forget(id string) {
+	delete(p.levels, id)
+	delete(p.sizes, id)
+}
+
 // ids returns all shifts that have or had a level, in a stable order.
 func (p *Pacer) ids(target map[string]float64) []string {
 	var out []string
--- a/internal/daemon/entry/explain.go
+++ b/internal/daemon/entry/explain.go
@@ -65,7 +65,7 @@
 	}
 	now := n.clock.Now()
 	v := n.steering.at(snap, now)
-	block, ok := snap.Table.Find(client)
+	block, ok := v.find(service, client)
 	q := n.query(snap, service, client, block)
 	out := &Explanation{
 		Service: service, Client: client.String(), Regions: q.Regions, Sequence: snap.Head.Sequence,
@@ -114,6 +114,9 @@
 	for domain, level := range levels.Domains {
 		out = append(out, fmt.Sprintf("drain of failure domain %s has moved %.1f%% of its callers", domain, 100*level))
 	}
+	for _, c := range v.changes {
+		out = append(out, fmt.Sprintf("change of preferences by %s has moved %.1f%% of its callers", c.shift.ID, 100*c.levels[service]))
+	}
 	for _, domain := range v.snap.Index.Service(service).Domains() {
 		l, known := v.loads[loadKey{service, domain}]
 		switch {
--- a/internal/daemon/entry/lookup.go
+++ b/internal/daemon/entry/lookup.go
@@ -25,7 +25,7 @@
 	answer := &api.Lookup{
 		Service: service, Sequence: snap.Head.Sequence, TTLMillis: snap.Index.Doc.Lookup.TTL.D().Milliseconds(),
 	}
-	block, ok := snap.Table.Find(client)
+	block, ok := v.find(service, client)
 	if ok {
 		answer.Block = block.Prefix.String()
 	}
--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -126,7 +126,7 @@
 		return nil, fail
 	}
 	x := &exchange{snap: snap, svc: svc, class: class, req: req}
-	if block, ok := snap.Table.Find(req.Client); ok {
+	if block, ok := n.steering.at(snap, n.clock.Now()).find(svc.Name, req.Client); ok {
 		x.home = block.Regions[0]
 	}
 	return x, nil
--- a/internal/daemon/entry/route.go
+++ b/internal/daemon/entry/route.go
@@ -188,7 +188,7 @@
 
 // regions returns the other regions in the order of the caller's preference.
 func (n *Node) regions(x *exchange) []string {
-	block, _ := x.snap.Table.Find(x.req.Client)
+	block, _ := n.steering.at(x.snap, n.clock.Now()).find(x.svc.Name, x.req.Client)
 	out := slices.Clone(block.Regions)
 	for _, r := range x.snap.Index.Doc.Regions {
 		if !slices.Contains(out, r.Name) {
--- a/internal/daemon/entry/steering.go
+++ b/internal/daemon/entry/steering.go
@@ -32,6 +32,9 @@
 	pacers map[string]*share.Pacer
 	grants *share.Grants
 	links  *share.Links
+	// changes are the documents whose new preferences callers still move to,
+	// oldest first.
+	changes []*change
 }
 
 // view is a snapshot with what follows from it at one time. It is immutable but for its cache.
@@ -40,6 +43,8 @@
 	built  time.Time
 	plan   *lookup.Plan
 	policy share.Policy
+	// changes are those of steering, with their levels by service.
+	changes []paced
 	// levels are how far drains have come, by service.
 	levels map[string]share.Levels
 	// loads are what failure domains report, by service and domain.
@@ -88,14 +93,18 @@
 // build must be called with mu held.
 func (s *steering) build(snap *Snapshot, now time.Time) *view {
 	ix := snap.Index
+	s.noteChange(snap)
 	v := &view{
 		snap: snap, built: now, policy: share.PolicyOf(ix.Doc.Weigh),
 		levels: make(map[string]share.Levels, len(ix.Doc.Services)), loads: loadsOf(snap),
 	}
 	for i := range ix.Doc.Services {
 		name := ix.Doc.Services[i].Name
-		v.levels[name] = s.pace(ix, name, now)
+		all := s.pace(ix, name, now)
+		v.levels[name] = share.DrainsOf(ix, name).At(all)
+		v.addChanges(s.changes, name, all)
 	}
+	s.endChanges(v)
 	v.plan = lookup.NewPlan(ix, snap.Hosts, v.weights(now))
 	s.grants.Put(now, share.Document{
 		Sequence: snap.Head.Sequence, Accepted: snap.Head.Accepted, Limits: share.LimitsOf(ix, s.cfg.Host),
@@ -103,15 +112,19 @@
 	return v
 }
 
-func (s *steering) pace(ix *document.Index, service string, now time.Time) share.Levels {
-	drains := share.DrainsOf(ix, service)
+// pace returns the level of every shift of a service.
+func (s *steering) pace(ix *document.Index, service string, now time.Time) map[string]float64 {
+	shifts := share.DrainsOf(ix, service).Shifts
+	for _, c := range s.changes {
+		shifts = append(shifts, c.shift)
+	}
 	rate := share.RateOf(ix.Doc.Caps.ShiftOf(service), ix.Doc.Lookup.TTL.D())
 	p := s.pacers[service]
 	if p == nil {
 		p = share.NewPacer()
 		s.pacers[service] = p
 	}
-	return drains.At(p.Step(now, drains.Shifts, share.NewSchedule(drains.Shifts, rate)))
+	return p.Step(now, shifts, share.NewSchedule(shifts, rate))
 }
 
 func (v *view) weights(now time.Time) lookup.Weights {
--- a/internal/daemon/entry/steering_test.go
+++ b/internal/daemon/entry/steering_test.go
@@ -155,6 +155,55 @@
 	}
 }
 
+// TestChangeOfPreferenceIsPaced puts a document in force that sends the callers
+// of sask to alta, and sees them move no faster than the cap.
+func TestChangeOfPreferenceIsPaced(t *testing.T) {
+	n, clock := newTestNode(t, nil)
+	old := *n.feed.Snapshot()
+	n.steering.at(&old, clock.now)
+	next := old
+	next.Head = document.Head{Sequence: 2, Accepted: clock.now}
+	moved := client("10.0.0.0/16", "alta", "sask")
+	next.Table = old.Table.With([]document.Client{moved}, nil)
+	n.feed.snapshot.Store(&next)
+	const (
+		callers  = 2000
+		sampling = 0.02 // three standard deviations of callers
+	)
+	inAlta := func() float64 {
+		count := 0
+		for i := range callers {
+			answer, fail := n.Lookup("depot-orders", netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}))
+			if fail != nil {
+				t.Fatal(fail)
+			}
+			if answer.Hosts[0].Domain[:4] == "alta" {
+				count++
+			}
+		}
+		return float64(count) / callers
+	}
+	last := inAlta()
+	for range 13 { // minutes; 10% of a region's slots may move in each
+		for range 120 {
+			clock.now = clock.now.Add(500 * time.Millisecond)
+			n.steering.at(&next, clock.now)
+		}
+		now := inAlta()
+		if now-last > 0.1+sampling || now < last {
+			t.Errorf("from %.3f to %.3f in a minute, cap 0.1", last, now)
+		}
+		last = now
+	}
+	if last != 1 {
+		t.Errorf("%.3f of the callers moved in the end, want all", last)
+	}
+}
+
+func client(block string, regions ...string) document.Client {
+	return document.Client{Block: document.Prefix{Prefix: netip.MustParsePrefix(block)}, Regions: regions}
+}
+
 func TestStaleSenderAndReceiver(t *testing.T) {
 	n, clock := newTestNode(t, nil)
 	n.steering.at(n.feed.Snapshot(), clock.now)
