Run the tests of bubbles on one processor

Cause: make test crashed in one of two runs with SIGSEGV or a failed check of the race detector, in internal/daemon/steer. The Go runtime keeps one race context for all timers of a synctest bubble (unlockAndRun in runtime/time.go), and two timers that have expired and are received from on two processors use it at once. A test of 30 lines that only receives from expired timers in a bubble crashed in 4 of 4 runs with -race, in 0 of 3 on one processor.

Excluded: a fault of our own (the 30 lines hold none of our code); timers shared between bubbles by the session library (a timer of a read is made for it).

Change: TestMain of the package sets GOMAXPROCS to 1. No test is changed.

Conclusion: the crash is the toolchain's; the tests stand.

--- a/internal/daemon/steer/distribution_test.go
+++ b/internal/daemon/steer/distribution_test.go
@@ -17,7 +17,13 @@
 	"cassiatray/internal/daemon/steertest"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// TestMain runs the tests on one processor. The race detector keeps one context
+// for all timers of a synctest bubble, and two timers of a bubble that have
+// expired and are received from on two processors at once crash it.
+func TestMain(m *testing.M) {
+	runtime.GOMAXPROCS(1)
+	goleak.VerifyTestMain(m)
+}
 
 // inForceBound is within what time an accepted change must be in force
 // everywhere.
