--- a/internal/core/document/diff_test.go
+++ b/internal/core/document/diff_test.go
@@ -137,3 +137,11 @@
 		t.Errorf("effects = %q", got)
 	}
 }
+
+func TestTextsAreBounded(t *testing.T) {
+	list := make([]Effect, 5000)
+	got := Texts(list)
+	if len(got) != maxTexts+1 || got[maxTexts] != "And 4,800 further effects." {
+		t.Errorf("%d sentences, last %q", len(got), got[len(got)-1])
+	}
+}
--- a/internal/core/document/effect.go
+++ b/internal/core/document/effect.go
@@ -64,11 +64,18 @@
 	})
 }
 
-// Texts returns the sentences of effects, for Change.Diff.
+// maxTexts bounds the sentences that a change keeps.
+const maxTexts = 200
+
+// Texts returns the sentences of effects, for Change.Diff. It keeps the most
+// important ones and says how many it leaves out.
 func Texts(list []Effect) []string {
-	out := make([]string, 0, len(list))
-	for _, e := range list {
+	out := make([]string, 0, min(len(list), maxTexts+1))
+	for _, e := range list[:min(len(list), maxTexts)] {
 		out = append(out, e.Text)
 	}
+	if rest := len(list) - len(out); rest > 0 {
+		out = append(out, "And "+count(rest, "further effect")+".")
+	}
 	return out
 }
