--- a/internal/core/document/effect.go
+++ b/internal/core/document/effect.go
@@ -27,9 +27,9 @@
 
 // Values of EffectKind, in the order in which effects are shown.
 const (
+	EffectWeigh   EffectKind = "weigh"
 	EffectDrain   EffectKind = "drain"
 	EffectCap     EffectKind = "cap"
-	EffectWeigh   EffectKind = "weigh"
 	EffectClient  EffectKind = "client"
 	EffectPlace   EffectKind = "place"
 	EffectService EffectKind = "service"
@@ -41,7 +41,7 @@
 )
 
 var kindOrder = []EffectKind{
-	EffectDrain, EffectCap, EffectWeigh, EffectClient, EffectPlace, EffectService, EffectServer, EffectClass,
+	EffectWeigh, EffectDrain, EffectCap, EffectClient, EffectPlace, EffectService, EffectServer, EffectClass,
 	EffectLink, EffectLookup, EffectOrder,
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -7,6 +7,8 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +16,8 @@
 	"github.com/alecthomas/kong"
 
 	"cassiatray/internal/core/document"
+	"cassiatray/internal/envstore"
+	"cassiatray/internal/port"
 	"cassiatray/internal/standin/store"
 )
 
@@ -241,6 +245,50 @@
 	contains(t, b.expect(ExitOK, "suspects"), "f00  s1 of rodsheet  refused  2 crashes")
 	contains(t, b.expect(ExitOK, "dump", "h1"), `"fingerprint"`)
 	contains(t, b.expect(ExitOK, "dump", "h1", "--process", "steer"), `"lead"`)
+	contains(t, b.expect(ExitFailure, "explain", "sheetvault", "10.0.0.0"), "status 400")
 	b.expect(ExitInvalid, "dump", "h9")
 	b.expect(ExitFailure, "dump", "127.0.0.2:9")
 }
+
+// TestFailures: every failure has the exit status and the code that the
+// operators' page gives, and a loser is shown the winner's effects.
+func TestFailures(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations/cassiatrayctl.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	winner := document.Change{Author: "ann", Diff: []string{"gulf takes more."}}
+	for _, c := range []struct {
+		err  error
+		code string
+		exit int
+	}{
+		{&UsageError{}, "usage", ExitInvalid},
+		{&document.InvalidError{}, "invalid", ExitInvalid},
+		{&envstore.ConflictError{Winner: winner}, "conflict", ExitConflict},
+		{&envstore.MovedError{Newest: winner}, "moved", ExitConflict},
+		{&envstore.UnchangedError{}, "unchanged", ExitUnchanged},
+		{&envstore.EmptyError{}, "empty", ExitFailure},
+		{&envstore.UnknownChangeError{}, "unknown-change", ExitFailure},
+		{&BehindError{}, "behind", ExitBehind},
+		{&port.StoreError{Code: port.StoreUnavailable}, "unavailable", ExitUnavailable},
+		{&port.StoreError{Code: port.StoreUnknown}, "outcome-unknown", ExitUnknown},
+		{&HostError{}, "failure", ExitFailure},
+	} {
+		var out bytes.Buffer
+		exit := Report(&out, OutputJSON, c.err)
+		got := decode[Failure](t, out.String())
+		if exit != c.exit || got.Exit != c.exit || got.Code != c.code {
+			t.Errorf("%T: %d %+v", c.err, exit, got)
+		}
+		row := regexp.MustCompile("(?m)^\\| " + strconv.Itoa(c.exit) + " \\|.*`" + c.code + "`")
+		if !row.Match(page) {
+			t.Errorf("the page has no row for %d %s", c.exit, c.code)
+		}
+		out.Reset()
+		Report(&out, OutputText, c.err)
+		if shown := strings.Contains(out.String(), "in force now: gulf takes more."); shown != (got.Winner != nil) {
+			t.Errorf("%T: %s", c.err, out.String())
+		}
+	}
+}
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -40,7 +40,7 @@
 type BehindError struct{ Hosts int }
 
 func (e *BehindError) Error() string {
-	return fmt.Sprintf("%d hosts do not have the newest document in force", e.Hosts)
+	return fmt.Sprintf("hosts without the newest document in force: %d", e.Hosts)
 }
 
 // Failure is an error in the output for scripts.
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -68,13 +69,15 @@
 // maxAttempts bounds how many hosts are asked before giving up.
 const maxAttempts = 5
 
-// firstAnswer asks one address after another.
+// firstAnswer asks one address after another until one answers or refuses.
 func firstAnswer[T any](app *App, addresses []string, path string) (T, error) {
 	var out T
 	var err error
 	for _, a := range addresses[:min(len(addresses), maxAttempts)] {
-		if out, err = fetchJSON[T](app.Ctx, a, path); err == nil {
-			return out, nil
+		out, err = fetchJSON[T](app.Ctx, a, path)
+		var host *HostError
+		if err == nil || errors.As(err, &host) && host.refused() {
+			return out, err
 		}
 	}
 	return out, err
--- a/internal/ctl/fetch.go
+++ b/internal/ctl/fetch.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 
+	"cassiatray/api"
 	"cassiatray/internal/core/document"
 )
 
@@ -18,6 +20,8 @@
 type HostError struct {
 	Address string
 	Status  int
+	// Message is the host's own, when it gave a typed failure.
+	Message string
 	Err     error
 }
 
@@ -25,7 +29,12 @@
 	if e.Err != nil {
 		return fmt.Sprintf("host %s: %v", e.Address, e.Err)
 	}
-	return fmt.Sprintf("host %s: status %d", e.Address, e.Status)
+	return strings.TrimSpace(fmt.Sprintf("host %s: status %d %s", e.Address, e.Status, e.Message))
+}
+
+// refused reports whether any other host would answer alike.
+func (e *HostError) refused() bool {
+	return e.Status >= http.StatusBadRequest && e.Status < http.StatusInternalServerError
 }
 
 func (e *HostError) Unwrap() error { return e.Err }
@@ -50,11 +59,20 @@
 		return nil, &HostError{Address: address, Err: err}
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, &HostError{Address: address, Status: resp.StatusCode}
+		return nil, &HostError{Address: address, Status: resp.StatusCode, Message: failureMessage(body)}
 	}
 	return body, nil
 }
 
+// failureMessage returns the message of a typed failure, or nothing.
+func failureMessage(body []byte) string {
+	var fail api.Error
+	if json.Unmarshal(body, &fail) != nil {
+		return ""
+	}
+	return fail.Message
+}
+
 // fetchJSON reads a path of an operator address into a value.
 //
 // Errors: *HostError.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -167,6 +167,9 @@
 	if err := d.refuse(ctx, s, c); err != nil {
 		return err
 	}
+	if err := d.ctl(ctx, s, "explain", "rodsheet", "10.1.0.7"); err != nil {
+		return err
+	}
 	return d.status(ctx, s)
 }
 
