Number every attempt that the first entry host sends; tests of entry processes

Cause: one attempt may be offered to several hosts in turn, and a host that it reaches a second time by another way would take it for a repeated one.

Tests drive three entry processes by plain calls: resends everywhere, joins, lost replies, owners that die or stop in turn, refusals, repeated dispatches, retries, suspects.

--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -110,8 +110,12 @@
 	req   *port.CallerRequest
 	// hops is how many entry hosts have passed the request on.
 	hops uint32
-	// attempt is the first entry host's number of this attempt, from 1.
+	// attempt is the first entry host's number of the attempt that this host
+	// was sent, from 1.
 	attempt uint32
+	// sent is the number of the last attempt that this host, as the first,
+	// has sent.
+	sent *atomic.Uint32
 	// home is the region that the caller belongs to; empty when not known.
 	home string
 	// from is the region of the entry host that passed the request on, and
@@ -135,6 +139,15 @@
 // once reports whether the request runs at most once.
 func (x *exchange) once() bool { return x.class.Execution == document.AtMostOnce }
 
+// nextAttempt numbers what is about to be sent. Only the first entry host
+// counts: a host that passes an attempt on keeps its number.
+func (x *exchange) nextAttempt() uint32 {
+	if x.hops > 0 {
+		return x.attempt
+	}
+	return x.sent.Add(1)
+}
+
 // context bounds the request by the shorter of its class's deadline and the
 // time its caller waits.
 func (x *exchange) context(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/daemon/entry/operate.go
+++ b/internal/daemon/entry/operate.go
@@ -106,7 +106,7 @@
 	if n.owns(id) {
 		return n.own(ctx, x, id)
 	}
-	return n.consult(ctx, relayMessage(x), id)
+	return n.consult(ctx, dispatchMessage(x), id)
 }
 
 // owns reports whether this process is the one that may run an operation.
--- a/internal/daemon/entry/peer.go
+++ b/internal/daemon/entry/peer.go
@@ -14,6 +14,7 @@
 func (n *Node) send(ctx context.Context, x *exchange, address string, incarnation uint64) result {
 	d := dispatchMessage(x)
 	d.OriginDomain = n.cfg.Domain
+	d.Attempt = x.nextAttempt()
 	out, err := n.ask(ctx, address, incarnation, d)
 	if err != nil {
 		return result{fail: peerError(err)}
@@ -21,12 +22,12 @@
 	return out
 }
 
-// dispatchMessage returns the message of one attempt to run a request.
+// dispatchMessage returns the message of a request, without an attempt.
 func dispatchMessage(x *exchange) *peerv1.Dispatch {
 	d := &peerv1.Dispatch{
 		Service: x.req.Service, Method: x.req.Method, Path: x.req.Path, RawQuery: x.req.RawQuery,
 		Headers: headerMessages(x.req.Header), Body: x.req.Body, Hops: x.hops + 1, Class: x.class.Name,
-		Attempt: max(1, x.attempt), HomeRegion: x.home, Sequence: x.snap.Head.Sequence,
+		HomeRegion: x.home, Sequence: x.snap.Head.Sequence,
 	}
 	if x.once() {
 		d.OperationId = x.req.OperationID
--- a/internal/daemon/entry/relay.go
+++ b/internal/daemon/entry/relay.go
@@ -12,13 +12,6 @@
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
-// relayMessage passes an operation to the process that may run it.
-func relayMessage(x *exchange) *peerv1.Dispatch {
-	d := dispatchMessage(x)
-	d.Attempt = 0
-	return d
-}
-
 // queryMessage asks for the outcome of an operation.
 func queryMessage(id string) *peerv1.Dispatch {
 	return &peerv1.Dispatch{OperationId: id, Hops: 1, QueryOnly: true}
--- a/internal/daemon/entry/retry.go
+++ b/internal/daemon/entry/retry.go
@@ -42,9 +42,7 @@
 func (n *Node) attempts(ctx context.Context, x *exchange) result {
 	n.budgets.earn(x)
 	for attempt := uint32(1); ; attempt++ {
-		next := *x
-		next.attempt = attempt
-		out := n.try(ctx, &next)
+		out := n.try(ctx, x)
 		if attempt == retry.MaxAttempts || !retryable(x, out) || !n.budgets.spend(x) {
 			return out
 		}
