--- a/internal/daemon/entry/suspect.go
+++ b/internal/daemon/entry/suspect.go
@@ -190,7 +190,7 @@
 
 // shareTimeout bounds how long an answer waits for other hosts to learn of a
 // suspect.
-const shareTimeout = 300 * time.Millisecond
+const shareTimeout = time.Second
 
 // shareSuspect tells the other hosts of this failure domain, and one of each
 // other domain, which passes it on.
