A policy setting for comparisons; no reservations between hosts

Cause: a measurement beside baselines needs the baselines in the daemon; the Reserve exchange was never used, since receivers admit each request. Change: steering.policy is capacity, nearest or random.

--- a/internal/daemon/entry/route.go
+++ b/internal/daemon/entry/route.go
@@ -32,7 +32,7 @@
 		return n.receive(ctx, x)
 	}
 	out := result{fail: noServer(x.svc.Name)}
-	places := n.places(x)
+	places := n.candidates(x)
 	for _, p := range places[:min(len(places), maxPlaces)] {
 		if !n.inTime(ctx, x, p) {
 			continue
@@ -64,7 +64,7 @@
 		return n.receive(ctx, x)
 	}
 	m := x.snap.Members[p.Name]
-	if p.Region == n.region(x) {
+	if p.Region == n.region(x) || !n.capped() {
 		return n.send(ctx, x, m.EntryPeerAddress, m.EntryIncarnation)
 	}
 	permit, err := n.steering.reserve(x, p.Region, n.clock.Now())
@@ -89,6 +89,9 @@
 	if !ok {
 		deadline = now.Add(x.class.Deadline.D())
 	}
+	if !n.capped() {
+		return n.dispatch(ctx, x, servers)
+	}
 	permit, err := n.steering.admit(x, n.region(x), now, deadline)
 	if err != nil {
 		return result{fail: notAdmitted(err)}
@@ -120,6 +123,26 @@
 	return deadline.Sub(n.clock.Now()) >= 2*link.Delay.D()+leastWork
 }
 
+// capped reports whether caps are kept.
+func (n *Node) capped() bool { return cmp.Or(n.cfg.Steering.Policy, PolicyCapacity) == PolicyCapacity }
+
+// candidates lists hosts that may run a request under the policy of the
+// settings.
+func (n *Node) candidates(x *exchange) []lookup.Host {
+	switch n.cfg.Steering.Policy {
+	case PolicyNearest:
+		return []lookup.Host{n.self(x)}
+	case PolicyRandom:
+		all := slices.Clone(x.snap.Hosts)
+		all = slices.DeleteFunc(all, func(h lookup.Host) bool { return len(x.svc.In(h.Domain)) == 0 })
+		if len(all) == 0 {
+			return nil
+		}
+		return []lookup.Host{all[rand.IntN(len(all))]}
+	}
+	return n.places(x)
+}
+
 // places lists hosts that may run a request, in the order to try them: this
 // one, others of the region, then those of the other regions in the order of
 // the caller's preference. Work of another region goes to hosts that the
--- a/internal/daemon/entry/settings.go
+++ b/internal/daemon/entry/settings.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"time"
 
 	"cassiatray/internal/core/document"
@@ -25,9 +26,42 @@
 	Operator document.Address `yaml:"operator"`
 	// Heartbeat is the interval of reports to the steer process.
 	Heartbeat document.Duration `yaml:"heartbeat"`
+	Steering  Steering          `yaml:"steering"`
 	Log       settings.Log      `yaml:"log"`
 }
 
+// Steering sets how requests are placed.
+type Steering struct {
+	Policy SteeringPolicy `yaml:"policy"`
+}
+
+// SteeringPolicy is a way to place requests. All but PolicyCapacity keep no
+// caps and serve for comparison only.
+type SteeringPolicy string
+
+// Values of SteeringPolicy.
+const (
+	// PolicyCapacity offers requests from near to far under the caps.
+	PolicyCapacity SteeringPolicy = "capacity"
+	// PolicyNearest keeps requests in the failure domain that was asked.
+	PolicyNearest SteeringPolicy = "nearest"
+	// PolicyRandom sends requests to any entry host of any region.
+	PolicyRandom SteeringPolicy = "random"
+)
+
+func (s *Steering) check(lines document.Lines) []document.Problem {
+	switch s.Policy {
+	case "":
+		s.Policy = PolicyCapacity
+	case PolicyCapacity, PolicyNearest, PolicyRandom:
+	default:
+		const key = "steering.policy"
+		msg := fmt.Sprintf("expected capacity, nearest or random, got %q", s.Policy)
+		return []document.Problem{{Line: lines.At(key), Key: key, Message: msg}}
+	}
+	return nil
+}
+
 // DefaultHeartbeat is the heartbeat interval when none is set.
 const DefaultHeartbeat = 500 * time.Millisecond
 
@@ -44,5 +78,6 @@
 	if s.Heartbeat == 0 {
 		s.Heartbeat = document.Duration(DefaultHeartbeat)
 	}
+	out = append(out, s.Steering.check(lines)...)
 	return append(out, s.Log.Check("log", lines)...)
 }
