--- a/internal/core/share/drain.go
+++ b/internal/core/share/drain.go
@@ -67,8 +67,8 @@
 
 // Levels says how far places are drained for one service, from 0 to 1.
 type Levels struct {
-	Regions map[string]float64
-	Domains map[string]float64
+	Regions map[string]float64 `json:"regions,omitempty"`
+	Domains map[string]float64 `json:"domains,omitempty"`
 }
 
 // At joins the levels of shifts by place.
--- a/internal/core/share/grants.go
+++ b/internal/core/share/grants.go
@@ -237,8 +237,8 @@
 // Use is one flow's state for dumps.
 type Use struct {
 	Flow
-	InFlight int
-	Limit    int
+	InFlight int `json:"inFlight"`
+	Limit    int `json:"limit"`
 }
 
 // Uses returns the flows in use.
--- a/internal/core/share/limits.go
+++ b/internal/core/share/limits.go
@@ -20,9 +20,9 @@
 
 // Flow is the work of one service that belongs to callers of another region.
 type Flow struct {
-	Service string
+	Service string `json:"service"`
 	// From is the home region of the callers.
-	From string
+	From string `json:"from"`
 }
 
 // Route is the traffic of one service to another region.
--- a/internal/daemon/entry/module.go
+++ b/internal/daemon/entry/module.go
@@ -117,6 +117,7 @@
 	Members     []*peerv1.Member `json:"members"`
 	InFlight    []ServiceState   `json:"inFlight"`
 	Operations  int              `json:"operations"`
+	Steering    SteeringState    `json:"steering"`
 	// Suspects are requests seen in flight when servers crashed.
 	Suspects []SuspectState `json:"suspects"`
 }
@@ -138,6 +139,7 @@
 	}
 	s.Operations = n.operations.len()
 	s.Suspects = n.dumpSuspects()
+	s.Steering = n.steering.dump(n.clock.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for name, g := range n.gates {
--- a/internal/daemon/entry/route.go
+++ b/internal/daemon/entry/route.go
@@ -64,11 +64,13 @@
 		return n.receive(ctx, x)
 	}
 	m := x.snap.Members[p.Name]
+	n.metrics.offers.WithLabelValues(x.svc.Name, p.Region).Inc()
 	if p.Region == n.region(x) || !n.capped() {
 		return n.send(ctx, x, m.EntryPeerAddress, m.EntryIncarnation)
 	}
 	permit, err := n.steering.reserve(x, p.Region, n.clock.Now())
 	if err != nil {
+		n.metrics.refused(x, err)
 		return result{fail: notAdmitted(err)}
 	}
 	out := n.send(ctx, x, m.EntryPeerAddress, m.EntryIncarnation)
@@ -94,6 +96,7 @@
 	}
 	permit, err := n.steering.admit(x, n.region(x), now, deadline)
 	if err != nil {
+		n.metrics.refused(x, err)
 		return result{fail: notAdmitted(err)}
 	}
 	out := n.dispatch(ctx, x, servers)
--- a/internal/daemon/entry/steering.go
+++ b/internal/daemon/entry/steering.go
@@ -215,6 +215,38 @@
 	}
 }
 
+// SteeringState is what caps and shifts hold now.
+type SteeringState struct {
+	// Flows are the requests of other regions in flight on this host.
+	Flows []share.Use `json:"flows"`
+	// LinkBytes are the bytes that count against each region's link.
+	LinkBytes map[string]int64 `json:"linkBytes"`
+	// Drains are the levels of drained places, by service.
+	Drains map[string]share.Levels `json:"drains"`
+	// Changes are the documents whose preferences callers still move to.
+	Changes []string `json:"changes"`
+}
+
+func (s *steering) dump(now time.Time) SteeringState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := SteeringState{Flows: s.grants.Uses(now), LinkBytes: map[string]int64{}}
+	v := s.view.Load()
+	if v == nil {
+		return out
+	}
+	out.Drains = v.levels
+	for _, r := range v.snap.Index.Doc.Regions {
+		if used := s.links.Used(now, r.Name); used > 0 {
+			out.LinkBytes[r.Name] = used
+		}
+	}
+	for _, c := range v.changes {
+		out.Changes = append(out.Changes, c.shift.ID)
+	}
+	return out
+}
+
 // envelope is what a message takes on a link besides its headers and body, in
 // bytes.
 const envelope = 1 << 10
