--- a/internal/daemon/entry/steering_test.go
+++ b/internal/daemon/entry/steering_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"cassiatray/api"
 	"cassiatray/internal/adapter/callerhttp"
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/lookup"
@@ -204,6 +206,35 @@
 	return document.Client{Block: document.Prefix{Prefix: netip.MustParsePrefix(block)}, Regions: regions}
 }
 
+// refusingPeers answers every dispatch that there is no room.
+type refusingPeers struct {
+	port.PeerCaller
+	attempts []uint32
+}
+
+func (p *refusingPeers) Call(_ context.Context, _ string, req *peerv1.Request) (*peerv1.Reply, error) {
+	p.attempts = append(p.attempts, req.GetDispatch().GetAttempt())
+	out := resultMessage(result{fail: overloaded()})
+	return &peerv1.Reply{Body: &peerv1.Reply_DispatchResult{DispatchResult: out}}, nil
+}
+
+// TestRefusedEverywhere offers a request to all places, each attempt under a
+// number of its own, and tells the caller that it was not run.
+func TestRefusedEverywhere(t *testing.T) {
+	n, _ := newTestNode(t, func(doc *document.Document) {
+		doc.Services[0].Servers = slices.DeleteFunc(doc.Services[0].Servers, func(b document.BackendServer) bool { return b.Domain == "sask-a" })
+	})
+	peers := &refusingPeers{}
+	n.peers = peers
+	_, fail := n.Do(context.Background(), testExchange(t, n, saskClient).req)
+	if fail == nil || fail.Code != api.CodeOverloaded || fail.Outcome != api.OutcomeNotRun || fail.RetryAfterMillis == 0 {
+		t.Errorf("failure %v, want overloaded, not-run, with a time to retry", fail)
+	}
+	if !slices.Equal(peers.attempts, []uint32{1, 2, 3, 4, 5}) {
+		t.Errorf("attempts %v, want one at sask-b and two in each other region", peers.attempts)
+	}
+}
+
 func TestStaleSenderAndReceiver(t *testing.T) {
 	n, clock := newTestNode(t, nil)
 	n.steering.at(n.feed.Snapshot(), clock.now)
