Leave out failure domains that do not answer

Cause: in a demo whose region carolinas was killed, look-ups named its hosts for as long as they were watched (22 s): nobody reports the members of a domain that is lost as a whole. Excluded: ageing of views (their versions move with changes only), waiting for failed hand-overs (look-ups cause none). Change: entry hosts probe other domains, eight a second at most; three misses in a row lose one, an answer finds it.

--- a/internal/daemon/entry/module.go
+++ b/internal/daemon/entry/module.go
@@ -80,6 +80,7 @@
 			srv.Start(m.Listener(pl))
 			f.Register(reg)
 			wg.Go(func() { f.Run(ctx) })
+			wg.Go(func() { n.probe(ctx) })
 			go callers.Serve(callerhttp.NewListener(cl, callerhttp.MaxPerSource, callerhttp.MaxConnections))
 			return nil
 		},
--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -50,7 +50,7 @@
 	n := &Node{
 		cfg: cfg, incarnation: incarnation, feed: feed, peers: peers, clock: clock, log: log, metrics: m,
 		operations: newOperations(), budgets: newBudgets(), suspects: newSuspects(),
-		steering: newSteering(cfg, clock.Now()), gates: map[string]*admission.Gate{},
+		steering: newSteering(cfg, clock), gates: map[string]*admission.Gate{},
 	}
 	n.backend = &watchedBackend{Backend: backend, node: n}
 	return n
--- a/internal/daemon/entry/peer.go
+++ b/internal/daemon/entry/peer.go
@@ -41,6 +41,8 @@
 	case *peerv1.Request_Dispatch:
 		out := n.serveDispatch(ctx, body.Dispatch)
 		return &peerv1.Reply{Body: &peerv1.Reply_DispatchResult{DispatchResult: resultMessage(out)}}, nil
+	case *peerv1.Request_Probe:
+		return &peerv1.Reply{Body: &peerv1.Reply_ProbeResult{ProbeResult: &peerv1.ProbeResult{}}}, nil
 	case *peerv1.Request_HandOver:
 		return n.serveHandOver(body.HandOver)
 	case *peerv1.Request_SuspectReport:
--- a/internal/daemon/entry/route.go
+++ b/internal/daemon/entry/route.go
@@ -176,7 +176,7 @@
 		part = v.takersOf(takerKey{x.svc.Name, home, region})
 	}
 	var out []lookup.Host
-	for _, h := range x.snap.Hosts {
+	for _, h := range v.hosts {
 		if h.Region == region && h.Name != n.cfg.Host && v.open(x, h) && (home == region || part[h.Name]) {
 			out = append(out, h)
 		}
@@ -190,7 +190,7 @@
 func (n *Node) near(x *exchange, v *view, region string) []lookup.Host {
 	now := n.clock.Now()
 	byDomain := map[string][]lookup.Host{}
-	for _, h := range x.snap.Hosts {
+	for _, h := range v.hosts {
 		if h.Region == region && h.Domain != n.cfg.Domain && v.open(x, h) {
 			byDomain[h.Domain] = append(byDomain[h.Domain], h)
 		}
--- a/internal/daemon/entry/steering.go
+++ b/internal/daemon/entry/steering.go
@@ -9,6 +9,7 @@
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/lookup"
 	"cassiatray/internal/core/share"
+	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
@@ -22,16 +23,18 @@
 
 // steering holds what look-ups and routes are decided by.
 //
-// mu guards building, the pacers, grants and links; it is never held during
+// mu guards building, the pacers, grants, links and reach; it is never held during
 // I/O. Look-ups read the view without it.
 type steering struct {
-	cfg  Settings
-	view atomic.Pointer[view]
+	cfg   Settings
+	clock port.Clock
+	view  atomic.Pointer[view]
 
 	mu     sync.Mutex
 	pacers map[string]*share.Pacer
 	grants *share.Grants
 	links  *share.Links
+	reach  *lookup.Reach
 	// changes are the documents whose new preferences callers still move to,
 	// oldest first.
 	changes []*change
@@ -39,9 +42,11 @@
 
 // view is a snapshot with what follows from it at one time. It is immutable but for its cache.
 type view struct {
-	snap   *Snapshot
-	built  time.Time
-	plan   *lookup.Plan
+	snap  *Snapshot
+	built time.Time
+	plan  *lookup.Plan
+	// hosts are those of the snapshot whose domains answer.
+	hosts  []lookup.Host
 	policy share.Policy
 	// changes are those of steering, with their levels by service.
 	changes []paced
@@ -55,9 +60,10 @@
 
 type loadKey struct{ service, domain string }
 
-func newSteering(cfg Settings, now time.Time) *steering {
+func newSteering(cfg Settings, clock port.Clock) *steering {
+	now := clock.Now()
 	return &steering{
-		cfg: cfg, pacers: map[string]*share.Pacer{}, grants: share.NewGrants(now), links: share.NewLinks(now),
+		cfg: cfg, clock: clock, reach: lookup.NewReach(), pacers: map[string]*share.Pacer{}, grants: share.NewGrants(now), links: share.NewLinks(now),
 	}
 }
 
@@ -105,7 +111,8 @@
 		v.addChanges(s.changes, name, all)
 	}
 	s.endChanges(v)
-	v.plan = lookup.NewPlan(ix, snap.Hosts, v.weights(now))
+	v.hosts = lookup.Without(snap.Hosts, s.reach.AllLost())
+	v.plan = lookup.NewPlan(ix, v.hosts, v.weights(now))
 	s.grants.Put(now, share.Document{
 		Sequence: snap.Head.Sequence, Accepted: snap.Head.Accepted, Limits: share.LimitsOf(ix, s.cfg.Host),
 	})
