Servers that break connections by themselves accuse no one

Change: a second crash of one server counts only when it ran something in between, and none of a server that goes on breaking connections.

--- a/internal/core/suspect/table.go
+++ b/internal/core/suspect/table.go
@@ -8,13 +8,16 @@
 // does alone, since suspects run one at a time. A crash does not count when
 // another server of the same failure domain crashed at about the same time
 // without the request, nor when more servers crashed at about the same time
-// than one request can take down before it is refused.
+// than one request can take down before it is refused. A second crash of one
+// server counts only when the server ran something to its end in between, and
+// none of a server that goes on breaking connections without doing so.
 package suspect
 
 import (
 	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 )
@@ -49,6 +52,10 @@
 	// sameCause is how near in time crashes of servers of one failure domain
 	// are taken to have one cause.
 	sameCause = 2 * time.Second
+	// lateLimit is how many late broken connections show that the cause of a
+	// crash is in the server. One may be a kept connection to the process that
+	// crashed.
+	lateLimit = 3
 	// maxCrashes and maxInFlight bound the crashes kept and the requests held
 	// against each.
 	maxCrashes  = 128
@@ -79,6 +86,12 @@
 	at     time.Time
 	// inFlight holds the begin of each request's run.
 	inFlight map[Fingerprint]time.Time
+	// worked is set when the server ran a request to its end since its crash
+	// before. A server that only breaks connections does not.
+	worked bool
+	// late counts connections that broke after that without the server running
+	// anything to its end.
+	late int
 }
 
 func (c *crash) has(f Fingerprint) bool {
@@ -87,7 +100,22 @@
 }
 
 // Table holds crashes. It is not safe for concurrent use.
-type Table struct{ crashes []*crash }
+type Table struct {
+	crashes []*crash
+	// ran is when each server that crashed last ran a request to its end.
+	ran map[Server]time.Time
+}
+
+// Ran notes that a server ran a request to its end.
+func (t *Table) Ran(now time.Time, s Server) {
+	if t.last(s) == nil {
+		return
+	}
+	if t.ran == nil {
+		t.ran = map[Server]time.Time{}
+	}
+	t.ran[s] = now
+}
 
 // Empty reports whether nothing is held against any request.
 func (t *Table) Empty() bool { return len(t.crashes) == 0 }
@@ -102,6 +130,9 @@
 	if c == nil || now.Sub(c.at) > aftermath || c.has(f) && !began.Before(c.at) {
 		c = t.add(now, s)
 	}
+	if began.Sub(c.at) > reportDelay && !t.ran[s].After(c.at) {
+		c.late++
+	}
 	if c.has(f) || began.Sub(c.at) > reportDelay || len(c.inFlight) >= maxInFlight {
 		return false
 	}
@@ -109,6 +140,13 @@
 	return true
 }
 
+// Worked reports whether a server ran a request to its end between its last two
+// crashes.
+func (t *Table) Worked(s Server) bool {
+	c := t.last(s)
+	return c != nil && c.worked
+}
+
 // last returns the newest crash of a server, or nil.
 func (t *Table) last(s Server) *crash {
 	for _, c := range slices.Backward(t.crashes) {
@@ -121,6 +159,9 @@
 
 func (t *Table) add(now time.Time, s Server) *crash {
 	c := &crash{server: s, at: now, inFlight: map[Fingerprint]time.Time{}}
+	if before := t.last(s); before != nil {
+		c.worked = t.ran[s].After(before.at)
+	}
 	if len(t.crashes) == maxCrashes {
 		t.crashes = slices.Delete(t.crashes, 0, 1)
 	}
@@ -143,7 +184,9 @@
 }
 
 func (t *Table) expire(now time.Time) {
-	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now.Sub(c.at) > Keep })
+	old := func(at time.Time) bool { return now.Sub(at) > Keep }
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return old(c.at) })
+	maps.DeleteFunc(t.ran, func(_ Server, at time.Time) bool { return old(at) })
 }
 
 // State returns how to treat a request.
@@ -163,22 +206,29 @@
 // them are held against it.
 func (t *Table) count(f Fingerprint) (seen, counted int) {
 	var last time.Time
+	servers := map[Server]struct{}{}
 	for _, c := range t.crashes {
 		began, ok := c.inFlight[f]
 		if !ok {
 			continue
 		}
 		seen++
-		if !began.Before(last) && !t.excused(c, f) {
-			counted++
-			last = c.at
+		_, again := servers[c.server]
+		if began.Before(last) || again && !c.worked || t.excused(c, f) {
+			continue
 		}
+		counted++
+		servers[c.server] = struct{}{}
+		last = c.at
 	}
 	return seen, counted
 }
 
 // excused reports whether a crash had another cause than the request.
 func (t *Table) excused(c *crash, f Fingerprint) bool {
+	if c.late >= lateLimit {
+		return true
+	}
 	near := map[Server]struct{}{}
 	for _, o := range t.crashes {
 		if o.at.Sub(c.at).Abs() > sameCause {
--- a/internal/daemon/entry/suspect.go
+++ b/internal/daemon/entry/suspect.go
@@ -100,6 +100,19 @@
 	return s.table.Crash(now, f, server, began)
 }
 
+// ran notes that a server ran a request to its end.
+func (s *suspects) ran(now time.Time, server suspect.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Ran(now, server)
+}
+
+func (s *suspects) worked(server suspect.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Worked(server)
+}
+
 func (s *suspects) clear(now time.Time, f suspect.Fingerprint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -141,6 +154,9 @@
 	if errors.As(err, &be) && be.Code == port.BackendBroken {
 		b.node.accuse(fingerprintOf(req), req.Service, address, began)
 	}
+	if err == nil && b.node.suspects.any.Load() {
+		b.node.suspects.ran(b.node.clock.Now(), b.node.serverAt(req.Service, address))
+	}
 	return a, err
 }
 
@@ -170,7 +186,7 @@
 	n.log.WithField("server", server.Name).Warn("Server crashed with a request in flight.")
 	n.shareSuspect(&peerv1.Suspect{
 		Fingerprint: f[:], Service: service, Server: server.Name, Domain: server.Domain,
-		RunMicros: now.Sub(began).Microseconds(),
+		RunMicros: now.Sub(began).Microseconds(), Worked: n.suspects.worked(server),
 	})
 }
 
@@ -246,6 +262,9 @@
 	}
 	now := n.clock.Now()
 	server := suspect.Server{Service: s.Service, Name: s.Server, Domain: s.Domain}
+	if s.Worked {
+		n.suspects.ran(now, server)
+	}
 	return n.suspects.crash(now, f, server, now.Add(-time.Duration(s.RunMicros)*time.Microsecond))
 }
 
