--- a/internal/daemon/entry/cluster_test.go
+++ b/internal/daemon/entry/cluster_test.go
@@ -29,6 +29,7 @@
 type cluster struct {
 	nodes   map[string]*Node
 	backend *fakeBackend
+	doc     *document.Document
 
 	mu sync.Mutex
 	// lost is how many of the next replies are lost after they took effect.
@@ -41,8 +42,10 @@
 	runs map[string]int
 	// fail is returned for the next requests, one each.
 	fail []error
-	// gate, if not nil, holds each request until it is closed.
+	// gate, if not nil, holds requests until it is closed: all, or the first
+	// slow ones.
 	gate chan struct{}
+	slow int
 }
 
 // Do implements port.Backend.
@@ -56,6 +59,9 @@
 		err, b.fail = b.fail[0], b.fail[1:]
 	}
 	gate := b.gate
+	if b.slow > 0 && n > b.slow {
+		gate = nil
+	}
 	b.mu.Unlock()
 	if gate != nil {
 		select {
@@ -79,7 +85,7 @@
 var hosts = []string{"a-1", "a-2", "a-3"}
 
 func newCluster(t testing.TB) *cluster {
-	c := &cluster{nodes: map[string]*Node{}, backend: &fakeBackend{runs: map[string]int{}}}
+	c := &cluster{nodes: map[string]*Node{}, backend: &fakeBackend{runs: map[string]int{}}, doc: testDocument()}
 	for _, h := range hosts {
 		c.start(t, h, 1)
 	}
@@ -100,7 +106,7 @@
 
 // publish gives every process the same snapshot.
 func (c *cluster) publish() {
-	index := document.NewIndex(testDocument())
+	index := document.NewIndex(c.doc)
 	view := &peerv1.DomainView{Domain: "a", Version: 1}
 	for _, h := range hosts {
 		if n := c.nodes[h]; n != nil {
--- a/internal/daemon/entry/operate_test.go
+++ b/internal/daemon/entry/operate_test.go
@@ -197,6 +197,32 @@
 	}
 }
 
+// TestHedge checks that a second copy of a slow look-up overtakes it and
+// cancels it, and that an at-most-once request never has one.
+func TestHedge(t *testing.T) {
+	for once, runs := range map[bool]int{false: 2, true: 1} {
+		c := newCluster(t)
+		for i := range c.doc.Services[0].Classes {
+			c.doc.Services[0].Classes[i].HedgeAfter = 1
+		}
+		c.backend.slow = 1
+		c.backend.gate = make(chan struct{})
+		req := &port.CallerRequest{Service: "orders", Method: http.MethodGet, Path: "/stock/salt"}
+		id := ""
+		if once {
+			id = c.newID(t, "a-1")
+			req = booking(id)
+			close(c.backend.gate)
+		}
+		if _, fail := c.nodes["a-1"].Do(context.Background(), req); fail != nil {
+			t.Fatal(fail)
+		}
+		if got := c.backend.ran(id); got != runs {
+			t.Fatalf("%d runs, want %d", got, runs)
+		}
+	}
+}
+
 // TestSuspectShared checks that a crashing request is refused everywhere after
 // its second crash, and that a run to the end clears a request everywhere.
 func TestSuspectShared(t *testing.T) {
--- a/internal/daemon/entry/retry.go
+++ b/internal/daemon/entry/retry.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"cassiatray/api"
 	"cassiatray/internal/core/retry"
@@ -42,7 +43,7 @@
 func (n *Node) attempts(ctx context.Context, x *exchange) result {
 	n.budgets.earn(x)
 	for attempt := uint32(1); ; attempt++ {
-		out := n.try(ctx, x)
+		out := n.hedged(ctx, x)
 		if attempt == retry.MaxAttempts || !retryable(x, out) || !n.budgets.spend(x) {
 			return out
 		}
@@ -54,6 +55,37 @@
 	}
 }
 
+// hedged makes one attempt, and a second beside it when an idempotent request
+// has no answer after the class's wait and the budget has room. The first good
+// answer cancels the other.
+func (n *Node) hedged(ctx context.Context, x *exchange) result {
+	wait := x.class.HedgeAfter.D()
+	if wait <= 0 || x.once() {
+		return n.try(ctx, x)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, 2)
+	run := func() { results <- n.try(ctx, x) }
+	go run()
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case out := <-results:
+		return out
+	case <-t.C:
+	}
+	if !n.budgets.spend(x) {
+		return <-results
+	}
+	n.metrics.retries.WithLabelValues(x.svc.Name, x.class.Name).Inc()
+	go run()
+	if out := <-results; out.fail == nil {
+		return out
+	}
+	return <-results
+}
+
 // try makes one attempt, alone when the request is suspected of crashing
 // servers.
 func (n *Node) try(ctx context.Context, x *exchange) result {
