--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -48,7 +48,8 @@
 // misbehave makes some servers answer late, crossed, short or not at all.
 func misbehave(ctx context.Context, t *testing.T, s *site.Site) {
 	t.Helper()
-	for i, b := range []server.Behavior{{ExtraMillis: 3000}, {Cross: true}, {Short: true}, {Drop: true}} {
+	behaviors := []server.Behavior{{ExtraMillis: 3000}, {Cross: true}, {Short: true}, {Drop: true}}
+	for i, b := range behaviors[:setting(t, "DRILL_MISBEHAVING", len(behaviors))] {
 		if err := SetBehavior(ctx, s.Servers[i:i+1], b); err != nil {
 			t.Fatal(err)
 		}
@@ -56,8 +57,8 @@
 }
 
 // TestFaults kills and freezes processes under load, while some servers answer
-// late, crossed, short or not at all. DRILL_FAULTS sets how many times and
-// DRILL_SEED the choice.
+// late, crossed, short or not at all. DRILL_FAULTS sets how many times,
+// DRILL_SEED the choice and DRILL_MISBEHAVING how many servers misbehave.
 func TestFaults(t *testing.T) {
 	count := setting(t, "DRILL_FAULTS", 4)
 	ctx, s := start(t, time.Duration(count)*10*time.Second+time.Minute)
