Number the attempts of every exchange; name processes that died in results

Cause: make measure at 80% load showed refused connections: entry processes had died with a nil pointer in nextAttempt.

Change: exchange sets the counter. TestServersElsewhere sends both kinds of requests to a host whose domain has no servers (with the counter taken out it fails with "internal unknown" and the same panic). The measurements mark a scenario as failed when a process ended by itself, with the end of its log, and keep a sample message of each failure code.

Excluded: overload and the limit of connections for each source, which a refused connection also suggests: the log of the dead process names the line.

--- a/internal/daemon/entry/cluster_test.go
+++ b/internal/daemon/entry/cluster_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -96,7 +99,7 @@
 func (c *cluster) start(t testing.TB, host string, incarnation uint64) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	cfg := Settings{Host: host, Domain: "a"}
+	cfg := Settings{Host: host, Domain: domainOf(host)}
 	feed := NewFeed(cfg, incarnation, c, logging.Part(log, "feed"))
 	feed.SetState(peerv1.HostState_HOST_STATE_SERVING)
 	n := NewNode(cfg, incarnation, feed, c.backend, c, port.SystemClock{}, logging.Part(log, "entry"), NewMetrics(prometheus.NewRegistry()))
@@ -104,18 +107,26 @@
 	c.publish()
 }
 
+// domainOf returns the failure domain in the name of a host.
+func domainOf(host string) string {
+	domain, _, _ := strings.Cut(host, "-")
+	return domain
+}
+
 // publish gives every process the same snapshot.
 func (c *cluster) publish() {
 	index := document.NewIndex(c.doc)
-	view := &peerv1.DomainView{Domain: "a", Version: 1}
-	for _, h := range hosts {
-		if n := c.nodes[h]; n != nil {
-			view.Members = append(view.Members, &peerv1.Member{
-				Host: h, Domain: "a", EntryIncarnation: n.incarnation, EntryState: peerv1.HostState_HOST_STATE_SERVING, EntryPeerAddress: h,
-			})
+	views := map[string]*peerv1.DomainView{}
+	for h, n := range c.nodes {
+		domain := domainOf(h)
+		if views[domain] == nil {
+			views[domain] = &peerv1.DomainView{Domain: domain, Version: 1}
 		}
+		views[domain].Members = append(views[domain].Members, &peerv1.Member{
+			Host: h, Domain: domain, EntryIncarnation: n.incarnation, EntryState: peerv1.HostState_HOST_STATE_SERVING, EntryPeerAddress: h,
+		})
 	}
-	snap := newSnapshot(document.Head{Sequence: 1}, index, lookup.NewTable(nil), []*peerv1.DomainView{view})
+	snap := newSnapshot(document.Head{Sequence: 1}, index, lookup.NewTable(nil), slices.Collect(maps.Values(views)))
 	for _, n := range c.nodes {
 		n.feed.snapshot.Store(snap)
 	}
--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -129,7 +129,7 @@
 	if fail != nil {
 		return nil, fail
 	}
-	x := &exchange{snap: snap, svc: svc, class: class, req: req}
+	x := &exchange{snap: snap, svc: svc, class: class, req: req, sent: new(atomic.Uint32)}
 	if block, ok := n.steering.at(snap, n.clock.Now()).find(svc.Name, req.Client); ok {
 		x.home = block.Regions[0]
 	}
--- a/internal/daemon/entry/operate_test.go
+++ b/internal/daemon/entry/operate_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"cassiatray/api"
+	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/suspect"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
@@ -93,6 +94,26 @@
 	}
 }
 
+// TestServersElsewhere checks requests of both kinds at a host whose domain has
+// no servers.
+func TestServersElsewhere(t *testing.T) {
+	c := newCluster(t)
+	c.doc.Regions[0].Domains = append(c.doc.Regions[0].Domains, document.Domain{
+		Name: "b", EntryHosts: []document.EntryHost{{Name: "b-1", Entry: c.doc.Regions[0].Domains[0].EntryHosts[0].Entry}},
+	})
+	for i := range c.doc.Services[0].Servers {
+		c.doc.Services[0].Servers[i].Domain = "b"
+	}
+	c.start(t, "b-1", 1)
+	id := c.newID(t, "a-1")
+	want(t, c.book("a-2", id), "run 1")
+	want(t, c.book("b-1", id), "run 1")
+	stock := &port.CallerRequest{Service: "orders", Method: http.MethodGet, Path: "/stock", Header: http.Header{}}
+	if _, fail := c.nodes["a-3"].Do(context.Background(), stock); fail != nil {
+		t.Fatal(fail)
+	}
+}
+
 // TestHandOver stops hosts one after another: the records move along, and an
 // operation that was never begun is known not to have run.
 func TestHandOver(t *testing.T) {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -165,10 +165,10 @@
 		r.row.Done++
 	case errors.As(err, &fail) && fail.Outcome == api.OutcomeNotRun:
 		r.row.NotRun++
-		r.row.fail(fail.Code)
+		r.row.fail(fail)
 	case errors.As(err, &fail):
 		r.row.Unknown++
-		r.row.fail(fail.Code)
+		r.row.fail(fail)
 	default:
 		r.row.Unknown++
 	}
--- a/internal/load/row.go
+++ b/internal/load/row.go
@@ -31,12 +31,14 @@
 type FailureRows struct {
 	Code  api.Code `json:"code"`
 	Count int      `json:"count"`
+	// Sample is the message of the first of them.
+	Sample string `json:"sample"`
 }
 
-func (r *Row) fail(code api.Code) {
-	i := slices.IndexFunc(r.Failures, func(f FailureRows) bool { return f.Code == code })
+func (r *Row) fail(e *api.Error) {
+	i := slices.IndexFunc(r.Failures, func(f FailureRows) bool { return f.Code == e.Code })
 	if i < 0 {
-		r.Failures = append(r.Failures, FailureRows{Code: code})
+		r.Failures = append(r.Failures, FailureRows{Code: e.Code, Sample: e.Message})
 		i = len(r.Failures) - 1
 	}
 	r.Failures[i].Count++
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	defer b.end()
+	defer b.end(s)
 	target := b.Servers[0]
 	var accepted time.Time
 	s.Rows, err = b.during(ctx, r.Time, coopStreams(shape, 0.5), func(ctx context.Context) error {
@@ -107,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	defer b.end()
+	defer b.end(s)
 	replaced, clean := 0, 0
 	s.Rows, err = b.during(ctx, replaceTime, coopStreams(shape, 0.5), func(ctx context.Context) error {
 		end := time.Now().Add(replaceTime - 5*time.Second)
@@ -143,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	defer b.end()
+	defer b.end(s)
 	lost := b.Shape.Regions[1]
 	s.Rows = b.load(ctx, r.Time/2, coopStreams(shape, 0.5)...)
 	label(s.Rows, "before")
@@ -187,7 +187,7 @@
 	if err != nil {
 		return err
 	}
-	defer b.end()
+	defer b.end(s)
 	streams := coopStreams(shape, 0.25)
 	s.Rows, err = b.during(ctx, outageTime, streams, func(ctx context.Context) error {
 		if err := b.storeFaults(ctx, store.Faults{Down: true}); err != nil {
@@ -234,7 +234,7 @@
 	if err != nil {
 		return err
 	}
-	defer b.end()
+	defer b.end(s)
 	var bad []load.Row
 	s.Rows, err = b.during(ctx, r.Time, coopStreams(shape, 0.3), func(ctx context.Context) error {
 		bad = b.load(ctx, r.Time/2, load.Stream{
@@ -260,7 +260,7 @@
 	if err != nil {
 		return err
 	}
-	defer b.end()
+	defer b.end(s)
 	sequence := uint64(1)
 	for _, rate := range []float64{0.76, 5} {
 		var slowest, total time.Duration
--- a/internal/measure/results.go
+++ b/internal/measure/results.go
@@ -29,7 +29,8 @@
 	Rows    []load.Row `json:"rows,omitempty"`
 	Figures []Figure   `json:"figures,omitempty"`
 	Roles   []RoleCost `json:"roles,omitempty"`
-	// Failed says why the scenario could not be finished.
+	// Failed says why the scenario failed: it could not be finished, or a process
+	// ended by itself.
 	Failed string `json:"failed,omitempty"`
 }
 
@@ -118,7 +119,7 @@
 func (s *Scenario) markdown(b *strings.Builder, earlier *Results) {
 	fmt.Fprintf(b, "\n## %s (%s)\n\n%s\n", s.Name, s.Site, s.Note)
 	if s.Failed != "" {
-		fmt.Fprintf(b, "\nNot finished: %s\n", s.Failed)
+		fmt.Fprintf(b, "\nFailed: %s\n", s.Failed)
 	}
 	if len(s.Rows) > 0 {
 		b.WriteString("\n| stream | rate/s | sent | done | not-run | unknown | in time | p50 ms | p99 ms | p99.9 ms | max ms |\n")
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -72,7 +72,9 @@
 	s := Scenario{Name: sc.name, Note: sc.note}
 	if err := sc.run(r, ctx, &s); err != nil {
 		s.Failed = err.Error()
-		fmt.Fprintf(r.Out, "  not finished: %v\n", err)
+	}
+	if s.Failed != "" {
+		fmt.Fprintf(r.Out, "  failed: %s\n", s.Failed)
 	}
 	for _, row := range s.Rows {
 		fmt.Fprintf(r.Out, "  %s\n", row)
@@ -120,9 +122,12 @@
 	return b.AwaitServing(ctx)
 }
 
-// end stops the site and returns the names of processes that did not stop in
-// order.
-func (b *bed) end() {
+// end stops the site, and marks the scenario as failed when a process of the
+// site ended by itself.
+func (b *bed) end(s *Scenario) {
+	if err := b.Running(); err != nil {
+		s.Failed = err.Error()
+	}
 	b.Stop()
 	b.Close()
 }
--- a/internal/measure/steady.go
+++ b/internal/measure/steady.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	defer b.end()
+	defer b.end(s)
 	var direct []string
 	for _, srv := range b.Servers {
 		if srv.Service == "rodsheet" {
@@ -121,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	defer b.end()
+	defer b.end(s)
 	calls, before, start := b.storeCounts(ctx), b.usage(), time.Now()
 	if !pause(ctx, r.Time) {
 		return ctx.Err()
@@ -154,7 +154,7 @@
 		if err != nil {
 			return err
 		}
-		defer b.end()
+		defer b.end(s)
 		before, start := b.usage(), time.Now()
 		s.Rows = b.load(ctx, r.Time, coopStreams(shape, share)...)
 		s.Roles = costs(before, b.usage(), time.Since(start))
@@ -182,7 +182,7 @@
 	if err != nil {
 		return err
 	}
-	defer b.end()
+	defer b.end(s)
 	for _, factor := range []float64{1, 3, 1} {
 		rows := b.load(ctx, r.Time/2, franchiseStreams(shape, base*factor)...)
 		for i := range rows {
@@ -207,7 +207,7 @@
 	if err != nil {
 		return err
 	}
-	defer b.end()
+	defer b.end(s)
 	for _, domain := range b.Document.DomainNames() {
 		b.Process(site.ServersName(domain)).Kill()
 		if err := b.StartServers(domain); err != nil {
--- a/internal/site/runner.go
+++ b/internal/site/runner.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -40,6 +41,8 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 	err  error
+	// ended is set once this process was told to end.
+	ended atomic.Bool
 }
 
 // Range of the second octet of sites' networks.
@@ -188,13 +191,16 @@
 func (e *DiedError) Error() string { return fmt.Sprintf("%s died: %s", e.Name, e.Log) }
 
 // logTail is how much of a dead process's log is shown, in bytes.
-const logTail = 400
+const logTail = 4000
 
-// Running returns a DiedError when a process of the site has ended.
+// Running returns a DiedError when a process of the site has ended by itself.
 func (s *Site) Running() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, p := range s.procs {
+		if p.ended.Load() {
+			continue
+		}
 		select {
 		case <-p.done:
 			log, _ := os.ReadFile(s.File(name + ".log"))
@@ -232,7 +238,12 @@
 }
 
 // Signal sends a signal to the process.
-func (p *Process) Signal(sig os.Signal) error { return p.cmd.Process.Signal(sig) }
+func (p *Process) Signal(sig os.Signal) error {
+	if sig == syscall.SIGTERM || sig == syscall.SIGINT || sig == syscall.SIGKILL {
+		p.ended.Store(true)
+	}
+	return p.cmd.Process.Signal(sig)
+}
 
 // Wait waits for the process to end and returns its exit status, or -1 when a
 // signal ended it or the context did first.
@@ -247,6 +258,7 @@
 
 // Kill ends the process at once and waits for it.
 func (p *Process) Kill() {
+	p.ended.Store(true)
 	p.cmd.Process.Kill()
 	<-p.done
 }
