Check names and distinct addresses in settings

Cause: a host or environment that no document can name, and one address for two listeners, were found only when the daemon ran.

--- a/internal/daemon/steer/settings.go
+++ b/internal/daemon/steer/settings.go
@@ -42,12 +42,15 @@
 // Check implements settings.Checker and fills in defaults.
 func (s *Settings) Check(lines document.Lines) []document.Problem {
 	var out []document.Problem
-	out = append(out, settings.Required(lines, "host", s.Host)...)
-	out = append(out, settings.Required(lines, "domain", s.Domain)...)
-	out = append(out, settings.Required(lines, "environment", s.Environment)...)
+	out = append(out, settings.RequiredName(lines, "host", s.Host)...)
+	out = append(out, settings.RequiredName(lines, "domain", s.Domain)...)
+	out = append(out, settings.RequiredName(lines, "environment", s.Environment)...)
 	out = append(out, settings.RequiredAddress(lines, "platform", s.Platform)...)
 	out = append(out, settings.RequiredAddress(lines, "peer", s.Peer)...)
 	out = append(out, settings.RequiredAddress(lines, "operator", s.Operator)...)
+	out = append(out, settings.Distinct(lines,
+		settings.KeyedAddress{Key: "platform", Address: s.Platform}, settings.KeyedAddress{Key: "peer", Address: s.Peer},
+		settings.KeyedAddress{Key: "operator", Address: s.Operator})...)
 	if s.Heartbeat == 0 {
 		s.Heartbeat = document.Duration(DefaultHeartbeat)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,15 @@
 	return []document.Problem{Fault(lines, key, "missing value, expected text")}
 }
 
+// RequiredName returns a fault when a setting is missing or cannot be a name in
+// a document or the name of an environment.
+func RequiredName(lines document.Lines, key, value string) []document.Problem {
+	if value == "" || document.ValidName(value) {
+		return Required(lines, key, value)
+	}
+	return []document.Problem{Fault(lines, key, "expected a name of lower-case letters, digits, dots, dashes and underscores, got %q", value)}
+}
+
 // RequiredAddress returns a fault when an address setting is missing.
 func RequiredAddress(lines document.Lines, key string, a document.Address) []document.Problem {
 	if a.IsValid() {
@@ -79,3 +88,26 @@
 	}
 	return []document.Problem{Fault(lines, key, `missing value, expected an IP address with a port such as "10.0.0.1:8080"`)}
 }
+
+// KeyedAddress is an address setting with its key.
+type KeyedAddress struct {
+	Key     string
+	Address document.Address
+}
+
+// Distinct returns a fault for each address that an earlier one equals.
+func Distinct(lines document.Lines, list ...KeyedAddress) []document.Problem {
+	var out []document.Problem
+	seen := map[document.Address]string{}
+	for _, k := range list {
+		if k.Address.IsZero() {
+			continue
+		}
+		if other, ok := seen[k.Address]; ok {
+			out = append(out, Fault(lines, k.Key, "address %s is already used by %s", k.Address, other))
+			continue
+		}
+		seen[k.Address] = k.Key
+	}
+	return out
+}
