Fail with a type on a malformed section of a first document

Cause: Effects compared documents although reading them had failed; a malformed section ended cassiatrayctl in a panic. Shown failing first: TestMalformedSection panics without the change.

--- a/internal/envstore/change_test.go
+++ b/internal/envstore/change_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"slices"
@@ -84,6 +85,39 @@
 	}
 }
 
+// TestMissingSection promotes a document of which each section is lost in turn:
+// the failure is typed and production stays as it is.
+func TestMissingSection(t *testing.T) {
+	ctx, m := t.Context(), newMemory()
+	s := New(m, port.SystemClock{})
+	submit(t, s, "trial", doc(t, 9))
+	for key, e := range maps.Clone(m.entries) {
+		if !strings.HasPrefix(key, sectionPrefix) {
+			continue
+		}
+		delete(m.entries, key)
+		_, err := s.Promote(ctx, Promotion{From: "trial", To: "production"})
+		head, _, _ := s.Head(ctx, "production")
+		if !port.IsStoreCode(err, port.StoreNotFound) || head.Sequence != 0 {
+			t.Errorf("without %s: sequence %d, %v", key, head.Sequence, err)
+		}
+		m.entries[key] = e
+	}
+}
+
+// TestMalformedSection promotes a section that matches its hash and is no JSON.
+func TestMalformedSection(t *testing.T) {
+	ctx, s := t.Context(), New(newMemory(), port.SystemClock{})
+	bad := document.Section{Name: "caps", Hash: document.HashOf([]byte("[")), Data: []byte("[")}
+	if _, err := s.Apply(ctx, Proposal{Environment: "trial", Sections: []document.Section{bad}}); err != nil {
+		t.Fatal(err)
+	}
+	var section *document.SectionError
+	if _, err := s.Promote(ctx, Promotion{From: "trial", To: "production"}); !errors.As(err, &section) {
+		t.Errorf("error = %v", err)
+	}
+}
+
 // TestCalls bounds the calls of an operation on a document of 5,000 client
 // blocks. At 66,000 changes a day a bound of 64 reads and 16 writes is 49
 // reads and 12 writes a second.
--- a/internal/envstore/effects.go
+++ b/internal/envstore/effects.go
@@ -17,8 +17,11 @@
 	}
 	r := newReader(s, atHand, tree.Added, tree.Removed)
 	after, err := r.partly(ctx, next, tree.Added)
-	if err != nil || len(old) == 0 {
-		return document.Diff(nil, after), err
+	if err != nil {
+		return nil, err
+	}
+	if len(old) == 0 {
+		return document.Diff(nil, after), nil
 	}
 	before, err := r.partly(ctx, old, tree.Removed)
 	if err != nil {
