Lost domains fall silent; measurements of distribution; properties of relay and membership

A domain whose hosts are all lost had no lead to report them gone, and look-ups named them for ever. Leads count beats; a domain whose beat has not risen for 24 intervals is silent (TestDomainLost, TestBeats). A first try with ages failed TestBeats and was dropped (docs/design/distribution.md).

--- a/internal/daemon/entry/feed.go
+++ b/internal/daemon/entry/feed.go
@@ -45,6 +45,9 @@
 	state       atomic.Int32
 	// source is the address followed now.
 	source atomic.Pointer[string]
+	// since is when the newest head was put in force here, in Unix
+	// nanoseconds; zero before the first.
+	since atomic.Int64
 	// missed counts reports to this host's steer process that failed since
 	// one succeeded.
 	missed atomic.Int32
@@ -52,6 +55,8 @@
 	// Only the follow loop uses these.
 	table *lookup.Table
 	views *relay.Views
+	// silent are the domains whose hosts look-ups do not name.
+	silent []string
 }
 
 // NewFeed returns a feed with no snapshot.
@@ -81,6 +86,15 @@
 	return ""
 }
 
+// Since returns when the newest head was put in force here; zero before the
+// first.
+func (f *Feed) Since() time.Time {
+	if ns := f.since.Load(); ns != 0 {
+		return time.Unix(0, ns).UTC()
+	}
+	return time.Time{}
+}
+
 // Run follows and reports until the context ends.
 func (f *Feed) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -166,11 +180,17 @@
 		}
 	}
 	f.views.Merge(up.GetDomains())
+	if s := up.GetSilent(); s != nil {
+		f.silent = s.Domains
+	}
 	index := f.receiver.Index()
 	if index == nil {
 		return nil
 	}
-	f.snapshot.Store(newSnapshot(f.receiver.Head(), index, f.table, f.views.All()))
+	if s := f.snapshot.Load(); s == nil || s.Head.Sequence < f.receiver.Head().Sequence {
+		f.since.Store(time.Now().UnixNano())
+	}
+	f.snapshot.Store(newSnapshot(f.receiver.Head(), index, f.table, f.views.All(), f.silent))
 	if f.State() == peerv1.HostState_HOST_STATE_STARTING {
 		f.SetState(peerv1.HostState_HOST_STATE_SERVING)
 		f.log.Info("Serving.")
--- a/internal/daemon/entry/module.go
+++ b/internal/daemon/entry/module.go
@@ -106,14 +106,18 @@
 
 // State is the dump of an entry process.
 type State struct {
-	Host        string           `json:"host"`
-	Domain      string           `json:"domain"`
-	Incarnation uint64           `json:"incarnation,string"`
-	State       string           `json:"state"`
-	Head        document.Head    `json:"head"`
-	Members     []*peerv1.Member `json:"members"`
-	InFlight    []ServiceState   `json:"inFlight"`
-	Operations  int              `json:"operations"`
+	Host        string        `json:"host"`
+	Domain      string        `json:"domain"`
+	Incarnation uint64        `json:"incarnation,string"`
+	State       string        `json:"state"`
+	Head        document.Head `json:"head"`
+	// Since is when Head was put in force here.
+	Since time.Time `json:"since,omitzero"`
+	// Source is the steer process that is followed now.
+	Source     string           `json:"source"`
+	Members    []*peerv1.Member `json:"members"`
+	InFlight   []ServiceState   `json:"inFlight"`
+	Operations int              `json:"operations"`
 	// Suspects are requests seen in flight when servers crashed.
 	Suspects []SuspectState `json:"suspects"`
 }
@@ -128,7 +132,7 @@
 func (n *Node) Dump() any {
 	s := State{Host: n.cfg.Host, Domain: n.cfg.Domain, Incarnation: n.incarnation, State: n.feed.State().String()}
 	if snap := n.feed.Snapshot(); snap != nil {
-		s.Head = snap.Head
+		s.Head, s.Since, s.Source = snap.Head, n.feed.Since(), n.feed.Source()
 		for _, m := range snap.Members {
 			s.Members = append(s.Members, m)
 		}
--- a/internal/daemon/entry/snapshot.go
+++ b/internal/daemon/entry/snapshot.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"slices"
+
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/lookup"
 	peerv1 "cassiatray/proto/peer/v1"
@@ -18,24 +20,25 @@
 	Members map[string]*peerv1.Member
 }
 
-// newSnapshot joins a document with the members of all domains.
-func newSnapshot(head document.Head, index *document.Index, table *lookup.Table, domains []*peerv1.DomainView) *Snapshot {
+// newSnapshot joins a document with the members of all domains. Hosts of
+// silent domains stay members, but look-ups do not name them.
+func newSnapshot(head document.Head, index *document.Index, table *lookup.Table, domains []*peerv1.DomainView, silent []string) *Snapshot {
 	s := &Snapshot{Head: head, Index: index, Table: table, Members: map[string]*peerv1.Member{}}
 	for _, view := range domains {
 		for _, m := range view.Members {
-			s.add(m)
+			s.add(m, slices.Contains(silent, view.Domain))
 		}
 	}
 	return s
 }
 
-func (s *Snapshot) add(m *peerv1.Member) {
+func (s *Snapshot) add(m *peerv1.Member, silent bool) {
 	if m.EntryIncarnation == 0 {
 		return
 	}
 	s.Members[m.Host] = m
 	h := s.Index.Host(m.Host)
-	if h == nil || m.EntryState != peerv1.HostState_HOST_STATE_SERVING {
+	if h == nil || silent || m.EntryState != peerv1.HostState_HOST_STATE_SERVING {
 		return
 	}
 	s.Hosts = append(s.Hosts, lookup.Host{
--- a/internal/daemon/steer/exchange.go
+++ b/internal/daemon/steer/exchange.go
@@ -134,6 +134,7 @@
 	report := &peerv1.DomainReport{
 		Environment: n.cfg.Environment, Sequence: n.head().Sequence, Domains: views, Digest: n.views.Digest(), Want: want,
 	}
+	report.Beats, report.BeatsDigest = n.exportBeats()
 	n.mu.Unlock()
 	reply, err := n.peers.Call(ctx, address, &peerv1.Request{Body: &peerv1.Request_DomainReport{DomainReport: report}})
 	ack := reply.GetDomainReportAck()
@@ -145,6 +146,7 @@
 		return nil, false
 	}
 	n.heardFrom(c, c.host, ack.Sequence, address)
+	n.mergeBeats(ack.Beats, ack.BeatsDigest)
 	n.mu.Unlock()
 	n.mergeViews(ack.Domains)
 	return ack, true
--- a/internal/daemon/steer/heartbeat.go
+++ b/internal/daemon/steer/heartbeat.go
@@ -27,6 +27,7 @@
 	}
 	n.view.Observe(n.self)
 	n.refreshOwnDomain()
+	n.tickBeats()
 	if address, ok := n.behind.tick(n.head().Sequence); ok {
 		n.wg.Go(func() { n.catchUp(ctx, address) })
 	}
--- a/internal/daemon/steer/node.go
+++ b/internal/daemon/steer/node.go
@@ -58,6 +58,11 @@
 	news chan struct{}
 	// fresh are the views that changed since the last report to partners.
 	fresh map[string]bool
+	// beats are kept while this process leads; silent is what it makes of
+	// them, or what its lead does. silentVersion grows with each change.
+	beats         *relay.Beats
+	silent        []string
+	silentVersion uint64
 	// rotation varies the host of another domain that is called first.
 	rotation int
 }
@@ -93,6 +98,8 @@
 		changed:  make(chan struct{}),
 		news:     make(chan struct{}, 1),
 		fresh:    map[string]bool{},
+		// Above zero, so that each follower is told once.
+		silentVersion: 1,
 	}
 }
 
--- a/internal/daemon/steer/pull.go
+++ b/internal/daemon/steer/pull.go
@@ -106,6 +106,7 @@
 // take puts an update from another steer process in force.
 func (n *Node) take(ctx context.Context, address string, up *peerv1.Update) error {
 	n.mergeViews(up.GetDomains())
+	n.takeSilent(up.GetSilent())
 	if up.GetHead() == nil {
 		return nil
 	}
--- a/internal/daemon/steer/serve.go
+++ b/internal/daemon/steer/serve.go
@@ -82,6 +82,8 @@
 	} else {
 		n.mergeViews(r.Domains)
 		n.mu.Lock()
+		n.mergeBeats(r.Beats, r.BeatsDigest)
+		ack.Beats, ack.BeatsDigest = n.exportBeats()
 		ack.Domains = n.views.Select(r.Want)
 		if n.views.Digest() != r.Digest && len(r.Want) == 0 {
 			ack.Versions = n.views.Versions()
@@ -115,17 +117,15 @@
 	if f.Environment != n.cfg.Environment {
 		return &relay.EnvironmentError{Want: n.cfg.Environment, Got: f.Environment}
 	}
-	have, views := f.HaveSequence, relay.NewKnown(f.HaveDomains)
+	fw := &follower{sequence: f.HaveSequence, views: relay.NewKnown(f.HaveDomains)}
 	n.metrics.followers.Inc()
 	defer n.metrics.followers.Dec()
 	for {
-		up, changed := n.nextUpdate(have, views)
+		up, changed := n.nextUpdate(fw)
 		if up != nil {
 			if err := send(&peerv1.Reply{Body: &peerv1.Reply_Update{Update: up}}); err != nil {
 				return err
 			}
-			have = max(have, up.GetHead().GetSequence())
-			views.Add(up.Domains)
 		}
 		select {
 		case <-changed:
@@ -135,24 +135,39 @@
 	}
 }
 
+// follower is what was sent on one stream.
+type follower struct {
+	sequence uint64
+	views    relay.Known
+	// silent is the version of the silent domains; zero before any was sent.
+	silent uint64
+}
+
 // nextUpdate returns what a follower needs, or nil, and a channel that is
-// closed when there is more.
-func (n *Node) nextUpdate(have uint64, views relay.Known) (*peerv1.Update, <-chan struct{}) {
+// closed when there is more. It counts the update as sent.
+func (n *Node) nextUpdate(fw *follower) (*peerv1.Update, <-chan struct{}) {
 	n.mu.Lock()
 	changed, ready := n.changed, n.ready
-	newer := n.views.Newer(views)
+	domains := n.views.Newer(fw.views)
+	silent, version := n.silent, n.silentVersion
 	n.mu.Unlock()
 	if !ready {
 		return nil, changed
 	}
-	h, d, ok := n.receiver.Next(have)
-	switch {
-	case ok:
-		up := convert.UpdateMessage(h, d)
-		up.Domains = newer
-		return up, changed
-	case len(newer) > 0:
-		return &peerv1.Update{Domains: newer}, changed
+	up := new(peerv1.Update)
+	h, d, ok := n.receiver.Next(fw.sequence)
+	if ok {
+		up = convert.UpdateMessage(h, d)
+		fw.sequence = h.Sequence
+	}
+	if version != fw.silent {
+		up.Silent = &peerv1.SilentDomains{Domains: silent}
+	}
+	up.Domains = domains
+	fw.views.Add(domains)
+	fw.silent = version
+	if up.Head == nil && up.Silent == nil && len(domains) == 0 {
+		return nil, changed
 	}
-	return nil, changed
+	return up, changed
 }
--- a/internal/daemon/steer/state.go
+++ b/internal/daemon/steer/state.go
@@ -42,11 +42,13 @@
 	// Since is when Head was put in force here.
 	Since time.Time `json:"since,omitzero"`
 	// NewestHeard is the newest sequence that any other process showed.
-	NewestHeard uint64            `json:"newestHeard"`
-	Domains     []DomainState     `json:"domains"`
-	Peers       []PeerState       `json:"peers"`
-	Self        *peerv1.Member    `json:"self"`
-	Heartbeat   document.Duration `json:"heartbeat"`
+	NewestHeard uint64        `json:"newestHeard"`
+	Domains     []DomainState `json:"domains"`
+	// Silent are the domains of which nothing is heard.
+	Silent    []string          `json:"silent,omitempty"`
+	Peers     []PeerState       `json:"peers"`
+	Self      *peerv1.Member    `json:"self"`
+	Heartbeat document.Duration `json:"heartbeat"`
 }
 
 // DomainState is one domain as this process sees it.
@@ -77,7 +79,7 @@
 	s := State{
 		Host: n.cfg.Host, Domain: n.cfg.Domain, Environment: n.cfg.Environment, Incarnation: n.incarnation,
 		Ready: n.ready, Lead: lead.GetHost(), Choice: choice, Head: n.head(), Since: n.since,
-		NewestHeard: n.behind.sequence, Self: cloneMember(n.self), Heartbeat: n.cfg.Heartbeat,
+		NewestHeard: n.behind.sequence, Silent: n.silent, Self: cloneMember(n.self), Heartbeat: n.cfg.Heartbeat,
 	}
 	s.Self.SteerSequence, s.Self.EntrySequence = s.Head.Sequence, n.entrySequence
 	for _, v := range n.views.All() {
--- a/internal/daemon/steertest/kv.go
+++ b/internal/daemon/steertest/kv.go
@@ -39,8 +39,11 @@
 	Unreachable func(from string) bool
 }
 
-// Counts are calls received.
-type Counts struct{ Reads, Writes, Watches int }
+// Counts are calls received, and bytes of values.
+type Counts struct {
+	Reads, Writes, Watches  int
+	BytesRead, BytesWritten int
+}
 
 // NewKV returns an empty service.
 func NewKV() *KV {
@@ -140,6 +143,7 @@
 	if !ok {
 		return port.Entry{}, failure(port.StoreNotFound, "get", key)
 	}
+	c.kv.counts.BytesRead += len(e.Value)
 	return e, nil
 }
 
@@ -175,6 +179,7 @@
 // set needs kv.mu.
 func (kv *KV) set(key string, value []byte, lease port.LeaseID) {
 	kv.index++
+	kv.counts.BytesWritten += len(value)
 	kv.entries[key] = port.Entry{Key: key, Value: slices.Clone(value), Revision: kv.index, Lease: lease}
 	kv.wake()
 }
