--- a/cmd/cassiatrayctl/main.go
+++ b/cmd/cassiatrayctl/main.go
@@ -3,8 +3,9 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -17,15 +18,19 @@
 	Version kong.VersionFlag `help:"Show the version and exit."`
 }
 
-func main() {
+func main() { os.Exit(run()) }
+
+func run() int {
 	var cli commandLine
-	k := kong.Parse(&cli, kong.Name("cassiatrayctl"),
+	parser := kong.Must(&cli, kong.Name("cassiatrayctl"),
 		kong.Description("Check, apply, promote and follow environment documents."),
 		kong.Vars{"version": "cassiatrayctl " + program.Version})
-	app := ctl.NewApp(context.Background(), &cli.CLI, os.Stdout)
-	err := k.Run(app)
+	k, err := parser.Parse(os.Args[1:])
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "cassiatrayctl:", err)
+		return ctl.Report(os.Stderr, cli.Output, &ctl.UsageError{Message: err.Error()})
 	}
-	os.Exit(ctl.ExitCode(err))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err = k.Run(ctl.NewApp(ctx, &cli.CLI, os.Stdout))
+	return ctl.Report(os.Stderr, cli.Output, err)
 }
--- a/internal/core/share/limits.go
+++ b/internal/core/share/limits.go
@@ -128,30 +128,42 @@
 // place is a host's rank among the hosts that divide a cap.
 type place struct{ rank, count int }
 
+// leastPart is what a host is given before the next one is given anything:
+// caps of a few slots would fall into parts too small to be found free.
+const leastPart = 2
+
 // part returns this host's part of a whole number. For one set of hosts the
 // parts add up to total, and no part shrinks when total grows: hosts that
 // divide different totals stay under the larger one together. The seed varies
-// which hosts get the remainder.
+// which hosts come first.
 func (p place) part(total int, seed string) int {
 	rank := (p.rank + int(xxhash.Sum64String(seed)%uint64(p.count))) % p.count
-	n := total / p.count
-	if rank < total%p.count {
+	rest := total - leastPart*p.count
+	if rest < 0 {
+		return min(leastPart, max(0, total-leastPart*rank))
+	}
+	n := leastPart + rest/p.count
+	if rank < rest%p.count {
 		n++
 	}
 	return n
 }
 
-// Part returns a host's part of a flow under a document: senders use it to
-// find hosts that can take work.
-func Part(ix *document.Index, f Flow, host string) int {
-	h := ix.Host(host)
-	if h == nil {
-		return 0
+// Takers returns the hosts of a region that have a part of a flow under a
+// document: senders use it to find hosts that can take work.
+func Takers(ix *document.Index, f Flow, region string) map[string]bool {
+	out := map[string]bool{}
+	r := ix.Region(region)
+	if r == nil {
+		return out
+	}
+	share, _ := ix.Doc.Caps.Taken(f.Service, f.From, region)
+	total := capOf(share, Slots(ix, f.Service, region))
+	hosts := hostsOf(r)
+	for i, h := range hosts {
+		out[h] = place{rank: i, count: len(hosts)}.part(total, f.Service+"/"+f.From) > 0
 	}
-	hosts := hostsOf(ix.Region(h.Region))
-	share, _ := ix.Doc.Caps.Taken(f.Service, f.From, h.Region)
-	p := place{rank: slices.Index(hosts, host), count: len(hosts)}
-	return p.part(capOf(share, Slots(ix, f.Service, h.Region)), f.Service+"/"+f.From)
+	return out
 }
 
 // atMost returns the smaller of two hosts' parts for every cap.
--- a/internal/daemon/entry/feed.go
+++ b/internal/daemon/entry/feed.go
@@ -190,7 +190,7 @@
 	if s := f.snapshot.Load(); s == nil || s.Head.Sequence < f.receiver.Head().Sequence {
 		f.since.Store(time.Now().UnixNano())
 	}
-	f.snapshot.Store(newSnapshot(f.receiver.Head(), index, f.table, f.views.All(), f.silent))
+	f.snapshot.Store(newSnapshot(f.receiver.Head(), index, f.table, f.views.All(), f.silent...))
 	if f.State() == peerv1.HostState_HOST_STATE_STARTING {
 		f.SetState(peerv1.HostState_HOST_STATE_SERVING)
 		f.log.Info("Serving.")
--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -38,6 +38,7 @@
 	operations  *operations
 	budgets     *budgets
 	suspects    *suspects
+	steering    *steering
 	leaving     atomic.Bool
 
 	mu    sync.Mutex
@@ -48,7 +49,8 @@
 func NewNode(cfg Settings, incarnation uint64, feed *Feed, backend port.Backend, peers port.PeerCaller, clock port.Clock, log *logrus.Entry, m *Metrics) *Node {
 	n := &Node{
 		cfg: cfg, incarnation: incarnation, feed: feed, peers: peers, clock: clock, log: log, metrics: m,
-		operations: newOperations(), budgets: newBudgets(), suspects: newSuspects(), gates: map[string]*admission.Gate{},
+		operations: newOperations(), budgets: newBudgets(), suspects: newSuspects(),
+		steering: newSteering(cfg, clock.Now()), gates: map[string]*admission.Gate{},
 	}
 	n.backend = &watchedBackend{Backend: backend, node: n}
 	return n
@@ -108,8 +110,18 @@
 	req   *port.CallerRequest
 	// hops is how many entry hosts have passed the request on.
 	hops uint32
-	// attempt is the first entry host's number of this attempt, from 1.
+	// attempt is the first entry host's number of the attempt that this host
+	// was sent, from 1.
 	attempt uint32
+	// sent is the number of the last attempt that this host, as the first,
+	// has sent.
+	sent *atomic.Uint32
+	// home is the region that the caller belongs to; empty when not known.
+	home string
+	// from is the region of the entry host that passed the request on, and
+	// sequence its document's.
+	from     string
+	sequence uint64
 }
 
 func (n *Node) exchange(req *port.CallerRequest) (*exchange, *api.Error) {
@@ -117,12 +129,25 @@
 	if fail != nil {
 		return nil, fail
 	}
-	return &exchange{snap: snap, svc: svc, class: class, req: req}, nil
+	x := &exchange{snap: snap, svc: svc, class: class, req: req}
+	if block, ok := n.steering.at(snap, n.clock.Now()).find(svc.Name, req.Client); ok {
+		x.home = block.Regions[0]
+	}
+	return x, nil
 }
 
 // once reports whether the request runs at most once.
 func (x *exchange) once() bool { return x.class.Execution == document.AtMostOnce }
 
+// nextAttempt numbers what is about to be sent. Only the first entry host
+// counts: a host that passes an attempt on keeps its number.
+func (x *exchange) nextAttempt() uint32 {
+	if x.hops > 0 {
+		return x.attempt
+	}
+	return x.sent.Add(1)
+}
+
 // context bounds the request by the shorter of its class's deadline and the
 // time its caller waits.
 func (x *exchange) context(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/daemon/entry/snapshot.go
+++ b/internal/daemon/entry/snapshot.go
@@ -22,7 +22,7 @@
 
 // newSnapshot joins a document with the members of all domains. Hosts of
 // silent domains stay members, but look-ups do not name them.
-func newSnapshot(head document.Head, index *document.Index, table *lookup.Table, domains []*peerv1.DomainView, silent []string) *Snapshot {
+func newSnapshot(head document.Head, index *document.Index, table *lookup.Table, domains []*peerv1.DomainView, silent ...string) *Snapshot {
 	s := &Snapshot{Head: head, Index: index, Table: table, Members: map[string]*peerv1.Member{}}
 	for _, view := range domains {
 		for _, m := range view.Members {
--- a/internal/daemon/steer/distribution_test.go
+++ b/internal/daemon/steer/distribution_test.go
@@ -17,11 +17,9 @@
 	"cassiatray/internal/daemon/steertest"
 )
 
-// TestMain lets one goroutine run at a time. The runtime's race detector
-// crashes when a timer of a bubble is run by two threads at once, which timers
-// that are due at once bring about; and one thread gives the same order of
-// events more often. Races are found all the same: they are judged by order of
-// synchronization, not by time.
+// TestMain runs the tests on one processor. The race detector keeps one context
+// for all timers of a synctest bubble, and two timers of a bubble that have
+// expired and are received from on two processors at once crash it.
 func TestMain(m *testing.M) {
 	runtime.GOMAXPROCS(1)
 	goleak.VerifyTestMain(m)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -167,6 +167,9 @@
 	if err := d.refuse(ctx, s, c); err != nil {
 		return err
 	}
+	if err := d.ctl(ctx, s, "explain", "rodsheet", "10.1.0.7"); err != nil {
+		return err
+	}
 	return d.status(ctx, s)
 }
 
@@ -296,13 +299,7 @@
 	return stats.Runs, nil
 }
 
-func (d *Demo) status(ctx context.Context, s *site.Site) error {
-	args := []string{"status"}
-	for _, h := range s.Hosts {
-		args = append(args, h.SteerOperator.String())
-	}
-	return d.ctl(ctx, s, args...)
-}
+func (d *Demo) status(ctx context.Context, s *site.Site) error { return d.ctl(ctx, s, "status") }
 
 // end stops everything in order.
 func (d *Demo) end(sites ...*site.Site) error {
