--- a/internal/daemon/steer/heartbeat.go
+++ b/internal/daemon/steer/heartbeat.go
@@ -82,12 +82,15 @@
 		c.acked = 0
 		return nil, false
 	}
-	n.heardFrom(c, ack.Member.Host, ack.SteerSequence, address)
-	c.acked, c.incarnation = hb.Member.Version, ack.Member.SteerIncarnation
+	if !ack.Stub {
+		c.host = ack.Member.Host
+	}
+	n.heardFrom(c, c.host, ack.SteerSequence, address)
+	c.acked = hb.Member.Version
 	if ack.WantMember {
 		c.acked = 0
 	}
-	n.observe(ack.Member, ack.Stub)
+	n.observe(fromStub(ack.Member, ack.Stub, n.cfg.Domain, c.host, reply.FromIncarnation), ack.Stub)
 	return ack, true
 }
 
@@ -107,8 +110,17 @@
 	return hb
 }
 
-func stubOf(m *peerv1.Member) *peerv1.Member {
-	return &peerv1.Member{Host: m.Host, Domain: m.Domain, SteerIncarnation: m.SteerIncarnation, Version: m.Version}
+// stubOf stands for a state that the receiver has seen. Who sends it, and in
+// which incarnation, every exchange tells anyway.
+func stubOf(m *peerv1.Member) *peerv1.Member { return &peerv1.Member{Version: m.Version} }
+
+// fromStub fills a stub in with whom it came from. Stubs pass only within a
+// domain.
+func fromStub(m *peerv1.Member, stub bool, domain, host string, incarnation uint64) *peerv1.Member {
+	if !stub {
+		return m
+	}
+	return &peerv1.Member{Host: host, Domain: domain, SteerIncarnation: incarnation, Version: m.GetVersion()}
 }
 
 // contact needs n.mu.
--- a/internal/daemon/steer/node.go
+++ b/internal/daemon/steer/node.go
@@ -74,11 +74,10 @@
 	// failed since.
 	last     time.Time
 	failures int
-	// acked is this process's version that the other has confirmed, and
-	// incarnation the other's at that time.
-	acked       uint64
-	incarnation uint64
-	sequence    uint64
+	// acked is this process's version that the other has confirmed.
+	acked uint64
+	// sequence is what the other had in force.
+	sequence uint64
 }
 
 // NewNode returns a node with no document and no members but itself.
--- a/internal/daemon/steer/serve.go
+++ b/internal/daemon/steer/serve.go
@@ -22,7 +22,7 @@
 func (n *Node) Serve(_ context.Context, req *peerv1.Request) (*peerv1.Reply, error) {
 	switch body := req.Body.(type) {
 	case *peerv1.Request_Heartbeat:
-		return n.serveHeartbeat(body.Heartbeat), nil
+		return n.serveHeartbeat(req, body.Heartbeat), nil
 	case *peerv1.Request_DomainReport:
 		return n.serveDomainReport(req.FromHost, body.DomainReport)
 	case *peerv1.Request_FetchSections:
@@ -33,11 +33,12 @@
 
 // serveHeartbeat takes a heartbeat of another steer process, or of this host's
 // entry process.
-func (n *Node) serveHeartbeat(hb *peerv1.Heartbeat) *peerv1.Reply {
+func (n *Node) serveHeartbeat(req *peerv1.Request, hb *peerv1.Heartbeat) *peerv1.Reply {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	ack := &peerv1.HeartbeatAck{Member: n.self, SteerSequence: n.head().Sequence, EntrySequence: n.entrySequence}
-	if m := hb.GetMember(); m.GetHost() == n.cfg.Host && m.GetSteerIncarnation() == 0 {
+	m := fromStub(hb.GetMember(), hb.GetStub(), n.cfg.Domain, req.FromHost, req.FromIncarnation)
+	if m.GetHost() == n.cfg.Host && m.GetSteerIncarnation() == 0 {
 		n.observeEntry(m, hb.EntrySequence)
 	} else if m != nil {
 		if m.SteerPeerAddress != "" {
--- a/internal/measure/distribution/main.go
+++ b/internal/measure/distribution/main.go
@@ -2,7 +2,8 @@
 // into force. Run it with one of:
 //
 //	store      bytes and calls of a change of one block, by size of document
-//	members    time, bytes and processor time, by number of hosts in one process
+//	members    time, bytes and processor time, by number of hosts in one process;
+//	           shapes such as 2x17, domains by hosts, may follow
 //	processes  time and processor time at 24 hosts as plain processes
 package main
 
@@ -18,7 +19,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
 	defer cancel()
 	modes := map[string]func(context.Context) error{"store": store, "members": members, "processes": processes}
-	if len(os.Args) != 2 || modes[os.Args[1]] == nil {
+	if len(os.Args) < 2 || modes[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: distribution store|members|processes")
 		os.Exit(2)
 	}
--- a/internal/measure/distribution/members.go
+++ b/internal/measure/distribution/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"syscall"
 	"time"
 
@@ -26,7 +27,18 @@
 
 func members(ctx context.Context) error {
 	fmt.Println("hosts | domains x hosts | p50 ms | max ms | lead out B/s idle | member out B/s idle | lead out B/change | member out B/change | busiest B/s idle | store calls/min idle | store calls/change | CPU us/host/s idle | CPU us/host/change")
-	for _, s := range shapes {
+	list := shapes
+	for i, arg := range os.Args[2:] {
+		if i == 0 {
+			list = nil
+		}
+		var s shape
+		if _, err := fmt.Sscanf(arg, "%dx%d", &s.domains, &s.hosts); err != nil {
+			return err
+		}
+		list = append(list, s)
+	}
+	for _, s := range list {
 		if err := measureShape(ctx, s); err != nil {
 			return err
 		}
