--- a/internal/daemon/entry/operate_test.go
+++ b/internal/daemon/entry/operate_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"cassiatray/api"
+	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/suspect"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
@@ -93,6 +94,26 @@
 	}
 }
 
+// TestServersElsewhere checks requests of both kinds at a host whose domain has
+// no servers.
+func TestServersElsewhere(t *testing.T) {
+	c := newCluster(t)
+	c.doc.Regions[0].Domains = append(c.doc.Regions[0].Domains, document.Domain{
+		Name: "b", EntryHosts: []document.EntryHost{{Name: "b-1", Entry: c.doc.Regions[0].Domains[0].EntryHosts[0].Entry}},
+	})
+	for i := range c.doc.Services[0].Servers {
+		c.doc.Services[0].Servers[i].Domain = "b"
+	}
+	c.start(t, "b-1", 1)
+	id := c.newID(t, "a-1")
+	want(t, c.book("a-2", id), "run 1")
+	want(t, c.book("b-1", id), "run 1")
+	stock := &port.CallerRequest{Service: "orders", Method: http.MethodGet, Path: "/stock", Header: http.Header{}}
+	if _, fail := c.nodes["a-3"].Do(context.Background(), stock); fail != nil {
+		t.Fatal(fail)
+	}
+}
+
 // TestHandOver stops hosts one after another: the records move along, and an
 // operation that was never begun is known not to have run.
 func TestHandOver(t *testing.T) {
@@ -197,18 +218,48 @@
 	}
 }
 
+// TestHedge checks that a second copy of a slow look-up overtakes it and
+// cancels it, and that an at-most-once request never has one.
+func TestHedge(t *testing.T) {
+	for once, runs := range map[bool]int{false: 2, true: 1} {
+		c := newCluster(t)
+		for i := range c.doc.Services[0].Classes {
+			c.doc.Services[0].Classes[i].HedgeAfter = 1
+		}
+		c.backend.slow = 1
+		c.backend.gate = make(chan struct{})
+		req := &port.CallerRequest{Service: "orders", Method: http.MethodGet, Path: "/stock/salt"}
+		id := ""
+		if once {
+			id = c.newID(t, "a-1")
+			req = booking(id)
+			close(c.backend.gate)
+		}
+		if _, fail := c.nodes["a-1"].Do(context.Background(), req); fail != nil {
+			t.Fatal(fail)
+		}
+		if got := c.backend.ran(id); got != runs {
+			t.Fatalf("%d runs, want %d", got, runs)
+		}
+	}
+}
+
 // TestSuspectShared checks that a crashing request is refused everywhere after
 // its second crash, and that a run to the end clears a request everywhere.
 func TestSuspectShared(t *testing.T) {
 	c := newCluster(t)
 	crash := &port.BackendError{Code: port.BackendBroken, Sent: true}
+	timeout := &port.BackendError{Code: port.BackendTimeout, Sent: true}
 	bad := &port.CallerRequest{Service: "orders", Method: http.MethodGet, Path: "/stock/bad"}
-	c.backend.fail = []error{crash, crash, crash}
-	for _, h := range hosts {
-		c.nodes[h].Do(context.Background(), bad)
-	}
-	if ran := c.backend.ran(""); ran != suspect.CrashLimit {
-		t.Fatalf("%d servers crashed", ran)
+	other := &port.CallerRequest{Service: "orders", Method: http.MethodGet, Path: "/stock/other"}
+	for range suspect.CrashLimit {
+		c.backend.fail = []error{crash, timeout}
+		c.nodes["a-1"].Do(context.Background(), bad)
+		c.backend.fail = nil
+		// The server, which is always the same here, runs others.
+		if _, fail := c.nodes["a-1"].Do(context.Background(), other); fail != nil {
+			t.Fatal(fail)
+		}
 	}
 	for _, h := range hosts {
 		want(t, text(c.nodes[h].Do(context.Background(), bad)), "suspect not-run")
