--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -82,11 +82,18 @@
 		return err
 	}
 	if err := p.Signal(syscall.SIGSTOP); err != nil {
-		log, _ := os.ReadFile(c.site.File(d.name + ".log"))
-		return &DiedError{Process: d.name, Log: string(log[max(0, len(log)-logTail):])}
+		return c.died(ctx, p)
 	}
 	wait(ctx, time.Duration(rng.Int64N(int64(longestFreeze))))
-	return p.Signal(syscall.SIGCONT)
+	if err := p.Signal(syscall.SIGCONT); err != nil {
+		return c.died(ctx, p)
+	}
+	return nil
+}
+
+func (c *Callers) died(ctx context.Context, p *site.Process) error {
+	log, _ := os.ReadFile(c.site.File(p.Name + ".log"))
+	return &DiedError{Process: p.Name, Status: p.Wait(ctx), Log: string(log[max(0, len(log)-logTail):])}
 }
 
 // logTail is how much of the log of a process that died is shown, in bytes.
@@ -95,11 +102,15 @@
 // DiedError is a process that ended by itself.
 type DiedError struct {
 	Process string
+	// Status is its exit status, or -1 when a signal ended it.
+	Status int
 	// Log is the end of its log.
 	Log string
 }
 
-func (e *DiedError) Error() string { return fmt.Sprintf("%s ended by itself:\n%s", e.Process, e.Log) }
+func (e *DiedError) Error() string {
+	return fmt.Sprintf("%s ended by itself with status %d:\n%s", e.Process, e.Status, e.Log)
+}
 
 // ExitError is a planned stop that did not end with status 0.
 type ExitError struct {
