--- a/internal/daemon/entry/suspect.go
+++ b/internal/daemon/entry/suspect.go
@@ -100,6 +100,19 @@
 	return s.table.Crash(now, f, server, began)
 }
 
+// ran notes that a server ran a request to its end.
+func (s *suspects) ran(now time.Time, server suspect.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Ran(now, server)
+}
+
+func (s *suspects) worked(server suspect.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Worked(server)
+}
+
 func (s *suspects) clear(now time.Time, f suspect.Fingerprint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -141,6 +154,9 @@
 	if errors.As(err, &be) && be.Code == port.BackendBroken {
 		b.node.accuse(fingerprintOf(req), req.Service, address, began)
 	}
+	if err == nil && b.node.suspects.any.Load() {
+		b.node.suspects.ran(b.node.clock.Now(), b.node.serverAt(req.Service, address))
+	}
 	return a, err
 }
 
@@ -170,7 +186,7 @@
 	n.log.WithField("server", server.Name).Warn("Server crashed with a request in flight.")
 	n.shareSuspect(&peerv1.Suspect{
 		Fingerprint: f[:], Service: service, Server: server.Name, Domain: server.Domain,
-		RunMicros: now.Sub(began).Microseconds(),
+		RunMicros: now.Sub(began).Microseconds(), Worked: n.suspects.worked(server),
 	})
 }
 
@@ -188,81 +204,6 @@
 	return out
 }
 
-// shareTimeout bounds how long an answer waits for other hosts to learn of a
-// suspect.
-const shareTimeout = time.Second
-
-// shareSuspect tells the other hosts of this failure domain, and one of each
-// other domain, which passes it on.
-func (n *Node) shareSuspect(s *peerv1.Suspect) {
-	snap := n.feed.Snapshot()
-	if snap == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
-	defer cancel()
-	told := map[string]bool{}
-	var wg sync.WaitGroup
-	for _, h := range snap.Hosts {
-		far := h.Domain != n.cfg.Domain
-		if h.Name == n.cfg.Host || far && told[h.Domain] {
-			continue
-		}
-		told[h.Domain] = true
-		wg.Go(func() { n.tellSuspect(ctx, snap.Members[h.Name], s, far) })
-	}
-	wg.Wait()
-}
-
-func (n *Node) tellSuspect(ctx context.Context, m *peerv1.Member, s *peerv1.Suspect, relay bool) {
-	report := &peerv1.SuspectReport{Suspects: []*peerv1.Suspect{s}, Relay: relay}
-	req := &peerv1.Request{Body: &peerv1.Request_SuspectReport{SuspectReport: report}}
-	if _, err := n.peers.Call(ctx, m.EntryPeerAddress, req); err != nil {
-		n.log.WithError(err).Debug("Suspect not shared.")
-	}
-}
-
-// serveSuspects takes a report of another host and passes it on when asked to.
-func (n *Node) serveSuspects(ctx context.Context, r *peerv1.SuspectReport) *peerv1.Reply {
-	var wg sync.WaitGroup
-	for _, s := range r.Suspects {
-		if n.takeSuspect(s) && r.Relay {
-			wg.Go(func() { n.relaySuspect(ctx, s) })
-		}
-	}
-	wg.Wait()
-	return &peerv1.Reply{Body: &peerv1.Reply_SuspectReportAck{SuspectReportAck: &peerv1.SuspectReportAck{}}}
-}
-
-// takeSuspect stamps a report with this host's clock and reports whether it is
-// news.
-func (n *Node) takeSuspect(s *peerv1.Suspect) bool {
-	if len(s.Fingerprint) != len(suspect.Fingerprint{}) {
-		return false
-	}
-	f := suspect.Fingerprint(s.Fingerprint)
-	if s.Cleared {
-		return n.suspects.clear(n.clock.Now(), f)
-	}
-	now := n.clock.Now()
-	server := suspect.Server{Service: s.Service, Name: s.Server, Domain: s.Domain}
-	return n.suspects.crash(now, f, server, now.Add(-time.Duration(s.RunMicros)*time.Microsecond))
-}
-
-func (n *Node) relaySuspect(ctx context.Context, s *peerv1.Suspect) {
-	snap := n.feed.Snapshot()
-	if snap == nil {
-		return
-	}
-	var wg sync.WaitGroup
-	for _, h := range snap.Hosts {
-		if h.Domain == n.cfg.Domain && h.Name != n.cfg.Host {
-			wg.Go(func() { n.tellSuspect(ctx, snap.Members[h.Name], s, false) })
-		}
-	}
-	wg.Wait()
-}
-
 // SuspectState is one suspect in a dump.
 type SuspectState struct {
 	Fingerprint string    `json:"fingerprint"`
