Name a host of another region last in look-up answers

Excluded: shorter times to live (more look-ups for all callers, and no help before the loss is noticed); a look-up at a bootstrap host after each refusal (the host that answers has not noticed either).

Change: in an answer of three or more hosts the second is of another failure domain, and the last of another region, in the caller's order of preference. The property checks it; without the change it fails after 14 cases.

Conclusion: a caller outlives the loss of its region without waiting for it to be noticed.

--- a/internal/core/lookup/choose.go
+++ b/internal/core/lookup/choose.go
@@ -43,8 +43,10 @@
 
 // Choose appends to dst the entry hosts that a caller should use, in the order
 // to try them. They are of the first region of the caller's preference that
-// has hosts and has not been drained for this caller, spread by weight; the
-// last is of another failure domain than the first wherever one has hosts.
+// has hosts and has not been drained for this caller, spread by weight. The
+// last is of another failure domain than the first wherever one has hosts; of
+// three or more the second is, and the last is of another region, so that a
+// caller outlives the loss of a region.
 func (p *Plan) Choose(dst []Host, q Query) []Host {
 	sp := p.services[q.Service]
 	if sp == nil || len(sp.order) == 0 {
@@ -88,28 +90,37 @@
 	if q.Count <= 1 {
 		return dst
 	}
-	last, ok := sp.elsewhere(home, in, q, mix(u+1))
+	near, ok := sp.elsewhere(home, in, q, mix(u+1))
 	if !ok { // the region's only domain is the only one
-		return home.middle(dst, first+1, len(home.hosts)-1, q.Count-1, "")
+		return home.middle(dst, first+1, len(home.hosts)-1, q.Count-1, nil)
 	}
-	room := q.Count - 2
-	begin := len(dst)
-	dst = home.middle(dst, first+1, len(home.hosts)-1, room, last.Name)
+	last := near
+	if q.Count > 2 {
+		if far, ok := sp.far(home, q, mix(u+1)); ok {
+			last = far
+		}
+	}
+	begin, room := len(dst), q.Count-2
+	if last.Name != near.Name {
+		dst = append(dst, near)
+	}
+	skip := []Host{near, last}
+	dst = home.middle(dst, first+1, len(home.hosts)-1, room-(len(dst)-begin), skip)
 	for i := 0; i < len(sp.order) && len(dst)-begin < room; i++ {
 		if pl := sp.order[i]; pl != home {
 			_, from := pl.pick(u)
-			dst = pl.middle(dst, from, len(pl.hosts), room-(len(dst)-begin), last.Name)
+			dst = pl.middle(dst, from, len(pl.hosts), room-(len(dst)-begin), skip)
 		}
 	}
 	return append(dst, last)
 }
 
 // middle appends up to n hosts out of size hosts from index start on, round the
-// region, that are not named last.
-func (p *pool) middle(dst []Host, start, size, n int, last string) []Host {
+// region, that are not among skip.
+func (p *pool) middle(dst []Host, start, size, n int, skip []Host) []Host {
 	for k := 0; k < size && n > 0; k++ {
 		i := (start + k) % len(p.hosts)
-		if p.serves(i) && p.hosts[i].Name != last {
+		if p.serves(i) && !named(skip, p.hosts[i].Name) {
 			dst = append(dst, p.hosts[i])
 			n--
 		}
@@ -117,6 +128,15 @@
 	return dst
 }
 
+func named(hosts []Host, name string) bool {
+	for i := range hosts {
+		if hosts[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // serves reports whether a host's domain has servers.
 func (p *pool) serves(i int) bool {
 	for _, s := range p.spans {
@@ -133,6 +153,12 @@
 	if i := home.outside(in, u); i >= 0 {
 		return home.hosts[i], true
 	}
+	return sp.far(home, q, u)
+}
+
+// far returns a host of the next region of the caller's preference that the
+// caller is not moved away from, or of any other region.
+func (sp *servicePlan) far(home *pool, q Query, u uint64) (Host, bool) {
 	var spare *pool
 	for i := range len(q.Regions) + len(sp.order) {
 		pl := sp.candidate(q, i)
--- a/internal/core/lookup/choose_test.go
+++ b/internal/core/lookup/choose_test.go
@@ -58,13 +58,13 @@
 		}
 		q := Query{Service: "service-0", Regions: []string{"alta", "sask"}, Spread: Spread(rapid.Uint64().Draw(t, "spread")), Count: rapid.IntRange(1, 4).Draw(t, "count")}
 		got := NewPlan(ix, live, weights).Choose(nil, q)
-		names, places := map[string]bool{}, map[string]bool{}
+		names, places, regions := map[string]bool{}, map[string]bool{}, map[string]bool{}
 		for _, h := range got {
 			names[h.Name] = true
 		}
 		known := map[string]bool{}
 		for _, h := range live {
-			known[h.Name], places[h.Domain] = true, true
+			known[h.Name], places[h.Domain], regions[h.Region] = true, true, true
 		}
 		for name := range names {
 			if !known[name] {
@@ -80,6 +80,9 @@
 		if last := got[len(got)-1]; q.Count > 1 && len(places) > 1 && last.Domain == got[0].Domain {
 			t.Fatalf("first and last are both of %s", last.Domain)
 		}
+		if last := got[len(got)-1]; q.Count > 2 && len(regions) > 1 && last.Region == got[0].Region {
+			t.Fatalf("first and last are both of region %s", last.Region)
+		}
 	})
 }
 
