Slots held by grants of the domain's voters; queues, leaving and ejection

Cause: every entry host filled every slot of its domain's servers by its own count, so four hosts could put four times the slots on a server; a full service was refused at once, and nothing but a planned drain stopped new work.

Excluded: an owner chosen by each host's own view of its neighbours (two views give two owners); an owner that does not wait for the last one's requests; a voter that forgets its grants at a restart; a grant that is worth every slot. Each is kept as a variant of the model and found by its histories (TestEachMechanismIsNeeded).

The backend client counts written bytes, so that "not sent" is exact, and closes connections of abandoned exchanges. The settings message of the entry process names the new key hostList.

Conclusion: the count on a server is bounded by the grants, whatever the hosts believe of each other.

--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -8,12 +8,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cassiatray/internal/port"
@@ -29,6 +30,15 @@
 	HeaderDraining = "X-Draining"
 	// HeaderLoad is "in-flight/slots" as the server reports it.
 	HeaderLoad = "X-Load"
+	// HeaderBoot identifies the server's process.
+	HeaderBoot = "X-Boot-Id"
+	// HeaderNotRun is set to "true" by a server that sheds a request with
+	// status 503 and did not begin it.
+	HeaderNotRun = "X-Not-Run"
+	// headerRetryAfter is how long a shedding server asks for, in seconds.
+	headerRetryAfter = "Retry-After"
+	// headerTrue is the value of headers that are set.
+	headerTrue = "true"
 )
 
 // Limits of the connections to one server.
@@ -37,26 +47,45 @@
 	connectTimeout = time.Second
 )
 
-// Client implements port.Backend.
+// Client implements port.Backend and port.BackendProber.
 type Client struct {
-	http *http.Client
+	mu       sync.Mutex
+	maxConns int
+	http     atomic.Pointer[http.Client]
 }
 
 // New returns a client that holds at most maxConns connections to each server.
 func New(maxConns int) *Client {
+	c := new(Client)
+	c.SetLimit(maxConns)
+	return c
+}
+
+// SetLimit changes how many connections the client holds to each server.
+// Exchanges under way keep theirs.
+func (c *Client) SetLimit(maxConns int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if maxConns == c.maxConns {
+		return
+	}
+	c.maxConns = maxConns
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:         dial,
 		MaxConnsPerHost:     maxConns,
 		MaxIdleConnsPerHost: maxConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	old := c.http.Swap(&http.Client{Transport: transport, CheckRedirect: noRedirect})
+	if old != nil {
+		old.CloseIdleConnections()
+	}
 }
 
 // Close drops idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.http.Load().CloseIdleConnections() }
 
 // onceBody is a request body that the transport cannot rewind, so that it
 // cannot send the request a second time.
@@ -68,18 +97,69 @@
 func (c *Client) Do(ctx context.Context, address string, r *port.BackendRequest) (*port.BackendAnswer, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), address, r)
+	x := new(exchange)
+	req, err := newRequest(httptrace.WithClientTrace(ctx, x.trace()), address, r)
+	if err != nil {
+		return nil, &port.BackendError{Code: port.BackendConnect, Address: address, Err: err}
+	}
+	resp, err := c.http.Load().Do(req)
+	if err != nil {
+		return nil, failure(ctx, address, x.abandon(), err)
+	}
+	defer resp.Body.Close()
+	a, err := read(ctx, address, r, resp)
+	if err != nil {
+		x.abandon()
+		return nil, err
+	}
+	if fail := shed(address, r, resp); fail != nil {
+		return nil, fail
+	}
+	return a, nil
+}
+
+// Probe implements port.BackendProber.
+func (c *Client) Probe(ctx context.Context, address string) (*port.BackendHealth, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/health", nil)
 	if err != nil {
 		return nil, &port.BackendError{Code: port.BackendConnect, Address: address, Err: err}
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.http.Load().Do(req)
 	if err != nil {
-		return nil, failure(ctx, address, sent.Load(), err)
+		return nil, failure(ctx, address, true, err)
 	}
 	defer resp.Body.Close()
-	return read(ctx, address, r, resp)
+	io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealth))
+	return &port.BackendHealth{
+		Healthy: resp.StatusCode == http.StatusOK, Leaving: resp.Header.Get(HeaderDraining) == headerTrue,
+		Boot: resp.Header.Get(HeaderBoot),
+	}, nil
+}
+
+// maxHealth bounds the body of a health answer, in bytes.
+const maxHealth = 4 << 10
+
+// ShedError is a server's refusal because of its load.
+type ShedError struct{ NotRun bool }
+
+func (e *ShedError) Error() string { return fmt.Sprintf("shed by the server (not run=%t)", e.NotRun) }
+
+// shed reads a refusal: status 503 with Retry-After. Only with HeaderNotRun is
+// it proved that the request did not run.
+func shed(address string, r *port.BackendRequest, resp *http.Response) error {
+	after := resp.Header.Get(headerRetryAfter)
+	if resp.StatusCode != http.StatusServiceUnavailable || after == "" {
+		return nil
+	}
+	notRun := resp.Header.Get(HeaderNotRun) == headerTrue
+	seconds, err := strconv.Atoi(after)
+	if err != nil || seconds < 0 {
+		seconds = 0
+	}
+	return &port.BackendError{
+		Code: port.BackendShed, Address: address, Sent: true, NotRun: notRun,
+		RetryAfter: time.Duration(seconds) * time.Second, Err: &ShedError{NotRun: notRun},
+	}
 }
 
 func newRequest(ctx context.Context, address string, r *port.BackendRequest) (*http.Request, error) {
@@ -111,6 +191,8 @@
 func failure(ctx context.Context, address string, sent bool, err error) error {
 	code := port.BackendBroken
 	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		code, sent = port.BackendRefused, false
 	case !sent:
 		code = port.BackendConnect
 	case errors.Is(ctx.Err(), context.Canceled):
@@ -151,9 +233,10 @@
 		return nil, &port.BackendError{Code: port.BackendTooLarge, Address: address, Sent: true, Err: &SizeError{Limit: r.MaxAnswer}}
 	}
 	a := &port.BackendAnswer{Status: resp.StatusCode, Header: resp.Header, Body: body}
-	a.Leaving = resp.Header.Get(HeaderDraining) == "true"
+	a.Leaving = resp.Header.Get(HeaderDraining) == headerTrue
+	a.Boot = resp.Header.Get(HeaderBoot)
 	a.Load = parseLoad(resp.Header.Get(HeaderLoad))
-	for _, h := range []string{HeaderRequestID, HeaderDraining, HeaderLoad, "Connection", "Keep-Alive", "Transfer-Encoding"} {
+	for _, h := range []string{HeaderRequestID, HeaderDraining, HeaderLoad, HeaderBoot, HeaderNotRun, "Connection", "Keep-Alive", "Transfer-Encoding"} {
 		a.Header.Del(h)
 	}
 	return a, nil
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -42,8 +42,9 @@
 	// Serve answers one request. The reply's identity is filled in by the
 	// server. An error becomes a typed failure.
 	Serve(ctx context.Context, req *peerv1.Request) (*peerv1.Reply, error)
-	// ServeFollow answers a Follow request with any number of replies until
-	// it returns.
+	// ServeFollow answers a Follow or SlotAcquire request with any number of
+	// replies until it returns. The cause of the context is
+	// port.ErrSessionLost when the session to the peer broke.
 	ServeFollow(ctx context.Context, req *peerv1.Request, send func(*peerv1.Reply) error) error
 }
 
@@ -113,7 +114,7 @@
 		if err != nil {
 			return
 		}
-		s.wg.Go(func() { s.stream(stream) })
+		s.wg.Go(func() { s.stream(mux, stream) })
 	}
 }
 
@@ -133,7 +134,7 @@
 	delete(s.sessions, mux)
 }
 
-func (s *Server) stream(stream *yamux.Stream) {
+func (s *Server) stream(mux *yamux.Session, stream *yamux.Stream) {
 	defer stream.Close()
 	stream.SetReadDeadline(time.Now().Add(firstFrameTimeout))
 	r := bufio.NewReader(stream)
@@ -141,14 +142,20 @@
 	if err := readFrame(r, req); err != nil {
 		return
 	}
-	ctx, cancel := s.context(req)
-	defer cancel()
+	ctx, stop := s.context(req)
+	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	stream.SetReadDeadline(time.Time{})
 	// The peer sends nothing after its request, so a read ends only when the
-	// peer closes or resets the stream: that cancels the exchange.
+	// peer closes or resets the stream: that cancels the exchange. When the
+	// whole session is gone the peer may not have meant it.
 	s.wg.Go(func() {
 		r.ReadByte()
-		cancel()
+		if mux.IsClosed() {
+			cancel(port.ErrSessionLost)
+		}
+		cancel(nil)
 	})
 	send := func(reply *peerv1.Reply) error {
 		reply.ExchangeId = req.ExchangeId
@@ -172,7 +179,7 @@
 	if req.ToIncarnation != 0 && req.ToIncarnation != s.self.Incarnation {
 		return &port.PeerError{Code: port.PeerIncarnation}
 	}
-	if req.GetFollow() != nil {
+	if req.GetFollow() != nil || req.GetSlotAcquire() != nil {
 		return s.handler.ServeFollow(ctx, req, send)
 	}
 	reply, err := s.handler.Serve(ctx, req)
--- /dev/null
+++ b/internal/core/admission/grants_test.go
@@ -0,0 +1,392 @@
+package admission
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// The model below runs the hosts of one failure domain over one server, with
+// messages lost and late, hosts frozen, and hosts replaced by new processes.
+// What is in flight at the server is counted by the model itself.
+
+const (
+	testLease = 30 * time.Millisecond
+	testHold  = 50 * time.Millisecond
+	testSlots = 9
+)
+
+var testKey = Key{Service: "svc", Server: "s"}
+
+type step struct {
+	Kind int
+	Host int
+	Peer int
+	Wait int
+}
+
+const (
+	stepRound = iota
+	stepDeliver
+	stepDrop
+	stepFill
+	stepFinish
+	stepWait
+	stepFreeze
+	stepThaw
+	stepWantAll
+	stepWantOne
+	stepReplace
+	stepExchange
+)
+
+// Weights make rounds, deliveries and new work common, and faults rare.
+var stepWeights = []int{
+	stepExchange, stepExchange, stepExchange, stepExchange, stepExchange, stepExchange, stepExchange, stepExchange,
+	stepRound, stepDeliver, stepDeliver, stepDeliver, stepDeliver, stepDeliver, stepDeliver, stepDrop, stepFill, stepFill, stepFill, stepFinish, stepFinish, stepWait, stepWait, stepWait, stepFreeze, stepThaw,
+	stepWantAll, stepWantOne, stepWantOne, stepReplace,
+}
+
+var steps = rapid.Custom(func(t *rapid.T) step {
+	return step{
+		Kind: rapid.SampledFrom(stepWeights).Draw(t, "kind"), Host: rapid.IntRange(0, 3).Draw(t, "host"),
+		Peer: rapid.IntRange(0, 15).Draw(t, "peers"), Wait: rapid.IntRange(1, 40).Draw(t, "ms"),
+	}
+})
+
+var histories = rapid.SliceOfN(steps, 50, 400)
+
+// variant switches mechanisms off.
+type variant struct {
+	noHold, noVoters, forgetful, greedy bool
+}
+
+type message struct {
+	ask     *Ask
+	voter   int
+	sent    time.Time
+	answers []Answer
+	reply   bool
+	// fromProcess and toProcess are dropped with their processes.
+	fromProcess, toProcess uint64
+}
+
+type modelHost struct {
+	name    string
+	process uint64
+	frozen  bool
+	claims  *Claims
+	ledger  *Ledger
+	view    *ClaimView
+	wants   bool
+	// running are the deadlines of requests at the server.
+	running []time.Time
+}
+
+type model struct {
+	now     time.Time
+	v       variant
+	names   []string
+	hosts   []*modelHost
+	network []*message
+	high    int
+}
+
+func newModel(hosts int, v variant) *model {
+	m := &model{now: time.Unix(1000, 0), v: v}
+	for i := range hosts {
+		m.names = append(m.names, fmt.Sprint("h", i))
+	}
+	for i := range hosts {
+		m.hosts = append(m.hosts, &modelHost{name: m.names[i]})
+		m.start(m.hosts[i])
+	}
+	return m
+}
+
+func (m *model) start(h *modelHost) {
+	h.process++
+	h.frozen = false
+	h.running = nil
+	h.claims = NewClaims(Holder{Host: h.name, Incarnation: h.process}, testLease)
+	heard := m.names
+	if m.v.forgetful {
+		heard = nil
+	}
+	h.ledger = NewLedger(m.now, testLease, heard)
+	h.view = &ClaimView{}
+	m.want(h)
+}
+
+func (m *model) want(h *modelHost) {
+	h.claims.Want(nil)
+	if h.wants {
+		hold := testHold
+		if m.v.noHold {
+			hold = 0
+		}
+		h.claims.Want([]Want{{Key: testKey, Hold: hold}})
+	}
+	h.view = h.claims.View(m.names)
+}
+
+func (m *model) expire() {
+	for _, h := range m.hosts {
+		kept := h.running[:0]
+		for _, deadline := range h.running {
+			if m.now.Before(deadline) {
+				kept = append(kept, deadline)
+			}
+		}
+		h.running = kept
+	}
+}
+
+func (m *model) round(h *modelHost) {
+	h.claims.Round(func(Key) bool { return len(h.running) == 0 })
+	for i, peer := range m.hosts {
+		m.network = append(m.network, &message{
+			ask: h.claims.Ask(m.now, peer.name), voter: i, sent: m.now, fromProcess: h.process, toProcess: peer.process,
+		})
+	}
+	h.view = h.claims.View(m.names)
+}
+
+func (m *model) host(name string) *modelHost {
+	for _, h := range m.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+// deliver passes one message in any order; one to a process that is gone is
+// lost, and one to a frozen process waits.
+func (m *model) deliver(i int) {
+	msg := m.network[i]
+	voter, asker := m.hosts[msg.voter], m.host(msg.ask.From.Host)
+	if !msg.reply {
+		m.deliverAsk(i, msg, voter)
+		return
+	}
+	if asker.process != msg.fromProcess {
+		m.drop(i)
+		return
+	}
+	if asker.frozen {
+		return
+	}
+	asker.claims.Take(voter.name, msg.ask.Round, msg.sent, m.now, msg.answers)
+	asker.view = asker.claims.View(m.names)
+	m.drop(i)
+}
+
+func (m *model) deliverAsk(i int, msg *message, voter *modelHost) {
+	if voter.process != msg.toProcess {
+		m.drop(i)
+		return
+	}
+	if voter.frozen {
+		return
+	}
+	answers, ok := voter.ledger.Vote(m.now, msg.ask)
+	if !ok {
+		m.drop(i)
+		return
+	}
+	msg.answers, msg.reply = answers, true
+}
+
+func (m *model) drop(i int) { m.network = append(m.network[:i], m.network[i+1:]...) }
+
+// exchange is a round of which the voters in the bit set peers hear and answer
+// at once, and the others later or never.
+func (m *model) exchange(h *modelHost, peers int) {
+	before := len(m.network)
+	m.round(h)
+	for _, msg := range append([]*message{}, m.network[before:]...) {
+		if peers&(1<<msg.voter) == 0 {
+			continue
+		}
+		for range 2 {
+			if i := slices.Index(m.network, msg); i >= 0 {
+				m.deliver(i)
+			}
+		}
+	}
+}
+
+func (m *model) limit(h *modelHost) int {
+	switch {
+	case m.v.noVoters && h.wants:
+		return testSlots
+	case m.v.greedy && h.view.Votes(m.now, testKey) > 0:
+		return testSlots
+	}
+	return h.view.Limit(m.now, testKey, testSlots)
+}
+
+func (m *model) fill(h *modelHost) {
+	for len(h.running) < m.limit(h) {
+		h.running = append(h.running, m.now.Add(testHold))
+	}
+}
+
+func (m *model) apply(s step) {
+	h := m.hosts[s.Host%len(m.hosts)]
+	switch s.Kind {
+	case stepWait:
+		m.now = m.now.Add(time.Duration(s.Wait) * time.Millisecond)
+		m.expire()
+	case stepDeliver:
+		if len(m.network) > 0 {
+			m.deliver(s.Peer % len(m.network))
+		}
+	case stepDrop:
+		if len(m.network) > 0 {
+			m.drop(s.Peer % len(m.network))
+		}
+	case stepFreeze:
+		h.frozen = true
+	case stepThaw:
+		h.frozen = false
+	case stepReplace:
+		m.start(h)
+	default:
+		if !h.frozen {
+			m.act(s.Kind, h, s.Peer)
+		}
+	}
+}
+
+func (m *model) act(kind int, h *modelHost, peers int) {
+	switch kind {
+	case stepRound:
+		m.round(h)
+	case stepExchange:
+		m.exchange(h, peers)
+	case stepFill:
+		m.fill(h)
+	case stepFinish:
+		if len(h.running) > 0 {
+			h.running = h.running[1:]
+		}
+	case stepWantAll, stepWantOne:
+		h.wants = kind == stepWantAll || !h.wants
+		m.want(h)
+	}
+}
+
+// run returns the highest number of requests at the server at once.
+func run(hosts int, v variant, history []step) int {
+	m := newModel(hosts, v)
+	for _, s := range history {
+		m.apply(s)
+		n := 0
+		for _, h := range m.hosts {
+			n += len(h.running)
+		}
+		m.high = max(m.high, n)
+	}
+	return m.high
+}
+
+func TestNoHistoryOversubscribesAServer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(1, 4).Draw(t, "hosts")
+		if high := run(hosts, variant{}, histories.Draw(t, "history")); high > testSlots {
+			t.Fatalf("%d requests on %d slots", high, testSlots)
+		}
+	})
+}
+
+// searchLimit bounds the histories in which a switched-off mechanism must show.
+const searchLimit = 3000
+
+func TestEachMechanismIsNeeded(t *testing.T) {
+	for name, v := range map[string]variant{
+		"owner by own view":      {noVoters: true},
+		"no wait for old owner":  {noHold: true},
+		"restart forgets grants": {forgetful: true},
+		"every grant is all":     {greedy: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for i := range searchLimit {
+				if run(4, v, histories.Example(i)) > testSlots {
+					return
+				}
+			}
+			t.Fatalf("no fault in %d histories", searchLimit)
+		})
+	}
+}
+
+func TestShareIsSuperadditive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "voters")
+		slots := rapid.IntRange(0, 40).Draw(t, "slots")
+		left, sum := n, 0
+		for left > 0 {
+			k := rapid.IntRange(1, left).Draw(t, "k")
+			sum += Share(k, n, slots)
+			left -= k
+		}
+		if sum > slots || Share(n, n, slots) != slots {
+			t.Fatalf("shares sum to %d of %d", sum, slots)
+		}
+	})
+}
+
+// TestOwnershipMoves follows one planned move, one death and one freeze.
+func TestOwnershipMoves(t *testing.T) {
+	m := newModel(4, variant{})
+	exchange := func(hosts ...int) {
+		for _, i := range hosts {
+			m.exchange(m.hosts[i], 0b1111)
+		}
+	}
+	limit := func(i, want int) {
+		t.Helper()
+		if got := m.limit(m.hosts[i]); got != want {
+			t.Fatalf("host %d may fill %d slots, want %d", i, got, want)
+		}
+	}
+	wants := func(i int, on bool) { m.hosts[i].wants = on; m.want(m.hosts[i]) }
+
+	wants(0, true)
+	exchange(0, 1, 2, 3)
+	limit(0, 0) // not every host had been heard by the voters
+	exchange(0, 1, 2, 3)
+	m.now = m.now.Add(testLease + testHold)
+	exchange(0, 1, 2, 3)
+	exchange(0)
+	limit(0, testSlots)
+
+	// A planned move: the old owner is idle, so the new one starts at once.
+	wants(0, false)
+	wants(1, true)
+	exchange(0, 1)
+	limit(0, 0)
+	limit(1, testSlots)
+
+	// The owner freezes with requests: nothing before lease and hold are over.
+	m.fill(m.hosts[1])
+	m.hosts[1].frozen = true
+	wants(2, true)
+	m.now = m.now.Add(testLease)
+	exchange(2)
+	limit(2, 0)
+	m.now = m.now.Add(testHold - time.Millisecond)
+	exchange(2)
+	limit(2, 0)
+	m.now = m.now.Add(time.Millisecond)
+	m.expire()
+	exchange(2)
+	limit(2, testSlots-1) // three of four voters: one slot stays with the fourth
+	m.hosts[1].frozen = false
+	limit(1, 0)
+}
--- a/internal/daemon/entry/dispatch.go
+++ b/internal/daemon/entry/dispatch.go
@@ -2,66 +2,94 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"strconv"
+	"time"
 
-	"cassiatray/internal/core/admission"
+	"cassiatray/api"
 	"cassiatray/internal/core/document"
+	"cassiatray/internal/daemon/slots"
 	"cassiatray/internal/port"
 )
 
-// servers returns the servers of this domain that are not in a planned drain.
+// servers returns the servers of this domain that may be given new work.
 func (n *Node) servers(x *exchange) []document.BackendServer {
 	now := n.clock.Now()
 	var out []document.BackendServer
 	for _, b := range x.svc.In(n.cfg.Domain) {
-		if !x.snap.Index.Draining(x.svc.Name, b, now) {
+		if !x.snap.Index.Draining(x.svc.Name, b, now) && !n.slots.Leaving(x.svc.Name, b.Name) {
 			out = append(out, b)
 		}
 	}
 	return out
 }
 
-// dispatch runs a request on a server of this domain.
-func (n *Node) dispatch(ctx context.Context, x *exchange, servers []document.BackendServer) result {
-	server, ok := n.acquire(x.svc, servers)
-	if !ok {
-		return result{fail: overloaded()}
-	}
-	defer n.release(x.svc.Name, server.Name)
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = n.clock.Now().Add(x.class.Deadline.D())
+// dispatch runs a request on a server of this domain, once it has a slot. The
+// slot says which server: of those given, the one that has room.
+func (n *Node) dispatch(ctx context.Context, x *exchange, _ []document.BackendServer) result {
+	limit := n.clock.Now().Add(x.class.Deadline.D())
+	ctx, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	slot, err := n.slots.Acquire(ctx, slots.Want{Service: x.svc, Class: x.class, Deadline: deadline})
+	if err != nil {
+		return result{fail: slotError(err)}
 	}
-	a, err := n.backend.Do(ctx, server.Address.String(), &port.BackendRequest{
+	return n.runOn(ctx, x, slot, deadline)
+}
+
+// runOn sends a request to the server of a slot.
+func (n *Node) runOn(ctx context.Context, x *exchange, slot *slots.Slot, deadline time.Time) result {
+	begin := n.clock.Now()
+	a, err := n.backend.Do(ctx, slot.Address, &port.BackendRequest{
 		Method: x.req.Method, Path: x.req.Path, RawQuery: x.req.RawQuery, Header: x.req.Header, Body: x.req.Body,
 		RequestID: n.nextRequestID(), Deadline: deadline, MaxAnswer: int64(x.class.MaxAnswer),
 		AtMostOnce: x.class.Execution == document.AtMostOnce,
 	})
+	took := n.clock.Now().Sub(begin)
 	if err != nil {
+		n.slots.Failed(x.svc.Name, slot.Server, err, 2*took >= x.class.Deadline.D())
+		giveBack(slot, err)
 		return result{fail: backendError(err)}
 	}
+	slot.Done(took)
+	n.slots.Answered(x.svc.Name, slot.Server, a)
 	return result{answer: &port.CallerAnswer{
-		Status: a.Status, Header: a.Header, Body: a.Body, Server: server.Name, Host: n.cfg.Host,
+		Status: a.Status, Header: a.Header, Body: a.Body, Server: slot.Server, Host: n.cfg.Host,
 	}}
 }
 
-func (n *Node) acquire(svc *document.ServiceIndex, servers []document.BackendServer) (document.BackendServer, bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	g := n.gates[svc.Name]
-	if g == nil {
-		g = admission.NewGate(svc.Slots)
-		n.gates[svc.Name] = g
+// giveBack ends a slot after a failure. While the server may still be at work
+// the slot stays counted.
+func giveBack(slot *slots.Slot, err error) {
+	var be *port.BackendError
+	if errors.As(err, &be) && (!be.Sent || be.Code == port.BackendShed) {
+		slot.Unused()
+		return
 	}
-	g.SetServers(svc.Slots, servers)
-	return g.Acquire()
+	slot.Abandon()
 }
 
-func (n *Node) release(service, server string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.gates[service].Release(server)
+// slotError says what it means to a caller that no slot was given: nothing was
+// sent to any server.
+func slotError(err error) *api.Error {
+	var refused *slots.RefusedError
+	if errors.As(err, &refused) {
+		return &api.Error{
+			Code: api.CodeOverloaded, Message: "no slot: " + string(refused.Reason), Outcome: api.OutcomeNotRun,
+			RetryAfterMillis: max(1, refused.RetryAfter.Milliseconds()),
+		}
+	}
+	var pe *port.PeerError
+	if errors.As(err, &pe) {
+		fail := overloaded()
+		fail.Message = "no host that holds a server answered"
+		return fail
+	}
+	fail := contextError(err)
+	fail.Outcome = api.OutcomeNotRun
+	return fail
 }
 
 func (n *Node) nextRequestID() string {
--- a/internal/daemon/entry/errors.go
+++ b/internal/daemon/entry/errors.go
@@ -43,7 +43,7 @@
 	if !errors.As(err, &be) {
 		return out
 	}
-	if !be.Sent {
+	if !be.Sent || be.NotRun {
 		out.Outcome = api.OutcomeNotRun
 	}
 	switch be.Code {
@@ -51,6 +51,9 @@
 		out.Code = api.CodeDeadline
 	case port.BackendCanceled:
 		out.Code = api.CodeCanceled
+	case port.BackendShed:
+		out.Code = api.CodeOverloaded
+		out.RetryAfterMillis = max(overloadRetry, be.RetryAfter).Milliseconds()
 	}
 	return out
 }
--- a/internal/daemon/entry/feed.go
+++ b/internal/daemon/entry/feed.go
@@ -27,6 +27,8 @@
 	log         *logrus.Entry
 	snapshot    atomic.Pointer[Snapshot]
 	state       atomic.Int32
+	// loads gives the load on the servers that this host holds.
+	loads func() []*peerv1.ServiceLoad
 
 	// Only the follow loop uses these.
 	replica *document.Replica
@@ -39,6 +41,7 @@
 	f := &Feed{
 		cfg: cfg, incarnation: incarnation, peers: peers, log: log,
 		replica: document.NewReplica(), domains: map[string]*peerv1.DomainView{},
+		loads: func() []*peerv1.ServiceLoad { return nil },
 	}
 	f.state.Store(int32(peerv1.HostState_HOST_STATE_STARTING))
 	return f
@@ -139,7 +142,7 @@
 	defer cancel()
 	m := &peerv1.Member{
 		Host: f.cfg.Host, Domain: f.cfg.Domain, EntryIncarnation: f.incarnation, EntryState: f.State(),
-		CallerAddress: f.cfg.Caller.String(), EntryPeerAddress: f.cfg.Peer.String(),
+		CallerAddress: f.cfg.Caller.String(), EntryPeerAddress: f.cfg.Peer.String(), Loads: f.loads(),
 	}
 	if s := f.Snapshot(); s != nil {
 		m.EntrySequence = s.Head.Sequence
--- a/internal/daemon/entry/module.go
+++ b/internal/daemon/entry/module.go
@@ -16,20 +16,21 @@
 	"cassiatray/internal/adapter/peer"
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/membership"
+	"cassiatray/internal/daemon/slots"
 	"cassiatray/internal/logging"
 	"cassiatray/internal/port"
 	"cassiatray/internal/program"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
-// maxBackendConns bounds the connections of this process to one server. Those
-// of all entry hosts of a domain together stay under the server's own limit.
-const maxBackendConns = 128
+// maxBackendConns bounds the connections of this process to one server until a
+// document says how many the server accepts.
+const maxBackendConns = 16
 
 // Module wires an entry process. It needs *Settings, *logrus.Logger and
 // *prometheus.Registry.
 var Module = fx.Module("entry",
-	fx.Provide(newIdentity, newPool, newFeed, newBackend, newNode, newServer, NewMetrics),
+	fx.Provide(newIdentity, newPool, newFeed, newBackend, newNode, newServer, newSlots, newSlotMetrics, NewMetrics),
 	fx.Invoke(start),
 )
 
@@ -45,13 +46,22 @@
 
 func newBackend() *backendhttp.Client { return backendhttp.New(maxBackendConns) }
 
-func newNode(cfg *Settings, id peer.Identity, f *Feed, b *backendhttp.Client, pool *peer.Pool, log *logrus.Logger, m *Metrics) *Node {
-	return NewNode(*cfg, id.Incarnation, f, b, pool, port.SystemClock{}, logging.Part(log, "entry"), m)
+func newSlotMetrics(reg *prometheus.Registry) *slots.Metrics { return slots.NewMetrics(reg) }
+
+func newSlots(cfg *Settings, id peer.Identity, f *Feed, pool *peer.Pool, log *logrus.Logger, m *slots.Metrics) *slots.Manager {
+	self := slots.Config{Host: cfg.Host, Domain: cfg.Domain, Incarnation: id.Incarnation}
+	out := slots.New(self, f, pool, port.SystemClock{}, logging.Part(log, "slots"), m)
+	f.SetLoads(out.Loads)
+	return out
+}
+
+func newNode(cfg *Settings, id peer.Identity, f *Feed, b *backendhttp.Client, pool *peer.Pool, s *slots.Manager, log *logrus.Logger, m *Metrics) *Node {
+	return NewNode(*cfg, id.Incarnation, f, b, pool, s, port.SystemClock{}, logging.Part(log, "entry"), m)
 }
 
 func newServer(id peer.Identity, n *Node) *peer.Server { return peer.NewServer(id, n) }
 
-func start(lc fx.Lifecycle, cfg *Settings, n *Node, f *Feed, srv *peer.Server, pool *peer.Pool, reg *prometheus.Registry) {
+func start(lc fx.Lifecycle, cfg *Settings, n *Node, f *Feed, b *backendhttp.Client, srv *peer.Server, pool *peer.Pool, reg *prometheus.Registry) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	callers := callerhttp.NewServer(callerhttp.NewHandler(n, cfg.Host))
@@ -72,6 +82,9 @@
 			operatorhttp.Serve(ol, operatorhttp.NewRouter(n, reg))
 			srv.Start(pl)
 			wg.Go(func() { f.Run(ctx) })
+			wg.Go(func() { n.slots.Run(ctx) })
+			wg.Go(func() { n.slots.Watch(ctx, b, n.hostList()) })
+			wg.Go(func() { n.limitConnections(ctx, b) })
 			go callers.Serve(cl)
 			return nil
 		},
@@ -118,16 +131,10 @@
 	State       string           `json:"state"`
 	Head        document.Head    `json:"head"`
 	Members     []*peerv1.Member `json:"members"`
-	InFlight    []ServiceState   `json:"inFlight"`
+	Slots       slots.State      `json:"slots"`
 	Operations  int              `json:"operations"`
 }
 
-// ServiceState is the load of one service on this host.
-type ServiceState struct {
-	Service  string `json:"service"`
-	InFlight int    `json:"inFlight"`
-}
-
 // Dump implements operatorhttp.Source.
 func (n *Node) Dump() any {
 	s := State{Host: n.cfg.Host, Domain: n.cfg.Domain, Incarnation: n.incarnation, State: n.feed.State().String()}
@@ -140,8 +147,6 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s.Operations = n.operations.Len()
-	for name, g := range n.gates {
-		s.InFlight = append(s.InFlight, ServiceState{Service: name, InFlight: g.InFlight()})
-	}
+	s.Slots = n.slots.Dump()
 	return s
 }
--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -11,9 +11,9 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiatray/api"
-	"cassiatray/internal/core/admission"
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/operation"
+	"cassiatray/internal/daemon/slots"
 	"cassiatray/internal/port"
 )
 
@@ -28,27 +28,27 @@
 
 // Node serves callers and other entry hosts.
 //
-// mu guards gates and operations; it is never held during I/O.
+// mu guards operations; it is never held during I/O.
 type Node struct {
 	cfg         Settings
 	incarnation uint64
 	feed        *Feed
 	backend     port.Backend
 	peers       port.PeerCaller
+	slots       *slots.Manager
 	clock       port.Clock
 	log         *logrus.Entry
 	metrics     *Metrics
 
 	mu         sync.Mutex
-	gates      map[string]*admission.Gate
 	operations *operation.Table[result]
 }
 
 // NewNode returns a node that reads its snapshots from feed.
-func NewNode(cfg Settings, incarnation uint64, feed *Feed, backend port.Backend, peers port.PeerCaller, clock port.Clock, log *logrus.Entry, m *Metrics) *Node {
+func NewNode(cfg Settings, incarnation uint64, feed *Feed, backend port.Backend, peers port.PeerCaller, slots *slots.Manager, clock port.Clock, log *logrus.Entry, m *Metrics) *Node {
 	return &Node{
-		cfg: cfg, incarnation: incarnation, feed: feed, backend: backend, peers: peers, clock: clock, log: log, metrics: m,
-		gates: map[string]*admission.Gate{}, operations: operation.NewTable[result](operationWindow),
+		cfg: cfg, incarnation: incarnation, feed: feed, backend: backend, peers: peers, slots: slots, clock: clock, log: log, metrics: m,
+		operations: operation.NewTable[result](operationWindow),
 	}
 }
 
--- a/internal/daemon/entry/peer.go
+++ b/internal/daemon/entry/peer.go
@@ -7,6 +7,7 @@
 
 	"cassiatray/api"
 	"cassiatray/internal/core/document"
+	"cassiatray/internal/daemon/slots"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
 )
@@ -28,6 +29,9 @@
 
 // Serve implements peer.Handler.
 func (n *Node) Serve(ctx context.Context, req *peerv1.Request) (*peerv1.Reply, error) {
+	if req.GetSlotAsk() != nil {
+		return n.slots.ServeAsk(req), nil
+	}
 	d := req.GetDispatch()
 	if d == nil {
 		return nil, &UnsupportedError{Body: fmt.Sprintf("%T", req.Body)}
@@ -37,7 +41,10 @@
 }
 
 // ServeFollow implements peer.Handler.
-func (n *Node) ServeFollow(context.Context, *peerv1.Request, func(*peerv1.Reply) error) error {
+func (n *Node) ServeFollow(ctx context.Context, req *peerv1.Request, send func(*peerv1.Reply) error) error {
+	if slots.Serves(req) {
+		return n.slots.ServeStream(ctx, req, send)
+	}
 	return &UnsupportedError{Body: "follow"}
 }
 
--- a/internal/daemon/entry/settings.go
+++ b/internal/daemon/entry/settings.go
@@ -23,6 +23,9 @@
 	Peer document.Address `yaml:"peer"`
 	// Operator is the address of metrics and dumps.
 	Operator document.Address `yaml:"operator"`
+	// HostList is the address of the platform's list of live and leaving
+	// hosts; empty for none.
+	HostList document.Address `yaml:"hostList,omitempty"`
 	// Heartbeat is the interval of reports to the steer process.
 	Heartbeat document.Duration `yaml:"heartbeat"`
 	Log       settings.Log      `yaml:"log"`
--- /dev/null
+++ b/internal/daemon/slots/acquire.go
@@ -0,0 +1,164 @@
+package slots
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"cassiatray/internal/core/admission"
+	"cassiatray/internal/core/document"
+)
+
+// Want is a request that needs a slot.
+type Want struct {
+	Service *document.ServiceIndex
+	Class   *document.Class
+	// Deadline is when the request must have ended. It is at most the class's
+	// deadline from now.
+	Deadline time.Time
+}
+
+// RefusedError says that no slot was given. Nothing was sent anywhere.
+type RefusedError struct {
+	Reason     admission.Reason
+	RetryAfter time.Duration
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("no slot (%s), try again after %v", e.Reason, e.RetryAfter)
+}
+
+// Slot is the right to run one request on a server. It must be ended once.
+type Slot struct {
+	Server  string
+	Address string
+	end     func(took time.Duration)
+}
+
+// Done gives the slot back after a whole answer.
+func (s *Slot) Done(took time.Duration) { s.end(max(took, 1)) }
+
+// Abandon gives the slot back once the server can have seen that the request's
+// connection is closed. Its use is after every exchange without a whole answer.
+func (s *Slot) Abandon() { time.AfterFunc(cancelGrace, func() { s.end(0) }) }
+
+// Unused gives back a slot on which nothing was sent.
+func (s *Slot) Unused() { s.end(0) }
+
+// Acquire gives a request a slot: on a server that this host holds, else on
+// one that another host has free, else after a wait in this host's queue or,
+// when it holds none, in another's.
+//
+// Errors: *RefusedError, or the context's error when it ended first.
+func (m *Manager) Acquire(ctx context.Context, w Want) (*Slot, error) {
+	begin := m.clock.Now()
+	slot, err := m.acquire(ctx, w)
+	m.metrics.acquired(w, m.clock.Now().Sub(begin), err)
+	return slot, err
+}
+
+func (m *Manager) acquire(ctx context.Context, w Want) (*Slot, error) {
+	s := m.service(w.Service.Name)
+	if server, ok := m.try(s); ok {
+		return m.own(s, w, server), nil
+	}
+	if slot := m.borrow(ctx, s, w); slot != nil {
+		return slot, nil
+	}
+	if m.holdsAny(s) {
+		return m.wait(ctx, s, w)
+	}
+	return m.waitElsewhere(ctx, s, w)
+}
+
+// own makes a slot of one that the pool has counted.
+func (m *Manager) own(s *service, w Want, server string) *Slot {
+	return &Slot{
+		Server: server, Address: addressOf(w.Service, m.cfg.Domain, server),
+		end: func(took time.Duration) { m.done(s, server, took) },
+	}
+}
+
+func addressOf(svc *document.ServiceIndex, domain, server string) string {
+	for _, b := range svc.In(domain) {
+		if b.Name == server {
+			return b.Address.String()
+		}
+	}
+	return ""
+}
+
+func (m *Manager) holdsAny(s *service) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range m.limits(m.clock.Now(), s) {
+		if l.Slots > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// borrow asks hosts that seem to have a free slot.
+func (m *Manager) borrow(ctx context.Context, s *service, w Want) *Slot {
+	for range borrowTries {
+		host, ok := s.pick()
+		if !ok {
+			return nil
+		}
+		if slot, err := m.leaseFrom(ctx, host, s, w, false); err == nil {
+			return slot
+		}
+	}
+	return nil
+}
+
+// wait queues the request here, and goes on looking for a slot elsewhere.
+func (m *Manager) wait(ctx context.Context, s *service, w Want) (*Slot, error) {
+	r := admission.Request{Priority: w.Class.Priority, Deadline: w.Deadline}
+	ticket, verdict := m.admit(s, r)
+	late := time.NewTimer(admission.WaitLimit(r.Priority, r.Deadline.Sub(m.clock.Now())) + time.Millisecond)
+	defer late.Stop()
+	for {
+		select {
+		case v := <-verdict:
+			return m.judged(s, w, v)
+		case <-late.C:
+			m.pump(s)
+		case <-s.nudge:
+			if slot := m.borrow(ctx, s, w); slot != nil {
+				m.cancel(s, ticket, verdict)
+				return slot, nil
+			}
+		case <-ctx.Done():
+			m.cancel(s, ticket, verdict)
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (m *Manager) judged(s *service, w Want, v admission.Verdict) (*Slot, error) {
+	if v.Server == "" {
+		return nil, &RefusedError{Reason: v.Reason, RetryAfter: v.RetryAfter}
+	}
+	return m.own(s, w, v.Server), nil
+}
+
+// waitElsewhere queues the request at the least loaded host that answers.
+func (m *Manager) waitElsewhere(ctx context.Context, s *service, w Want) (*Slot, error) {
+	var refused error = &RefusedError{Reason: admission.ReasonNoSlots, RetryAfter: roundInterval}
+	for i, host := range s.shortest() {
+		if i == borrowTries {
+			break
+		}
+		slot, err := m.leaseFrom(ctx, host, s, w, true)
+		if err == nil {
+			return slot, nil
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		refused = err
+	}
+	return nil, refused
+}
--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -32,6 +32,8 @@
 	Body   []byte
 	// Leaving is set when the server said that it is draining.
 	Leaving bool
+	// Boot identifies the server's process; empty when it does not say.
+	Boot string
 	// Load is the load the server reported with the answer; nil when absent.
 	Load *BackendLoad
 }
@@ -42,6 +44,20 @@
 	InFlight int
 }
 
+// BackendHealth is a server's answer to a health probe. It may lag or mislead.
+type BackendHealth struct {
+	Healthy bool
+	Leaving bool
+	Boot    string
+}
+
+// BackendProber asks backend servers for their health.
+//
+// Errors: *BackendError.
+type BackendProber interface {
+	Probe(ctx context.Context, address string) (*BackendHealth, error)
+}
+
 // Backend sends requests to backend servers by address ("ip:port").
 //
 // Errors: *BackendError, which says whether any byte may have reached the
@@ -57,6 +73,11 @@
 const (
 	// BackendConnect means that no connection was made: nothing was sent.
 	BackendConnect BackendCode = "connect"
+	// BackendRefused means that no process listens: nothing was sent.
+	BackendRefused BackendCode = "refused"
+	// BackendShed means that the server refused the request because of its
+	// load. NotRun says whether it also said that it did not run it.
+	BackendShed BackendCode = "shed"
 	// BackendBroken means that the connection broke after sending began.
 	BackendBroken BackendCode = "broken"
 	// BackendTimeout means that the deadline passed after sending began.
@@ -77,7 +98,13 @@
 	Address string
 	// Sent is set once a byte of the request may have left this host.
 	Sent bool
-	Err  error
+	// NotRun is set when the server itself said that it did not run the
+	// request.
+	NotRun bool
+	// RetryAfter is how long the server asks to be left alone; zero when it
+	// does not say.
+	RetryAfter time.Duration
+	Err        error
 }
 
 func (e *BackendError) Error() string {
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -63,6 +63,14 @@
 
 func (e *PeerError) Unwrap() error { return e.Err }
 
+// ErrSessionLost is the cause of an exchange's end when the whole session to
+// its peer broke, so that the peer may still be at work on it.
+const ErrSessionLost = sessionFault("session lost")
+
+type sessionFault string
+
+func (f sessionFault) Error() string { return string(f) }
+
 // IsPeerCode reports whether err is a PeerError with the given code.
 func IsPeerCode(err error, code PeerCode) bool {
 	var pe *PeerError
