--- a/internal/core/document/diff.go
+++ b/internal/core/document/diff.go
@@ -57,12 +57,12 @@
 func (d *differ) first() {
 	d.add(EffectWeigh, SeverityHigh, "This is the first document. The environment weighs %s most.", d.now.Weigh)
 	d.add(EffectLookup, SeverityLow, "Callers may keep a look-up answer for %s; it names %s.",
-		span(d.now.Lookup.TTL), count(d.now.Lookup.Hosts, "entry host"))
+		durationText(d.now.Lookup.TTL), count(d.now.Lookup.Hosts, "entry host"))
 }
 
 func (d *differ) top() {
 	changed(d, EffectWeigh, SeverityHigh, d.old.Weigh, d.now.Weigh, "The environment weighs %s most, was %s.")
-	changed(d, EffectLookup, SeverityMedium, span(d.old.Lookup.TTL), span(d.now.Lookup.TTL),
+	changed(d, EffectLookup, SeverityMedium, durationText(d.old.Lookup.TTL), durationText(d.now.Lookup.TTL),
 		"Callers may keep a look-up answer for %s, was %s.")
 	changed(d, EffectLookup, SeverityMedium, d.old.Lookup.Hosts, d.now.Lookup.Hosts,
 		"A look-up answer names %d entry hosts, was %d.")
--- a/internal/core/document/diff_caps.go
+++ b/internal/core/document/diff_caps.go
@@ -112,4 +112,4 @@
 	}
 }
 
-func pace(s ShiftCap) string { return s.Share.String() + " of a region in " + span(s.Per) }
+func pace(s ShiftCap) string { return s.Share.String() + " of a region in " + durationText(s.Per) }
--- a/internal/core/document/diff_places.go
+++ b/internal/core/document/diff_places.go
@@ -119,7 +119,7 @@
 	links := match(d.old.Links, d.now.Links, linkName)
 	for _, l := range links.added {
 		d.add(EffectLink, SeverityHigh, "The link between %s is new: %s Mbit/s each way, of which this system may use %.0f, with %s of delay.",
-			linkName(l), grouped(l.Mbps), l.Allowed(), span(l.Delay))
+			linkName(l), grouped(l.Mbps), l.Allowed(), durationText(l.Delay))
 	}
 	for _, l := range links.removed {
 		d.add(EffectLink, SeverityHigh, "The link between %s is removed.", linkName(l))
--- a/internal/core/document/diff_services.go
+++ b/internal/core/document/diff_services.go
@@ -38,9 +38,9 @@
 	name := now.Name
 	changed(d, EffectService, SeverityHigh, old.Slots, now.Slots, "Each server of %s runs up to %d requests at once, was %d.", name)
 	changed(d, EffectService, SeverityMedium, old.Connections, now.Connections, "Each server of %s accepts %d connections, was %d.", name)
-	changed(d, EffectService, SeverityLow, span(old.ColdStart.Connection), span(now.ColdStart.Connection),
+	changed(d, EffectService, SeverityLow, durationText(old.ColdStart.Connection), durationText(now.ColdStart.Connection),
 		"A new connection to a server of %s costs %s, was %s.", name)
-	changed(d, EffectService, SeverityMedium, span(old.ColdStart.Warmup), span(now.ColdStart.Warmup),
+	changed(d, EffectService, SeverityMedium, durationText(old.ColdStart.Warmup), durationText(now.ColdStart.Warmup),
 		"A new server of %s reaches its full load in %s, was %s.", name)
 	changed(d, EffectService, SeverityMedium, max(1, old.ColdStart.InitialSlots), max(1, now.ColdStart.InitialSlots),
 		"A new server of %s begins with %d requests at once, was %d.", name)
@@ -105,7 +105,7 @@
 	classes := match(old.Classes, now.Classes, func(c Class) string { return c.Name })
 	for _, c := range classes.added {
 		d.add(EffectClass, SeverityHigh, "Class %s of %s is new: %s %s, %s, within %s.", c.Name, now.Name,
-			strings.Join(c.Methods, "/"), c.Path, runs(c.Execution), span(c.Deadline))
+			strings.Join(c.Methods, "/"), c.Path, runs(c.Execution), durationText(c.Deadline))
 	}
 	for _, c := range classes.removed {
 		d.add(EffectClass, SeverityHigh, "Class %s of %s is removed: its requests are refused unless another class takes them.", c.Name, now.Name)
@@ -138,7 +138,7 @@
 	changed(d, EffectClass, SeverityHigh, runs(old.Execution), runs(now.Execution), "Each of the %s %s, was: %s.", what)
 	changed(d, EffectClass, SeverityHigh, strings.Join(old.Methods, "/"), strings.Join(now.Methods, "/"), "%s are those with method %s, was %s.", what)
 	changed(d, EffectClass, SeverityHigh, old.Path, now.Path, "%s are those under %s, was %s.", what)
-	changed(d, EffectClass, SeverityMedium, span(old.Deadline), span(now.Deadline), "%s may take %s in all, was %s.", what)
+	changed(d, EffectClass, SeverityMedium, durationText(old.Deadline), durationText(now.Deadline), "%s may take %s in all, was %s.", what)
 	changed(d, EffectClass, SeverityMedium, old.Priority, now.Priority, "%s wait with priority %d (0 goes first), was %d.", what)
 	changed(d, EffectClass, SeverityMedium, old.Retries, now.Retries, "Retries of %s stay under %s of them, was %s.", what)
 	changed(d, EffectClass, SeverityMedium, old.MaxBody, now.MaxBody, "%s may carry up to %s, was %s.", what)
@@ -151,7 +151,7 @@
 	if c.HedgeAfter == 0 {
 		return "no second copy is sent"
 	}
-	return "a second copy may be sent after " + span(c.HedgeAfter)
+	return "a second copy may be sent after " + durationText(c.HedgeAfter)
 }
 
 func needsID(c Class) string {
--- a/internal/core/document/diff_test.go
+++ b/internal/core/document/diff_test.go
@@ -26,31 +26,31 @@
 	})
 }
 
-// leaf is one value in a document that can be changed on its own.
-type leaf struct {
+// field is one value in a document that can be changed on its own.
+type field struct {
 	path  string
 	value reflect.Value
 }
 
-// leaves returns the values under v, with the first item of each list.
-func leaves(t testing.TB, path string, v reflect.Value) []leaf {
+// fields returns the values under v, with the first item of each list.
+func fields(t testing.TB, path string, v reflect.Value) []field {
 	switch v.Interface().(type) {
 	case Address, Prefix, time.Time:
-		return []leaf{{path, v}}
+		return []field{{path, v}}
 	}
-	var out []leaf
+	var out []field
 	switch v.Kind() {
 	case reflect.Struct:
 		for i := range v.NumField() {
-			out = append(out, leaves(t, joinKey(path, yamlName(v.Type().Field(i))), v.Field(i))...)
+			out = append(out, fields(t, joinKey(path, yamlName(v.Type().Field(i))), v.Field(i))...)
 		}
 	case reflect.Slice:
 		if v.Len() == 0 {
 			t.Fatalf("the base document has nothing in %s", path)
 		}
-		return leaves(t, path+"[0]", v.Index(0))
+		return fields(t, path+"[0]", v.Index(0))
 	default:
-		return []leaf{{path, v}}
+		return []field{{path, v}}
 	}
 	return out
 }
@@ -84,9 +84,9 @@
 func untold(t testing.TB, diff func(old, now *Document) []Effect) []string {
 	base := parsed(t, baseText(t))
 	var out []string
-	for i := range leaves(t, "", reflect.ValueOf(base).Elem()) {
+	for i := range fields(t, "", reflect.ValueOf(base).Elem()) {
 		now := parsed(t, baseText(t))
-		l := leaves(t, "", reflect.ValueOf(now).Elem())[i]
+		l := fields(t, "", reflect.ValueOf(now).Elem())[i]
 		mutate(l.value)
 		told := slices.ContainsFunc(diff(base, now), func(e Effect) bool { return e.Kind != EffectOrder })
 		if !told {
--- a/internal/core/document/words.go
+++ b/internal/core/document/words.go
@@ -60,8 +60,8 @@
 	return Percent(math.Round(part/whole*100*tenths) / tenths).String()
 }
 
-// span writes a duration in words, such as "1 minute" or "250 ms".
-func span(d Duration) string {
+// durationText writes a duration in words, such as "1 minute" or "250 ms".
+func durationText(d Duration) string {
 	v := d.D()
 	for _, u := range []struct {
 		unit time.Duration
