--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -107,13 +107,14 @@
 		return nil, failure(ctx, address, x.abandon(), err)
 	}
 	defer resp.Body.Close()
+	refusal := shed(address, resp)
 	a, err := read(ctx, address, r, resp)
 	if err != nil {
 		x.abandon()
 		return nil, err
 	}
-	if fail := shed(address, r, resp); fail != nil {
-		return nil, fail
+	if refusal != nil {
+		return nil, refusal
 	}
 	return a, nil
 }
@@ -146,7 +147,7 @@
 
 // shed reads a refusal: status 503 with Retry-After. Only with HeaderNotRun is
 // it proved that the request did not run.
-func shed(address string, r *port.BackendRequest, resp *http.Response) error {
+func shed(address string, resp *http.Response) error {
 	after := resp.Header.Get(headerRetryAfter)
 	if resp.StatusCode != http.StatusServiceUnavailable || after == "" {
 		return nil
--- a/internal/adapter/hostlist/client.go
+++ b/internal/adapter/hostlist/client.go
@@ -19,10 +19,15 @@
 const maxList = 4 << 20
 
 // Client implements port.HostList.
-type Client struct{ url string }
+type Client struct {
+	url  string
+	http *http.Client
+}
 
 // New returns a client of the list at an address ("ip:port").
-func New(address string) *Client { return &Client{url: "http://" + address + Path} }
+func New(address string) *Client {
+	return &Client{url: "http://" + address + Path, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
 
 // Error is a failed read of the list.
 type Error struct {
@@ -54,7 +59,7 @@
 	if err != nil {
 		return nil, &Error{URL: c.url, Err: err}
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, &Error{URL: c.url, Err: err}
 	}
--- a/internal/core/admission/claim.go
+++ b/internal/core/admission/claim.go
@@ -13,6 +13,9 @@
 	lease time.Duration
 	round uint64
 	held  map[Key]*claim
+	// asked is the last round in which each voter was asked; only the answer
+	// to that counts.
+	asked map[string]uint64
 }
 
 type claim struct {
@@ -29,18 +32,24 @@
 }
 
 // grant is one voter's grant, usable in [from, until) on this host's clock.
-type grant struct{ from, until time.Time }
+type grant struct {
+	from, until time.Time
+	// voter is the incarnation of the voter.
+	voter uint64
+}
 
-func (g grant) renewed(until time.Time) grant {
-	if until.After(g.until) {
-		g.until = until
+// after returns the grant that renews old: a voter that has started anew does
+// not know what its predecessor made this host wait for.
+func (g grant) after(old grant, now time.Time) grant {
+	if old.voter != g.voter && now.Before(old.until) && old.from.After(g.from) {
+		g.from = old.from
 	}
 	return g
 }
 
 // NewClaims returns the claims of a process that holds nothing.
 func NewClaims(self Holder, lease time.Duration) *Claims {
-	return &Claims{self: self, lease: lease, held: map[Key]*claim{}}
+	return &Claims{self: self, lease: lease, held: map[Key]*claim{}, asked: map[string]uint64{}}
 }
 
 // Want sets the servers that this host should hold. The others stop taking
@@ -86,6 +95,7 @@
 
 // Ask makes this round's message to one voter.
 func (c *Claims) Ask(now time.Time, voter string) *Ask {
+	c.asked[voter] = c.round
 	a := &Ask{From: c.self, Round: c.round}
 	for key, h := range c.held {
 		w := Want{Key: key, Hold: h.hold}
@@ -105,9 +115,12 @@
 	return a
 }
 
-// Take counts a voter's answers to the Ask of a round, sent and received at
-// the given times of this host's clock.
-func (c *Claims) Take(voter string, round uint64, sent, received time.Time, answers []Answer) {
+// Take counts the answers of one incarnation of a voter to the Ask of a round,
+// sent and received at the given times of this host's clock.
+func (c *Claims) Take(voter Holder, round uint64, sent, received time.Time, answers []Answer) {
+	if c.asked[voter.Host] != round {
+		return
+	}
 	until := sent.Add(c.lease - c.lease/driftDivisor)
 	for _, a := range answers {
 		h := c.held[a.Key]
@@ -115,14 +128,11 @@
 			continue
 		}
 		if !a.Granted {
-			delete(h.grants, voter)
+			delete(h.grants, voter.Host)
 			continue
 		}
-		next := grant{from: received.Add(a.After), until: until}
-		if old, ok := h.grants[voter]; ok && received.Before(old.until) {
-			next = old.renewed(until)
-		}
-		h.grants[voter] = next
+		next := grant{from: received.Add(a.After), until: until, voter: voter.Incarnation}
+		h.grants[voter.Host] = next.after(h.grants[voter.Host], received)
 	}
 }
 
@@ -165,6 +175,17 @@
 	return n
 }
 
+// Short reports whether this host lacks a majority of the grants of a server
+// that it should hold.
+func (v *ClaimView) Short(now time.Time) bool {
+	for key := range v.grants {
+		if 2*v.Votes(now, key) <= v.voters {
+			return true
+		}
+	}
+	return false
+}
+
 // Holds reports whether this host should take work for a server.
 func (v *ClaimView) Holds(key Key) bool {
 	_, ok := v.grants[key]
--- a/internal/core/admission/ledger.go
+++ b/internal/core/admission/ledger.go
@@ -68,6 +68,8 @@
 	from   time.Time
 	until  time.Time
 	hold   time.Duration
+	// withheld says that from is only what a predecessor may have granted.
+	withheld bool
 }
 
 // clear returns when no request started under the grant can run any more.
@@ -119,7 +121,7 @@
 	if g == nil || g.holder != from {
 		return
 	}
-	if !g.from.After(now) {
+	if !g.from.After(now) || g.withheld {
 		delete(l.grants, key)
 		return
 	}
@@ -133,7 +135,7 @@
 	}
 	delete(l.unheard, a.From.Host)
 	for _, c := range a.Claims {
-		if l.grants[c.Key] == nil {
+		if g := l.grants[c.Key]; g == nil || g.withheld {
 			l.grants[c.Key] = &granted{holder: a.From, until: now.Add(l.lease), hold: c.Hold, from: now.Add(c.After)}
 		}
 	}
@@ -144,22 +146,27 @@
 	if g != nil && g.holder != asker && now.Before(g.until) {
 		return Answer{Key: w.Key, Holder: g.holder}
 	}
-	next := &granted{holder: asker, from: l.free(now, asker, w, g), until: now.Add(l.lease), hold: w.Hold}
+	next := &granted{holder: asker, until: now.Add(l.lease), hold: w.Hold}
+	next.from, next.withheld = l.free(now, asker, w, g)
 	l.grants[w.Key] = next
 	return Answer{Key: w.Key, Granted: true, Holder: asker, After: max(0, next.from.Sub(now))}
 }
 
-// free returns when a grant may be used by a new holder.
-func (l *Ledger) free(now time.Time, asker Holder, w Want, g *granted) time.Time {
+// free returns when a grant may be used by a new holder, and whether only a
+// predecessor of this voter may stand against an earlier time.
+func (l *Ledger) free(now time.Time, asker Holder, w Want, g *granted) (from time.Time, withheld bool) {
+	opened := len(l.unheard) == 0
 	switch {
+	case g != nil && g.withheld && opened:
+		return now, false
 	case g != nil && g.holder == asker:
-		return g.from
-	case g != nil:
-		return g.clear()
-	case len(l.unheard) > 0:
-		return l.started.Add(l.lease + w.Hold)
+		return g.from, g.withheld
+	case g != nil && !g.withheld:
+		return g.clear(), false
+	case !opened:
+		return l.started.Add(l.lease + w.Hold), true
 	}
-	return now
+	return now, false
 }
 
 // Holders returns who holds each grant now.
--- a/internal/core/admission/share.go
+++ b/internal/core/admission/share.go
@@ -30,12 +30,32 @@
 // Key names a backend server.
 type Key struct{ Service, Server string }
 
-// Owner returns the host that should hold a server's grants: the one with the
-// highest rendezvous hash. A host that comes or goes moves only the servers
-// that it gains or had. The result is empty when there are no hosts.
-func Owner(key Key, hosts []string) string {
+// Assign returns which host should hold each server of a service: its highest
+// rendezvous hash among the hosts that hold less than an even part, so that the
+// loss of a host costs no more than that. Hosts with equal arguments agree
+// without talking. The result is empty when there are no hosts.
+func Assign(service string, servers, hosts []string) map[string]string {
+	out := make(map[string]string, len(servers))
+	if len(hosts) == 0 {
+		return out
+	}
+	part := (len(servers) + len(hosts) - 1) / len(hosts)
+	held := make(map[string]int, len(hosts))
+	for _, server := range servers {
+		host := first(Key{Service: service, Server: server}, hosts, func(h string) bool { return held[h] < part })
+		held[host]++
+		out[server] = host
+	}
+	return out
+}
+
+// first returns the host with the highest rendezvous hash that is free.
+func first(key Key, hosts []string, free func(string) bool) string {
 	best, top := "", uint64(0)
 	for _, h := range hosts {
+		if !free(h) {
+			continue
+		}
 		score := xxhash.Sum64String(key.Service + "/" + key.Server + "@" + h)
 		if best == "" || score > top || score == top && h < best {
 			best, top = h, score
--- a/internal/daemon/slots/manager.go
+++ b/internal/daemon/slots/manager.go
@@ -25,6 +25,9 @@
 	lease = time.Second
 	// roundInterval is the interval of renewals.
 	roundInterval = 250 * time.Millisecond
+	// pressInterval is the interval while this host lacks the grants of a
+	// server that it should hold: its last holder may give it back any time.
+	pressInterval = 25 * time.Millisecond
 	// queuePerService bounds the queue of one service.
 	queuePerService = 512
 	// firstReply bounds the wait for another host's first reply to a request
@@ -92,7 +95,7 @@
 	defer wg.Wait()
 	for ctx.Err() == nil {
 		m.round(ctx, &wg)
-		t := time.NewTimer(roundInterval)
+		t := time.NewTimer(m.interval())
 		select {
 		case <-t.C:
 		case <-m.kick:
@@ -103,6 +106,14 @@
 	}
 }
 
+// interval returns the time until the next round.
+func (m *Manager) interval() time.Duration {
+	if m.view.Load().Short(m.clock.Now()) {
+		return pressInterval
+	}
+	return roundInterval
+}
+
 // Kick starts the next round at once.
 func (m *Manager) Kick() {
 	select {
--- a/internal/daemon/slots/round.go
+++ b/internal/daemon/slots/round.go
@@ -41,10 +41,7 @@
 func (m *Manager) keepServers(index *document.Index) {
 	for i := range index.Doc.Services {
 		svc := index.Service(index.Doc.Services[i].Name)
-		var names []string
-		for _, b := range svc.In(m.cfg.Domain) {
-			names = append(names, b.Name)
-		}
+		names := serverNames(svc.In(m.cfg.Domain))
 		if len(names) == 0 {
 			continue
 		}
@@ -61,16 +58,25 @@
 	var out []admission.Want
 	for i := range index.Doc.Services {
 		svc := index.Service(index.Doc.Services[i].Name)
-		for _, b := range svc.In(m.cfg.Domain) {
-			key := admission.Key{Service: svc.Name, Server: b.Name}
-			if admission.Owner(key, live) == m.cfg.Host {
-				out = append(out, admission.Want{Key: key, Hold: hold(svc)})
+		servers := serverNames(svc.In(m.cfg.Domain))
+		owners := admission.Assign(svc.Name, servers, live)
+		for _, server := range servers {
+			if owners[server] == m.cfg.Host {
+				out = append(out, admission.Want{Key: admission.Key{Service: svc.Name, Server: server}, Hold: hold(svc)})
 			}
 		}
 	}
 	return out
 }
 
+func serverNames(servers []document.BackendServer) []string {
+	out := make([]string, 0, len(servers))
+	for _, b := range servers {
+		out = append(out, b.Name)
+	}
+	return out
+}
+
 // begin starts a round. What is no longer wanted takes no work from the moment
 // the view is published; only then is it asked whether it is idle.
 func (m *Manager) begin(index *document.Index, hosts []document.EntryHost) uint64 {
@@ -118,7 +124,7 @@
 	now := m.clock.Now()
 	ask := m.claims.Ask(now, m.cfg.Host)
 	if answers, ok := m.ledger.Vote(now, ask); ok {
-		m.claims.Take(m.cfg.Host, ask.Round, now, now, answers)
+		m.claims.Take(ask.From, ask.Round, now, now, answers)
 	}
 	m.view.Store(m.claims.View(names(hosts)))
 }
@@ -136,7 +142,7 @@
 	answer := reply.GetSlotAnswer()
 	m.hear(h.Name, answer.GetLoads(), answer.GetLeaving())
 	if answer.GetAccepted() {
-		m.take(h.Name, round, sent, answersOf(answer))
+		m.take(admission.Holder{Host: h.Name, Incarnation: reply.FromIncarnation}, round, sent, answersOf(answer))
 	}
 }
 
@@ -146,7 +152,7 @@
 	delete(m.asking, host)
 }
 
-func (m *Manager) take(voter string, round uint64, sent time.Time, answers []admission.Answer) {
+func (m *Manager) take(voter admission.Holder, round uint64, sent time.Time, answers []admission.Answer) {
 	index := m.source.Index()
 	m.mu.Lock()
 	m.claims.Take(voter, round, sent, m.clock.Now(), answers)
--- a/internal/daemon/slots/service.go
+++ b/internal/daemon/slots/service.go
@@ -75,12 +75,16 @@
 	}
 }
 
-// done frees a slot of a held server.
+// done frees a slot of a server that this host holds, or gives back: that can
+// be done at once when nothing is left on it.
 func (m *Manager) done(s *service, server string, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := m.clock.Now()
 	s.deliver(s.pool.Done(now, server, took, m.limits(now, s)))
+	if s.pool.InFlight(server) == 0 && !m.view.Load().Holds(admission.Key{Service: s.name, Server: server}) {
+		m.Kick()
+	}
 }
 
 // pump starts and refuses waiters after limits or time have changed.
--- a/internal/daemon/slots/watch.go
+++ b/internal/daemon/slots/watch.go
@@ -136,7 +136,7 @@
 // tells the others.
 func (m *Manager) readList(ctx context.Context, list port.HostList, seen *listed) {
 	index := m.source.Index()
-	if index == nil || admission.Owner(admission.Key{Service: listTeller}, m.source.Live()) != m.cfg.Host {
+	if index == nil || admission.Assign(listTeller, []string{listTeller}, m.source.Live())[listTeller] != m.cfg.Host {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -7,6 +7,7 @@
 	"fmt"
 
 	"cassiatray/internal/core/document"
+	"cassiatray/internal/port"
 	"cassiatray/internal/settings"
 )
 
@@ -14,6 +15,10 @@
 type Settings struct {
 	// Store is the address of the key-value service; empty for none.
 	Store document.Address `yaml:"store,omitempty"`
+	// HostList is the address of the platform's list of hosts, which names the
+	// servers below; empty for none. HostListLag is how far it is behind.
+	HostList    document.Address  `yaml:"hostList,omitempty"`
+	HostListLag document.Duration `yaml:"hostListLag,omitempty"`
 	// Servers are the backend servers of this process.
 	Servers []ServerSettings `yaml:"servers"`
 	Log     settings.Log     `yaml:"log"`
@@ -29,10 +34,23 @@
 	// Warmup and ColdFactor describe a cold start.
 	Warmup     document.Duration `yaml:"warmup"`
 	ColdFactor float64           `yaml:"coldFactor"`
+	// Connections is how many connections the server accepts, zero for no
+	// limit, and ConnectionCost what each new one costs.
+	Connections    int               `yaml:"connections,omitempty"`
+	ConnectionCost document.Duration `yaml:"connectionCost,omitempty"`
 	// Restart is how long the server stays away after a crash.
 	Restart document.Duration `yaml:"restart"`
 }
 
+// listed returns the servers as the platform's list names them at first.
+func (s *Settings) listed() []port.ListedHost {
+	var out []port.ListedHost
+	for _, b := range s.Servers {
+		out = append(out, port.ListedHost{Name: b.Name, Address: b.Address.String()})
+	}
+	return out
+}
+
 // Check implements settings.Checker.
 func (s *Settings) Check(lines document.Lines) []document.Problem {
 	var out []document.Problem
