--- a/internal/daemon/entry/dispatch.go
+++ b/internal/daemon/entry/dispatch.go
@@ -43,7 +43,8 @@
 func (n *Node) runOn(ctx context.Context, x *exchange, slot *slots.Slot, deadline time.Time) result {
 	begin := n.clock.Now()
 	a, err := n.backend.Do(ctx, slot.Address, &port.BackendRequest{
-		Method: x.req.Method, Path: x.req.Path, RawQuery: x.req.RawQuery, Header: x.req.Header, Body: x.req.Body,
+		Service: x.svc.Name,
+		Method:  x.req.Method, Path: x.req.Path, RawQuery: x.req.RawQuery, Header: x.req.Header, Body: x.req.Body,
 		RequestID: n.nextRequestID(), Deadline: deadline, MaxAnswer: int64(x.class.MaxAnswer),
 		AtMostOnce: x.class.Execution == document.AtMostOnce,
 	})
--- a/internal/daemon/entry/module.go
+++ b/internal/daemon/entry/module.go
@@ -90,12 +90,11 @@
 			wg.Go(func() { n.slots.Run(ctx) })
 			wg.Go(func() { n.slots.Watch(ctx, b, n.hostList()) })
 			wg.Go(func() { n.limitConnections(ctx, b) })
-			go callers.Serve(cl)
+			go callers.Serve(callerhttp.NewListener(cl, callerhttp.MaxPerSource, callerhttp.MaxConnections))
 			return nil
 		},
 		OnStop: func(stop context.Context) error {
-			n.leave(stop)
-			err := callers.Shutdown(stop)
+			err := n.stop(stop, callers, srv)
 			cancel()
 			wg.Wait()
 			srv.Close()
@@ -105,16 +104,6 @@
 	})
 }
 
-// leave reports this process as leaving and goes on serving for as long as
-// callers may hold a look-up answer that names it.
-func (n *Node) leave(ctx context.Context) {
-	n.feed.SetState(peerv1.HostState_HOST_STATE_LEAVING)
-	n.feed.reportOnce(ctx)
-	if snap := n.feed.Snapshot(); snap != nil {
-		pause(ctx, snap.Index.Doc.Lookup.TTL.D())
-	}
-}
-
 // NotReadyError says why a process cannot serve yet.
 type NotReadyError struct{ Reason string }
 
@@ -138,6 +127,8 @@
 	Members     []*peerv1.Member `json:"members"`
 	Slots       slots.State      `json:"slots"`
 	Operations  int              `json:"operations"`
+	// Suspects are requests seen in flight when servers crashed.
+	Suspects []SuspectState `json:"suspects"`
 }
 
 // Dump implements operatorhttp.Source.
@@ -149,9 +140,8 @@
 			s.Members = append(s.Members, m)
 		}
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	s.Operations = n.operations.Len()
+	s.Operations = n.operations.len()
+	s.Suspects = n.dumpSuspects()
 	s.Slots = n.slots.Dump()
 	return s
 }
