A waiting request queues at its own host and at two other holders

Cause: hosts learnt of each other's free slots four times a second, so a request waited at its own host while slots of others stood free.

Excluded: telling loads more often (bytes grow with hosts squared) and trying random hosts while waiting (messages grow with the queue).

Change: the request takes a place at the two least loaded other holders too, the first slot wins and the other places are given up at once.

The highest count at a server stays at its slots.

--- a/internal/daemon/slots/acquire.go
+++ b/internal/daemon/slots/acquire.go
@@ -113,30 +113,72 @@
 	return nil
 }
 
-// wait queues the request here, and goes on looking for a slot elsewhere.
+// wait queues the request here and at the least loaded other holders, and takes
+// the first slot that comes: no slot of the domain stays free while a request
+// waits elsewhere. The places that are not needed are given up at once.
 func (m *Manager) wait(ctx context.Context, s *service, w Want) (*Slot, error) {
 	r := admission.Request{Priority: w.Class.Priority, Deadline: w.Deadline}
 	ticket, verdict := m.admit(s, r)
 	late := time.NewTimer(admission.WaitLimit(r.Priority, r.Deadline.Sub(m.clock.Now())) + time.Millisecond)
 	defer late.Stop()
+	others, open, cancel := m.waitAtOthers(ctx, s, w)
+	defer cancel()
+	var refused error
 	for {
 		select {
 		case v := <-verdict:
-			return m.judged(s, w, v)
-		case <-late.C:
-			m.pump(s)
-		case <-s.nudge:
-			if slot := m.borrow(ctx, s, w); slot != nil {
-				m.cancel(s, ticket, verdict)
+			slot, err := m.judged(s, w, v)
+			if err == nil || open == 0 {
+				return slot, err
+			}
+			verdict, refused = nil, err
+		case slot := <-others:
+			open--
+			switch {
+			case slot != nil:
+				m.giveUp(s, ticket, verdict)
 				return slot, nil
+			case open == 0 && refused != nil:
+				return nil, refused
 			}
+		case <-late.C:
+			m.pump(s)
 		case <-ctx.Done():
-			m.cancel(s, ticket, verdict)
+			m.giveUp(s, ticket, verdict)
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// giveUp leaves the queue unless the verdict has been taken.
+func (m *Manager) giveUp(s *service, t admission.Ticket, verdict <-chan admission.Verdict) {
+	if verdict != nil {
+		m.cancel(s, t, verdict)
+	}
+}
+
+// waitAtOthers queues the request at a number of other holders. Each ends with
+// a slot or nil on the channel; cancel gives up the rest.
+func (m *Manager) waitAtOthers(ctx context.Context, s *service, w Want) (<-chan *Slot, int, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	hosts := s.shortest()
+	hosts = hosts[:min(len(hosts), borrowTries)]
+	slots := make(chan *Slot)
+	for _, host := range hosts {
+		go func() {
+			slot, _ := m.leaseFrom(ctx, host, s, w, true)
+			select {
+			case slots <- slot:
+			case <-ctx.Done():
+				if slot != nil {
+					slot.Unused()
+				}
+			}
+		}()
+	}
+	return slots, len(hosts), cancel
+}
+
 func (m *Manager) judged(s *service, w Want, v admission.Verdict) (*Slot, error) {
 	if v.Server == "" {
 		return nil, &RefusedError{Reason: v.Reason, RetryAfter: v.RetryAfter}
--- a/internal/daemon/slots/service.go
+++ b/internal/daemon/slots/service.go
@@ -12,8 +12,6 @@
 type service struct {
 	name    string
 	metrics *Metrics
-	// nudge wakes waiters when another host offers a slot.
-	nudge chan struct{}
 
 	mu      sync.Mutex
 	pool    *admission.Pool
@@ -26,7 +24,7 @@
 
 func newService(name string, m *Metrics) *service {
 	return &service{
-		name: name, metrics: m, nudge: make(chan struct{}, queuePerService), pool: admission.NewPool(queuePerService),
+		name: name, metrics: m, pool: admission.NewPool(queuePerService),
 		offers: admission.NewOffers(), health: health.NewGroup(), waiting: map[admission.Ticket]chan admission.Verdict{},
 	}
 }
@@ -119,13 +117,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.offers.Update(host, o)
-	for range min(o.Free(), s.pool.Queued()) {
-		select {
-		case s.nudge <- struct{}{}:
-		default:
-			return
-		}
-	}
 }
 
 // pick returns a host that seems to have a free slot.
--- a/internal/experiment/slots/pooled.go
+++ b/internal/experiment/slots/pooled.go
@@ -145,20 +145,42 @@
 	})
 }
 
-// wait queues a request here, or at the least loaded holder when this host
-// holds nothing.
+// wait queues a request here and at the least loaded other holders; the first
+// slot that comes is used, and the other places are given up.
 func (p *pooled) wait(s *sim, r *request) {
-	at, back := r.host, time.Duration(0)
-	if p.owner && free(p.limits(s, r.host)) == 0 {
-		back = hop
-		for _, h := range p.hosts[r.host].offers.Shortest() {
-			fmt.Sscan(h, &at)
-			if !s.frozen[at] {
-				break
-			}
+	w := &wait{r: r}
+	if !p.owner || free(p.limits(s, r.host)) > 0 {
+		w.open++
+		p.admit(s, w, r.host, 0)
+	}
+	if !p.owner {
+		return
+	}
+	for i, h := range p.hosts[r.host].offers.Shortest() {
+		if i == borrowTries {
+			break
+		}
+		var other int
+		fmt.Sscan(h, &other)
+		if s.frozen[other] {
+			p.hosts[r.host].offers.Drop(h)
+			continue
 		}
+		w.open++
+		s.after(hop, func() { p.admit(s, w, other, hop) })
 	}
-	s.after(back, func() { p.admit(s, r, at, back) })
+	if w.open == 0 {
+		s.refuse(r)
+	}
+}
+
+// wait is one request with its places in queues.
+type wait struct {
+	r *request
+	// open counts the places that are neither refused nor given up.
+	open    int
+	started bool
+	cancel  []func()
 }
 
 func free(limits []admission.Limit) int {
@@ -169,18 +191,46 @@
 	return n
 }
 
-func (p *pooled) admit(s *sim, r *request, host int, back time.Duration) {
+func (p *pooled) admit(s *sim, w *wait, host int, back time.Duration) {
+	if w.started {
+		return
+	}
 	h := p.hosts[host]
-	ticket, verdicts := h.pool.Admit(at(s.now), want(r), p.limits(s, host))
-	h.waiting[ticket] = func(v admission.Verdict) {
-		if v.Server == "" {
-			s.refuse(r)
-			return
+	ticket, verdicts := h.pool.Admit(at(s.now), want(w.r), p.limits(s, host))
+	h.waiting[ticket] = func(v admission.Verdict) { s.after(back, func() { p.judged(s, w, host, v, back) }) }
+	w.cancel = append(w.cancel, func() {
+		s.after(back, func() {
+			if h.pool.Cancel(ticket) {
+				delete(h.waiting, ticket)
+			}
+		})
+	})
+	p.deliver(h, verdicts)
+	limit := admission.WaitLimit(classes[w.r.class].priority, w.r.deadline-s.now) + time.Millisecond
+	s.after(limit, func() { p.pump(s, host) })
+}
+
+// judged takes in a verdict at the request's own host.
+func (p *pooled) judged(s *sim, w *wait, host int, v admission.Verdict, back time.Duration) {
+	w.open--
+	switch {
+	case w.started && v.Server != "":
+		s.after(back, func() { p.done(s, host, v.Server, 0) })
+	case w.started:
+	case v.Server != "":
+		w.started = true
+		for _, cancel := range w.cancel {
+			cancel()
 		}
-		s.after(back, func() { p.run(s, r, host, v.Server, back) })
+		p.run(s, w.r, host, v.Server, back)
+	case w.open == 0:
+		s.refuse(w.r)
 	}
-	p.deliver(h, verdicts)
-	s.after(admission.WaitLimit(classes[r.class].priority, r.deadline-s.now)+time.Millisecond, func() { p.pump(s, host) })
+}
+
+func (p *pooled) done(s *sim, host int, server string, took time.Duration) {
+	h := p.hosts[host]
+	p.deliver(h, h.pool.Done(at(s.now), server, took, p.limits(s, host)))
 }
 
 func (p *pooled) pump(s *sim, host int) {
@@ -203,10 +253,7 @@
 	var to int
 	fmt.Sscan(server, &to)
 	s.dispatch(r, to, func(took time.Duration) {
-		s.after(back, func() {
-			h := p.hosts[holder]
-			p.deliver(h, h.pool.Done(at(s.now), server, took, p.limits(s, holder)))
-		})
+		s.after(back, func() { p.done(s, holder, server, took) })
 	})
 }
 
