--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -127,7 +127,7 @@
 	}
 	resp, err := c.http.Load().Do(req)
 	if err != nil {
-		return nil, failure(ctx, address, true, err)
+		return nil, failure(ctx, address, false, err)
 	}
 	defer resp.Body.Close()
 	io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealth))
@@ -179,10 +179,8 @@
 	// The transport sends a request again by itself when it has no body, or
 	// one that it can rewind, and a kept connection closes under it. A body of
 	// unknown identity forbids that; retries are decided above this layer.
-	if r.AtMostOnce || len(r.Body) > 0 {
-		req.Body = onceBody{bytes.NewReader(r.Body)}
-		req.ContentLength = int64(len(r.Body))
-	}
+	req.Body = onceBody{bytes.NewReader(r.Body)}
+	req.ContentLength = int64(len(r.Body))
 	req.Header.Set(HeaderRequestID, r.RequestID)
 	left := max(1, time.Until(r.Deadline).Milliseconds())
 	req.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
@@ -192,8 +190,8 @@
 func failure(ctx context.Context, address string, sent bool, err error) error {
 	code := port.BackendBroken
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		code, sent = port.BackendRefused, false
+	case !sent && errors.Is(err, syscall.ECONNREFUSED):
+		code = port.BackendRefused
 	case !sent:
 		code = port.BackendConnect
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/internal/adapter/backendhttp/client_test.go
+++ b/internal/adapter/backendhttp/client_test.go
@@ -110,20 +110,25 @@
 	}
 }
 
-// bodies are the shapes of at-most-once requests.
+// bodies are shapes of requests. The client resends none: even idempotent ones
+// are retried by one layer only, which must see each failure.
 var bodies = []struct {
 	method string
 	body   []byte
-}{{http.MethodGet, nil}, {http.MethodPost, []byte("sign-off")}, {http.MethodPost, nil}, {http.MethodPut, []byte{}}}
+	once   bool
+}{
+	{http.MethodGet, nil, true}, {http.MethodPost, []byte("sign-off"), true}, {http.MethodPost, nil, true},
+	{http.MethodPut, []byte{}, true}, {http.MethodGet, nil, false}, {http.MethodHead, nil, false},
+}
 
 func TestReusedConnectionThatClosesIsNotRetried(t *testing.T) {
 	for _, b := range bodies {
 		s, client, address := start(t, 0)
-		if _, err := client.Do(context.Background(), address, request("a", b.method, b.body, true)); err != nil {
+		if _, err := client.Do(context.Background(), address, request("a", b.method, b.body, b.once)); err != nil {
 			t.Fatal(err)
 		}
 		s.SetBehavior(server.Behavior{CloseReused: true})
-		_, err := client.Do(context.Background(), address, request("b", b.method, b.body, true))
+		_, err := client.Do(context.Background(), address, request("b", b.method, b.body, b.once))
 		var be *port.BackendError
 		if !errors.As(err, &be) || !be.Sent || s.Stats().Runs != 1 {
 			t.Errorf("%s with %d bytes: error %v, runs %d", b.method, len(b.body), err, s.Stats().Runs)
--- a/internal/daemon/entry/dispatch.go
+++ b/internal/daemon/entry/dispatch.go
@@ -13,12 +13,13 @@
 	"cassiatray/internal/port"
 )
 
-// servers returns the servers of this domain that may be given new work.
+// servers returns the servers of this domain that no drain names and that are
+// not seen leaving. Drains of regions and domains are paced: see view.open.
 func (n *Node) servers(x *exchange) []document.BackendServer {
 	now := n.clock.Now()
 	var out []document.BackendServer
 	for _, b := range x.svc.In(n.cfg.Domain) {
-		if !x.snap.Index.Draining(x.svc.Name, b, now) && !n.slots.Leaving(x.svc.Name, b.Name) {
+		if !x.snap.Index.ServerDraining(x.svc.Name, b, now) && !n.slots.Leaving(x.svc.Name, b.Name) {
 			out = append(out, b)
 		}
 	}
--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -36,6 +36,7 @@
 	operations  *operations
 	budgets     *budgets
 	suspects    *suspects
+	steering    *steering
 	leaving     atomic.Bool
 }
 
@@ -44,6 +45,7 @@
 	n := &Node{
 		cfg: cfg, incarnation: incarnation, feed: feed, peers: peers, slots: slots, clock: clock, log: log, metrics: m,
 		operations: newOperations(), budgets: newBudgets(), suspects: newSuspects(),
+		steering: newSteering(cfg, clock.Now()),
 	}
 	n.backend = &watchedBackend{Backend: backend, node: n}
 	return n
@@ -105,6 +107,12 @@
 	hops uint32
 	// attempt is the first entry host's number of this attempt, from 1.
 	attempt uint32
+	// home is the region that the caller belongs to; empty when not known.
+	home string
+	// from is the region of the entry host that passed the request on, and
+	// sequence its document's.
+	from     string
+	sequence uint64
 }
 
 func (n *Node) exchange(req *port.CallerRequest) (*exchange, *api.Error) {
@@ -112,7 +120,11 @@
 	if fail != nil {
 		return nil, fail
 	}
-	return &exchange{snap: snap, svc: svc, class: class, req: req}, nil
+	x := &exchange{snap: snap, svc: svc, class: class, req: req}
+	if block, ok := snap.Table.Find(req.Client); ok {
+		x.home = block.Regions[0]
+	}
+	return x, nil
 }
 
 // once reports whether the request runs at most once.
--- a/internal/daemon/slots/manager.go
+++ b/internal/daemon/slots/manager.go
@@ -146,7 +146,7 @@
 	var out []admission.Limit
 	for _, b := range svc.In(m.cfg.Domain) {
 		key := admission.Key{Service: s.name, Server: b.Name}
-		if !view.Holds(key) || index.Draining(s.name, b, now) {
+		if !view.Holds(key) || index.ServerDraining(s.name, b, now) {
 			continue
 		}
 		n := min(view.Limit(now, key, svc.Slots), s.health.Slots(now, b.Name, svc.Slots, svc.ColdStart.Warmup.D()))
--- a/internal/daemon/slots/metrics.go
+++ b/internal/daemon/slots/metrics.go
@@ -7,11 +7,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"cassiatray/internal/core/admission"
+	"cassiatray/internal/core/health"
 )
 
 // Metrics shows admission. The nil value records nothing.
 type Metrics struct {
 	slots, inFlight, queued *prometheus.GaugeVec
+	ejected, leaving        *prometheus.GaugeVec
 	wait                    *prometheus.HistogramVec
 	refused                 *prometheus.CounterVec
 }
@@ -28,6 +30,8 @@
 		slots:    gauge("slots", "Slots that this host may fill on the servers it holds."),
 		inFlight: gauge("slots_in_flight", "Slots filled on the servers that this host holds."),
 		queued:   gauge("queued", "Requests waiting on this host."),
+		ejected:  gauge("servers_ejected", "Servers that get no work for a while after failures."),
+		leaving:  gauge("servers_leaving", "Servers known to be leaving."),
 		wait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "cassiatray_entry_slot_wait_seconds", Help: "Time until a request had a slot.", Buckets: waitBuckets,
 		}, []string{"service", "class"}),
@@ -35,7 +39,7 @@
 			Name: "cassiatray_entry_refused_total", Help: "Requests that got no slot, by reason.",
 		}, []string{"service", "class", "reason"}),
 	}
-	reg.MustRegister(m.slots, m.inFlight, m.queued, m.wait, m.refused)
+	reg.MustRegister(m.slots, m.inFlight, m.queued, m.ejected, m.leaving, m.wait, m.refused)
 	return m
 }
 
@@ -48,6 +52,23 @@
 	m.queued.WithLabelValues(service).Set(float64(o.Queued))
 }
 
+func (m *Metrics) health(service string, now time.Time, states map[string]health.State) {
+	if m == nil {
+		return
+	}
+	ejected, leaving := 0, 0
+	for _, st := range states {
+		if now.Before(st.EjectedUntil) {
+			ejected++
+		}
+		if st.Leaving != "" {
+			leaving++
+		}
+	}
+	m.ejected.WithLabelValues(service).Set(float64(ejected))
+	m.leaving.WithLabelValues(service).Set(float64(leaving))
+}
+
 // reasonGivenUp is the reason of a wait that its caller ended.
 const reasonGivenUp = "given-up"
 
--- a/internal/daemon/slots/service.go
+++ b/internal/daemon/slots/service.go
@@ -18,8 +18,6 @@
 	offers  *admission.Offers
 	health  *health.Group
 	waiting map[admission.Ticket]chan admission.Verdict
-	// load is what this host last told the others.
-	load admission.Offer
 }
 
 func newService(name string, m *Metrics) *service {
@@ -92,8 +90,8 @@
 	now := m.clock.Now()
 	limits := m.limits(now, s)
 	s.deliver(s.pool.Pump(now, limits))
-	s.load = offerOf(s, limits)
-	s.metrics.load(s.name, s.load)
+	s.metrics.load(s.name, offerOf(s, limits))
+	s.metrics.health(s.name, now, s.health.States())
 }
 
 func (m *Manager) pumpAll() {
--- a/internal/experiment/slots/pooled.go
+++ b/internal/experiment/slots/pooled.go
@@ -132,6 +132,10 @@
 		return
 	}
 	s.after(hop, func() {
+		if s.frozen[other] {
+			s.after(firstReply-hop, func() { p.borrow(s, r, tries-1) })
+			return
+		}
 		server, ok := p.hosts[other].pool.Try(p.limits(s, other))
 		offer := p.offer(s, other)
 		s.after(hop, func() {
@@ -195,6 +199,10 @@
 	if w.started {
 		return
 	}
+	if s.frozen[host] {
+		s.after(firstReply, func() { p.judged(s, w, host, admission.Verdict{}, back) })
+		return
+	}
 	h := p.hosts[host]
 	ticket, verdicts := h.pool.Admit(at(s.now), want(w.r), p.limits(s, host))
 	h.waiting[ticket] = func(v admission.Verdict) { s.after(back, func() { p.judged(s, w, host, v, back) }) }
