--- a/internal/daemon/entry/cluster_test.go
+++ b/internal/daemon/entry/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -17,6 +18,7 @@
 	"cassiatray/api"
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/lookup"
+	"cassiatray/internal/daemon/slots"
 	"cassiatray/internal/logging"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
@@ -93,11 +95,27 @@
 	cfg := Settings{Host: host, Domain: "a"}
 	feed := NewFeed(cfg, incarnation, c, logging.Part(log, "feed"))
 	feed.SetState(peerv1.HostState_HOST_STATE_SERVING)
-	n := NewNode(cfg, incarnation, feed, c.backend, c, port.SystemClock{}, logging.Part(log, "entry"), NewMetrics(prometheus.NewRegistry()))
+	n := NewNode(cfg, incarnation, feed, c.backend, c, openAdmission{}, port.SystemClock{}, logging.Part(log, "entry"), NewMetrics(prometheus.NewRegistry()))
 	c.nodes[host] = n
 	c.publish()
 }
 
+// openAdmission gives every request a slot on a server in turn.
+type openAdmission struct{ *slots.Manager }
+
+func (openAdmission) Acquire(_ context.Context, w slots.Want) (*slots.Slot, error) {
+	servers := w.Service.In("a")
+	if len(servers) == 0 {
+		return nil, &slots.RefusedError{}
+	}
+	b := servers[rand.IntN(len(servers))]
+	return slots.NewSlot(b.Name, b.Address.String(), func(time.Duration) {}), nil
+}
+
+func (openAdmission) Answered(string, string, *port.BackendAnswer) {}
+func (openAdmission) Failed(string, string, error, bool)           {}
+func (openAdmission) Leaving(string, string) bool                  { return false }
+
 // publish gives every process the same snapshot.
 func (c *cluster) publish() {
 	index := document.NewIndex(testDocument())
--- a/internal/daemon/entry/dispatch.go
+++ b/internal/daemon/entry/dispatch.go
@@ -11,8 +11,21 @@
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/daemon/slots"
 	"cassiatray/internal/port"
+	peerv1 "cassiatray/proto/peer/v1"
 )
 
+// admission gives requests slots on servers of this domain and takes in what
+// their exchanges show of the servers. *slots.Manager implements it.
+type admission interface {
+	Acquire(ctx context.Context, w slots.Want) (*slots.Slot, error)
+	Answered(service, server string, a *port.BackendAnswer)
+	Failed(service, server string, err error, full bool)
+	Leaving(service, server string) bool
+	Dump() slots.State
+	ServeAsk(req *peerv1.Request) *peerv1.Reply
+	ServeStream(ctx context.Context, req *peerv1.Request, send func(*peerv1.Reply) error) error
+}
+
 // servers returns the servers of this domain that no drain names and that are
 // not seen leaving. Drains of regions and domains are paced: see view.open.
 func (n *Node) servers(x *exchange) []document.BackendServer {
--- a/internal/daemon/entry/module.go
+++ b/internal/daemon/entry/module.go
@@ -66,7 +66,7 @@
 
 func newServer(id peer.Identity, n *Node) *peer.Server { return peer.NewServer(id, n) }
 
-func start(lc fx.Lifecycle, cfg *Settings, n *Node, f *Feed, b *backendhttp.Client, srv *peer.Server, pool *peer.Pool, m *peer.Meter, reg *prometheus.Registry) {
+func start(lc fx.Lifecycle, cfg *Settings, n *Node, sm *slots.Manager, f *Feed, b *backendhttp.Client, srv *peer.Server, pool *peer.Pool, m *peer.Meter, reg *prometheus.Registry) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	callers := callerhttp.NewServer(callerhttp.NewHandler(n, cfg.Host))
@@ -90,8 +90,8 @@
 			srv.Start(m.Listener(pl))
 			f.Register(reg)
 			wg.Go(func() { f.Run(ctx) })
-			wg.Go(func() { n.slots.Run(ctx) })
-			wg.Go(func() { n.slots.Watch(ctx, b, n.hostList()) })
+			wg.Go(func() { sm.Run(ctx) })
+			wg.Go(func() { sm.Watch(ctx, b, n.hostList()) })
 			wg.Go(func() { n.limitConnections(ctx, b) })
 			go callers.Serve(callerhttp.NewListener(cl, callerhttp.MaxPerSource, callerhttp.MaxConnections))
 			return nil
--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -11,7 +11,6 @@
 
 	"cassiatray/api"
 	"cassiatray/internal/core/document"
-	"cassiatray/internal/daemon/slots"
 	"cassiatray/internal/port"
 )
 
@@ -29,7 +28,7 @@
 	feed        *Feed
 	backend     port.Backend
 	peers       port.PeerCaller
-	slots       *slots.Manager
+	slots       admission
 	clock       port.Clock
 	log         *logrus.Entry
 	metrics     *Metrics
@@ -41,7 +40,7 @@
 }
 
 // NewNode returns a node that reads its snapshots from feed.
-func NewNode(cfg Settings, incarnation uint64, feed *Feed, backend port.Backend, peers port.PeerCaller, slots *slots.Manager, clock port.Clock, log *logrus.Entry, m *Metrics) *Node {
+func NewNode(cfg Settings, incarnation uint64, feed *Feed, backend port.Backend, peers port.PeerCaller, slots admission, clock port.Clock, log *logrus.Entry, m *Metrics) *Node {
 	n := &Node{
 		cfg: cfg, incarnation: incarnation, feed: feed, peers: peers, slots: slots, clock: clock, log: log, metrics: m,
 		operations: newOperations(), budgets: newBudgets(), suspects: newSuspects(),
--- a/internal/daemon/entry/steering_test.go
+++ b/internal/daemon/entry/steering_test.go
@@ -68,7 +68,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	feed := NewFeed(Settings{}, 1, nil, logrus.NewEntry(log))
-	n := NewNode(Settings{Host: "sask-a-1", Domain: "sask-a"}, 1, feed, nil, nil, clock, logrus.NewEntry(log), NewMetrics(prometheus.NewRegistry()))
+	n := NewNode(Settings{Host: "sask-a-1", Domain: "sask-a"}, 1, feed, nil, nil, openAdmission{}, clock, logrus.NewEntry(log), NewMetrics(prometheus.NewRegistry()))
 	clock.now = testNow
 	ix := document.NewIndex(doc)
 	view := &peerv1.DomainView{}
--- a/internal/daemon/slots/acquire.go
+++ b/internal/daemon/slots/acquire.go
@@ -35,6 +35,12 @@
 	end     func(took time.Duration)
 }
 
+// NewSlot returns a slot that calls end once it is given back, with the time of
+// a request that ended with a whole answer, and zero for any other.
+func NewSlot(server, address string, end func(took time.Duration)) *Slot {
+	return &Slot{Server: server, Address: address, end: end}
+}
+
 // Done gives the slot back after a whole answer.
 func (s *Slot) Done(took time.Duration) { s.end(max(took, 1)) }
 
