--- a/internal/daemon/entry/module.go
+++ b/internal/daemon/entry/module.go
@@ -130,6 +130,7 @@
 	Members     []*peerv1.Member `json:"members"`
 	Slots       slots.State      `json:"slots"`
 	Operations  int              `json:"operations"`
+	Steering    SteeringState    `json:"steering"`
 	// Suspects are requests seen in flight when servers crashed.
 	Suspects []SuspectState `json:"suspects"`
 }
@@ -146,5 +147,6 @@
 	s.Operations = n.operations.len()
 	s.Suspects = n.dumpSuspects()
 	s.Slots = n.slots.Dump()
+	s.Steering = n.steering.dump(n.clock.Now())
 	return s
 }
