--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -44,7 +44,7 @@
 	n := &Node{
 		cfg: cfg, incarnation: incarnation, feed: feed, peers: peers, slots: slots, clock: clock, log: log, metrics: m,
 		operations: newOperations(), budgets: newBudgets(), suspects: newSuspects(),
-		steering: newSteering(cfg, clock.Now()),
+		steering: newSteering(cfg, clock),
 	}
 	n.backend = &watchedBackend{Backend: backend, node: n}
 	return n
