--- a/internal/daemon/entry/cluster_test.go
+++ b/internal/daemon/entry/cluster_test.go
@@ -20,6 +20,7 @@
 	"cassiatray/api"
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/lookup"
+	"cassiatray/internal/daemon/slots"
 	"cassiatray/internal/logging"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
@@ -102,11 +103,30 @@
 	cfg := Settings{Host: host, Domain: domainOf(host)}
 	feed := NewFeed(cfg, incarnation, c, logging.Part(log, "feed"))
 	feed.SetState(peerv1.HostState_HOST_STATE_SERVING)
-	n := NewNode(cfg, incarnation, feed, c.backend, c, port.SystemClock{}, logging.Part(log, "entry"), NewMetrics(prometheus.NewRegistry()))
+	n := NewNode(cfg, incarnation, feed, c.backend, c, openAdmission{domain: cfg.Domain}, port.SystemClock{}, logging.Part(log, "entry"), NewMetrics(prometheus.NewRegistry()))
 	c.nodes[host] = n
 	c.publish()
 }
 
+// openAdmission gives every request a slot on the first server.
+type openAdmission struct {
+	*slots.Manager
+	domain string
+}
+
+func (o openAdmission) Acquire(_ context.Context, w slots.Want) (*slots.Slot, error) {
+	servers := w.Service.In(o.domain)
+	if len(servers) == 0 {
+		return nil, &slots.RefusedError{}
+	}
+	b := servers[0]
+	return slots.NewSlot(b.Name, b.Address.String(), func(time.Duration) {}), nil
+}
+
+func (openAdmission) Answered(string, string, *port.BackendAnswer) {}
+func (openAdmission) Failed(string, string, error, bool)           {}
+func (openAdmission) Leaving(string, string) bool                  { return false }
+
 // domainOf returns the failure domain in the name of a host.
 func domainOf(host string) string {
 	domain, _, _ := strings.Cut(host, "-")
--- a/internal/daemon/entry/feed.go
+++ b/internal/daemon/entry/feed.go
@@ -43,6 +43,8 @@
 	receiver    *relay.Receiver
 	snapshot    atomic.Pointer[Snapshot]
 	state       atomic.Int32
+	// loads gives the load on the servers that this host holds.
+	loads func() []*peerv1.ServiceLoad
 	// source is the address followed now.
 	source atomic.Pointer[string]
 	// since is when the newest head was put in force here, in Unix
@@ -64,6 +66,7 @@
 	f := &Feed{
 		cfg: cfg, incarnation: incarnation, peers: peers, log: log, metrics: newFeedMetrics(),
 		receiver: relay.NewReceiver(cfg.Environment), views: relay.NewViews(""), table: lookup.NewTable(nil),
+		loads: func() []*peerv1.ServiceLoad { return nil },
 	}
 	f.state.Store(int32(peerv1.HostState_HOST_STATE_STARTING))
 	return f
@@ -236,7 +239,7 @@
 	defer cancel()
 	m := &peerv1.Member{
 		Host: f.cfg.Host, Domain: f.cfg.Domain, EntryIncarnation: f.incarnation, EntryState: f.State(),
-		CallerAddress: f.cfg.Caller.String(), EntryPeerAddress: f.cfg.Peer.String(),
+		CallerAddress: f.cfg.Caller.String(), EntryPeerAddress: f.cfg.Peer.String(), Loads: f.loads(),
 	}
 	hb := &peerv1.Heartbeat{Member: m, EntrySequence: f.receiver.Head().Sequence}
 	req := &peerv1.Request{Body: &peerv1.Request_Heartbeat{Heartbeat: hb}}
--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -5,13 +5,11 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
 	"cassiatray/api"
-	"cassiatray/internal/core/admission"
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/port"
 )
@@ -24,14 +22,13 @@
 }
 
 // Node serves callers and other entry hosts.
-//
-// mu guards gates; it is never held during I/O.
 type Node struct {
 	cfg         Settings
 	incarnation uint64
 	feed        *Feed
 	backend     port.Backend
 	peers       port.PeerCaller
+	slots       admission
 	clock       port.Clock
 	log         *logrus.Entry
 	metrics     *Metrics
@@ -40,17 +37,14 @@
 	suspects    *suspects
 	steering    *steering
 	leaving     atomic.Bool
-
-	mu    sync.Mutex
-	gates map[string]*admission.Gate
 }
 
 // NewNode returns a node that reads its snapshots from feed.
-func NewNode(cfg Settings, incarnation uint64, feed *Feed, backend port.Backend, peers port.PeerCaller, clock port.Clock, log *logrus.Entry, m *Metrics) *Node {
+func NewNode(cfg Settings, incarnation uint64, feed *Feed, backend port.Backend, peers port.PeerCaller, slots admission, clock port.Clock, log *logrus.Entry, m *Metrics) *Node {
 	n := &Node{
-		cfg: cfg, incarnation: incarnation, feed: feed, peers: peers, clock: clock, log: log, metrics: m,
+		cfg: cfg, incarnation: incarnation, feed: feed, peers: peers, slots: slots, clock: clock, log: log, metrics: m,
 		operations: newOperations(), budgets: newBudgets(), suspects: newSuspects(),
-		steering: newSteering(cfg, clock), gates: map[string]*admission.Gate{},
+		steering: newSteering(cfg, clock),
 	}
 	n.backend = &watchedBackend{Backend: backend, node: n}
 	return n
--- a/internal/daemon/entry/peer.go
+++ b/internal/daemon/entry/peer.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"cassiatray/api"
+	"cassiatray/internal/daemon/slots"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
 )
@@ -38,6 +39,8 @@
 // Serve implements peer.Handler.
 func (n *Node) Serve(ctx context.Context, req *peerv1.Request) (*peerv1.Reply, error) {
 	switch body := req.Body.(type) {
+	case *peerv1.Request_SlotAsk:
+		return n.slots.ServeAsk(req), nil
 	case *peerv1.Request_Dispatch:
 		out := n.serveDispatch(ctx, body.Dispatch)
 		return &peerv1.Reply{Body: &peerv1.Reply_DispatchResult{DispatchResult: resultMessage(out)}}, nil
@@ -52,7 +55,10 @@
 }
 
 // ServeFollow implements peer.Handler.
-func (n *Node) ServeFollow(context.Context, *peerv1.Request, func(*peerv1.Reply) error) error {
+func (n *Node) ServeFollow(ctx context.Context, req *peerv1.Request, send func(*peerv1.Reply) error) error {
+	if slots.Serves(req) {
+		return n.slots.ServeStream(ctx, req, send)
+	}
 	return &UnsupportedError{Body: "follow"}
 }
 
