--- a/internal/measure/distribution/main.go
+++ b/internal/measure/distribution/main.go
@@ -4,6 +4,8 @@
 //	store      bytes and calls of a change of one block, by size of document
 //	members    time, bytes and processor time, by number of hosts in one process;
 //	           shapes such as 2x17, domains by hosts, may follow
+//	cold       time for hosts with no document to have the whole of it, by its
+//	           size
 //	processes  time and processor time at 24 hosts as plain processes
 package main
 
@@ -18,9 +20,9 @@
 func main() {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
 	defer cancel()
-	modes := map[string]func(context.Context) error{"store": store, "members": members, "processes": processes}
+	modes := map[string]func(context.Context) error{"store": store, "members": members, "cold": cold, "processes": processes}
 	if len(os.Args) < 2 || modes[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: distribution store|members|processes")
+		fmt.Fprintln(os.Stderr, "usage: distribution store|members|cold|processes")
 		os.Exit(2)
 	}
 	if err := modes[os.Args[1]](ctx); err != nil {
