Entry processes leave a frozen steer process within the bound

Excluded: the domain's new lead (other members had the change). TestSteerGone failed before the change ('a change while its own steer process is frozen: not within 4s') and passes after.

--- a/internal/daemon/entry/feed.go
+++ b/internal/daemon/entry/feed.go
@@ -225,9 +225,14 @@
 
 // report tells the steer process this process's state at each interval.
 func (f *Feed) report(ctx context.Context) {
+	ticker := time.NewTicker(f.cfg.Heartbeat.D())
+	defer ticker.Stop()
 	for ctx.Err() == nil {
 		f.reportOnce(ctx)
-		pause(ctx, f.cfg.Heartbeat.D())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
 	}
 }
 
--- a/internal/daemon/steer/distribution_test.go
+++ b/internal/daemon/steer/distribution_test.go
@@ -398,9 +398,14 @@
 func TestSteerGone(t *testing.T) {
 	play(t, 2, 3, func(s *scene) {
 		host := s.Of(0)[1]
+		s.Net.Freeze(host.Steer.String())
+		h := s.apply()
+		s.await("a change while its own steer process is frozen", inForceBound, s.all(s.Hosts, h.Sequence))
+		s.Net.Thaw(host.Steer.String())
+		s.await("its own steer process again", 2*inForceBound, func() bool { return host.Feed.Source() == host.Steer.String() })
 		host.StopSteer()
 		s.pass(5 * time.Second)
-		h := s.apply()
+		h = s.apply()
 		s.await("a change without its own steer process", inForceBound, s.all(s.Hosts, h.Sequence))
 		if host.Feed.Source() == host.Steer.String() {
 			t.Error("still follows its own steer process")
--- a/internal/measure/distribution/main.go
+++ b/internal/measure/distribution/main.go
@@ -7,6 +7,8 @@
 //	cold       time for hosts with no document to have the whole of it, by its
 //	           size
 //	processes  time and processor time at 24 hosts as plain processes
+//	frozen     time at 24 hosts as plain processes while a lead is stopped for
+//	           longer than its lease lasts, and once it goes on
 package main
 
 import (
@@ -20,9 +22,9 @@
 func main() {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
 	defer cancel()
-	modes := map[string]func(context.Context) error{"store": store, "members": members, "cold": cold, "processes": processes}
+	modes := map[string]func(context.Context) error{"store": store, "members": members, "cold": cold, "processes": processes, "frozen": frozen}
 	if len(os.Args) < 2 || modes[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: distribution store|members|cold|processes")
+		fmt.Fprintln(os.Stderr, "usage: distribution store|members|cold|processes|frozen")
 		os.Exit(2)
 	}
 	if err := modes[os.Args[1]](ctx); err != nil {
--- a/internal/measure/distribution/processes.go
+++ b/internal/measure/distribution/processes.go
@@ -23,28 +23,38 @@
 	platformTime   = 5 * time.Second
 )
 
-func processes(ctx context.Context) error {
+// bring starts the site with a first document in force. The caller closes it.
+func bring(ctx context.Context) (*site.Site, *envstore.Store, error) {
 	bin, err := site.Programs()
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	s, err := site.New(site.Coop(processHosts), bin, steertest.Environment)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
-	defer s.Close()
+	st := envstore.New(platform.New(s.Store.String(), platformTime), port.SystemClock{})
+	if err := first(ctx, s, st); err != nil {
+		s.Close()
+		return nil, nil, err
+	}
+	return s, st, nil
+}
+
+func first(ctx context.Context, s *site.Site, st *envstore.Store) error {
 	if err := s.StartAll(); err != nil {
 		return err
 	}
-	st := envstore.New(platform.New(s.Store.String(), platformTime), port.SystemClock{})
-	for i := range s.Hosts {
-		for k := range 100 {
-			s.Document.Clients = append(s.Document.Clients, document.Client{
-				Block: steertest.Block(1<<20 + i*100 + k), Regions: s.Document.Clients[0].Regions,
-			})
-		}
+	for i := range len(s.Hosts) * 100 {
+		s.Document.Clients = append(s.Document.Clients, document.Client{
+			Block: steertest.Block(1<<20 + i), Regions: s.Document.Clients[0].Regions,
+		})
 	}
-	if err := site.Await(ctx, "the first document", func() bool { _, err = put(ctx, s, st); return err == nil }); err != nil {
+	err := site.Await(ctx, "the first document", func() bool {
+		_, err := put(ctx, s, st)
+		return err == nil
+	})
+	if err != nil {
 		return err
 	}
 	for _, h := range s.Hosts {
@@ -52,6 +62,15 @@
 			return err
 		}
 	}
+	return nil
+}
+
+func processes(ctx context.Context) error {
+	s, st, err := bring(ctx)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
 	sleep(ctx, idleTime)
 	idle := cpu(s)
 	sleep(ctx, idleTime)
@@ -82,29 +101,41 @@
 }
 
 func changeProcesses(ctx context.Context, s *site.Site, st *envstore.Store) ([]time.Duration, error) {
-	var times []time.Duration
+	var all []time.Duration
 	for i := range processChanges {
 		began := time.Now()
-		c := &s.Document.Clients[len(s.Document.Clients)-1-i]
-		c.Regions = append(c.Regions[1:len(c.Regions):len(c.Regions)], c.Regions[0])
-		head, err := put(ctx, s, st)
+		times, err := changeOnce(ctx, s, st, i)
 		if err != nil {
 			return nil, err
 		}
-		for _, h := range s.Hosts {
-			err := site.Await(ctx, h.Name, func() bool {
-				st := dump(ctx, h)
-				if st.Head.Sequence < head.Sequence {
-					return false
-				}
-				times = append(times, st.Since.Sub(head.Accepted))
-				return true
-			})
-			if err != nil {
-				return nil, err
+		all = append(all, times...)
+		sleep(ctx, changeGap-time.Since(began))
+	}
+	return all, nil
+}
+
+// changeOnce changes the i-th block from the end, and returns how long it took
+// to be in force at each entry process.
+func changeOnce(ctx context.Context, s *site.Site, st *envstore.Store, i int) ([]time.Duration, error) {
+	c := &s.Document.Clients[len(s.Document.Clients)-1-i]
+	c.Regions = append(c.Regions[1:len(c.Regions):len(c.Regions)], c.Regions[0])
+	head, err := put(ctx, s, st)
+	if err != nil {
+		return nil, err
+	}
+	var times []time.Duration
+	for _, h := range s.Hosts {
+		err := site.Await(ctx, h.Name, func() bool {
+			st := dump(ctx, h)
+			if st.Head.Sequence < head.Sequence {
+				return false
 			}
+			times = append(times, st.Since.Sub(head.Accepted))
+			return true
+		})
+		if err != nil {
+			return nil, err
 		}
-		sleep(ctx, changeGap-time.Since(began))
 	}
 	return times, nil
 }
