Obey requireOperationId at the entry host

Cause: the class key was checked and documented, and no daemon read it: only at-most-once classes refused requests without an operation ID. Excluded: a check where attempts are sent, which a relayed request would pass twice; the document's check, which takes the key in at-most-once classes only, is left as it is. Change: the first entry host refuses operation-id-required, not-run, before it sends anything, for each class with the key and each at-most-once class. Before, `go test -run TestRequiredOperationID ./internal/daemon/entry` failed: got "run 1", want "operation-id-required not-run"; after, it passes, and with -race the packages entry and document do. Conclusion: the entry host obeys the key in a class of either kind.

--- a/internal/core/document/types.go
+++ b/internal/core/document/types.go
@@ -137,7 +137,8 @@
 	// HedgeAfter is the least wait before a second copy of an idempotent
 	// request may be sent; zero means that none is.
 	HedgeAfter Duration `yaml:"hedgeAfter,omitempty" json:"hedgeAfter,omitempty"`
-	// RequireOperationID refuses at-most-once requests without an operation ID.
+	// RequireOperationID refuses requests without an operation ID. At-most-once
+	// requests without one are always refused.
 	RequireOperationID bool `yaml:"requireOperationId,omitempty" json:"requireOperationId,omitempty"`
 }
 
--- a/internal/daemon/entry/errors.go
+++ b/internal/daemon/entry/errors.go
@@ -28,6 +28,13 @@
 	return &api.Error{Code: api.CodeUnknownClass, Message: "no class takes " + method + " " + path, Outcome: api.OutcomeNotRun}
 }
 
+func operationRequired(class string) *api.Error {
+	return &api.Error{
+		Code: api.CodeOperationRequired, Message: "class " + class + " needs the header " + api.HeaderOperationID,
+		Outcome: api.OutcomeNotRun,
+	}
+}
+
 func overloaded() *api.Error {
 	return &api.Error{
 		Code: api.CodeOverloaded, Message: "every slot is taken", Outcome: api.OutcomeNotRun,
--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -87,9 +87,12 @@
 	ctx, cancel := x.context(ctx)
 	defer cancel()
 	var out result
-	if x.once() {
+	switch {
+	case x.lacksID():
+		out = result{fail: operationRequired(x.class.Name)}
+	case x.once():
 		out = n.operate(ctx, x)
-	} else {
+	default:
 		out = n.attempts(ctx, x)
 	}
 	n.metrics.observe(x, out)
@@ -133,6 +136,12 @@
 // once reports whether the request runs at most once.
 func (x *exchange) once() bool { return x.class.Execution == document.AtMostOnce }
 
+// lacksID reports whether the request came without the operation ID that its
+// class needs: an at-most-once class always does.
+func (x *exchange) lacksID() bool {
+	return x.req.OperationID == "" && (x.once() || x.class.RequireOperationID)
+}
+
 // nextAttempt numbers what is about to be sent. Only the first entry host
 // counts: a host that passes an attempt on keeps its number.
 func (x *exchange) nextAttempt() uint32 {
--- a/internal/daemon/entry/operate.go
+++ b/internal/daemon/entry/operate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -95,10 +94,6 @@
 // operate runs an at-most-once request if this process is the one that may,
 // and passes it to that process otherwise.
 func (n *Node) operate(ctx context.Context, x *exchange) result {
-	if x.req.OperationID == "" {
-		msg := fmt.Sprintf("class %s needs the header %s", x.class.Name, api.HeaderOperationID)
-		return result{fail: &api.Error{Code: api.CodeOperationRequired, Message: msg, Outcome: api.OutcomeNotRun}}
-	}
 	id, err := api.ParseOperationID(x.req.OperationID)
 	if err != nil {
 		return result{fail: badOperation(err)}
--- a/internal/daemon/entry/operate_test.go
+++ b/internal/daemon/entry/operate_test.go
@@ -169,6 +169,33 @@
 	want(t, c.book("a-1", "x"), "bad-operation-id not-run")
 }
 
+// TestRequiredOperationID checks that a class of either kind that asks for an
+// operation ID refuses requests without one before anything is sent, and that
+// other idempotent classes need none.
+func TestRequiredOperationID(t *testing.T) {
+	for _, required := range []bool{true, false} {
+		c := newCluster(t)
+		classes := c.doc.Services[0].Classes
+		for i := range classes {
+			classes[i].RequireOperationID = required
+		}
+		stock := &port.CallerRequest{Service: "orders", Method: http.MethodGet, Path: "/stock", Header: http.Header{}}
+		runs, idempotent := 1, "run 1"
+		if required {
+			runs, idempotent = 0, "operation-id-required not-run"
+		}
+		want(t, text(c.nodes["a-1"].Do(context.Background(), stock)), idempotent)
+		want(t, c.book("a-1", ""), "operation-id-required not-run")
+		if got := c.backend.ran(""); got != runs {
+			t.Fatalf("required %v: %d runs, want %d", required, got, runs)
+		}
+		stock.OperationID = c.newID(t, "a-1")
+		if _, fail := c.nodes["a-1"].Do(context.Background(), stock); fail != nil {
+			t.Fatal(fail)
+		}
+	}
+}
+
 // TestRepeatedDispatch checks that a host runs one attempt of an operation of
 // another once, and only a higher number after it.
 func TestRepeatedDispatch(t *testing.T) {
