Begin the slow start at the document's initialSlots

Cause: the service key coldStart.initialSlots was read by no daemon: a new or restarted server began with a third of its slots whatever the document said. Excluded: a part of the slots when the key is left out: the document's page and the diff of documents say one. Change: health.Group.Slots takes the service's Start; the ramp begins at its slots, at least one and at most all, and the slots manager passes the document's. The table of TestSlowStart now gives the first slots and covers the old start. Before, `go test -run TestSlowStart ./internal/core/health` failed (from 1: 6 slots after 1s, want 5; from 9: 3 after 0s, want 9); after, it passes, and with -race the packages health, slots, docs and experiment do. Conclusion: servers without the key now begin at one slot, as is documented.

--- a/internal/core/health/group.go
+++ b/internal/core/health/group.go
@@ -24,10 +24,6 @@
 	ejectMax  = 60 * time.Second
 )
 
-// coldDivisor sets the slots of a server that has just started: slots /
-// coldDivisor, growing in a line to all slots over the warm-up time.
-const coldDivisor = 3
-
 // Cause says why a server counts as leaving.
 type Cause string
 
@@ -176,20 +172,27 @@
 	return s != nil && s.Leaving != ""
 }
 
-// Slots returns how many of a server's slots may be used now. Warmup is the
-// time over which a new process reaches them all.
-func (g *Group) Slots(now time.Time, name string, slots int, warmup time.Duration) int {
+// Start is how a service's new server processes begin.
+type Start struct {
+	// Slots is how many slots a process is given at first; zero means one.
+	Slots int
+	// Warmup is the time over which it reaches them all, in a line.
+	Warmup time.Duration
+}
+
+// Slots returns how many of a server's slots may be used now.
+func (g *Group) Slots(now time.Time, name string, slots int, start Start) int {
 	s := g.servers[name]
 	switch {
 	case s == nil:
 		return slots
 	case s.Leaving != "" || now.Before(s.EjectedUntil):
 		return 0
-	case s.started.IsZero() || now.Sub(s.started) >= warmup:
+	case s.started.IsZero() || now.Sub(s.started) >= start.Warmup:
 		return slots
 	}
-	cold := max(1, slots/coldDivisor)
-	return cold + int(int64(slots-cold)*int64(now.Sub(s.started))/int64(warmup))
+	cold := min(max(1, start.Slots), slots)
+	return cold + int(int64(slots-cold)*int64(now.Sub(s.started))/int64(start.Warmup))
 }
 
 // States returns a copy of what is known, by server.
--- a/internal/core/health/group_test.go
+++ b/internal/core/health/group_test.go
@@ -57,7 +57,7 @@
 func (w *world) check(t *rapid.T) {
 	in := 0
 	for _, s := range w.servers {
-		slots := w.group.Slots(w.now, s.name, testSlots, testWarmup)
+		slots := w.group.Slots(w.now, s.name, testSlots, Start{Warmup: testWarmup})
 		if s.leaving && slots > 0 {
 			t.Fatalf("%s is leaving and gets %d slots", s.name, slots)
 		}
@@ -168,14 +168,21 @@
 	g.Refused(start, "a")
 	g.Answered(start, "a", "", false)
 	for _, c := range []struct {
-		age  time.Duration
-		want int
-	}{{0, 3}, {time.Second, 6}, {testWarmup, 9}} {
-		if got := g.Slots(start.Add(c.age), "a", testSlots, testWarmup); got != c.want {
-			t.Errorf("%d slots after %v, want %d", got, c.age, c.want)
+		first int
+		age   time.Duration
+		want  int
+	}{
+		{0, 0, 1}, {0, time.Second, 5}, {0, testWarmup, 9},
+		{1, 0, 1}, {1, time.Second, 5}, {1, testWarmup - 1, 8}, {1, testWarmup, 9},
+		{3, 0, 3}, {3, time.Second, 6}, {3, testWarmup, 9},
+		{testSlots, 0, 9}, {testSlots, time.Second, 9},
+		{testSlots + 1, 0, 9}, {testSlots + 1, time.Second, 9},
+	} {
+		if got := g.Slots(start.Add(c.age), "a", testSlots, Start{Slots: c.first, Warmup: testWarmup}); got != c.want {
+			t.Errorf("%d slots after %v from %d, want %d", got, c.age, c.first, c.want)
 		}
 	}
-	if got := g.Slots(start, "unknown", testSlots, testWarmup); got != testSlots {
+	if got := g.Slots(start, "unknown", testSlots, Start{Warmup: testWarmup}); got != testSlots {
 		t.Errorf("%d slots for a server of which nothing is known", got)
 	}
 }
--- a/internal/daemon/slots/manager.go
+++ b/internal/daemon/slots/manager.go
@@ -17,6 +17,7 @@
 
 	"cassiatray/internal/core/admission"
 	"cassiatray/internal/core/document"
+	"cassiatray/internal/core/health"
 	"cassiatray/internal/port"
 )
 
@@ -143,13 +144,14 @@
 		return nil
 	}
 	view := m.view.Load()
+	start := health.Start{Slots: svc.ColdStart.InitialSlots, Warmup: svc.ColdStart.Warmup.D()}
 	var out []admission.Limit
 	for _, b := range svc.In(m.cfg.Domain) {
 		key := admission.Key{Service: s.name, Server: b.Name}
 		if !view.Holds(key) || index.ServerDraining(s.name, b, now) {
 			continue
 		}
-		n := min(view.Limit(now, key, svc.Slots), s.health.Slots(now, b.Name, svc.Slots, svc.ColdStart.Warmup.D()))
+		n := min(view.Limit(now, key, svc.Slots), s.health.Slots(now, b.Name, svc.Slots, start))
 		out = append(out, admission.Limit{Server: b.Name, Slots: n})
 	}
 	return out
