Give sites the document's connections and the platform's list

Cause: the stand-in servers of the demo and the measurements took any number of connections at no cost, and no site ran the platform's list of hosts. Excluded: the list in a domain's server process, which the drills kill, and in the store's, which they kill too: a lost list would hide in another fault. The stand-in's settings get listed[]. Before, with the wiring taken out, `go test ./internal/site` failed (TestStandinsFollowDocument: accepts 0 connections; reads another list); after, it passes, and with -race site, standin and docs do. `bin/cassiatray-demo` ended with status 0 and all processes stopped with status 0. Conclusion: the demo runs with both.

--- a/internal/site/files.go
+++ b/internal/site/files.go
@@ -18,6 +18,13 @@
 // StoreName is the name of the process that stands in for the platform's store.
 const StoreName = "store"
 
+// HostListName is the name of the process that stands in for the platform's
+// list of hosts.
+const HostListName = "hostlist"
+
+// hostListLag is how far a site's list of hosts is behind.
+const hostListLag = 5 * time.Second
+
 // ServersName is the name of the process that runs the backend servers of a
 // failure domain.
 func ServersName(domain string) string { return "servers-" + domain }
@@ -57,6 +64,7 @@
 	return entry.Settings{
 		Host: h.Name, Domain: h.Domain, Environment: environment, Steer: h.Steer, Caller: h.Caller,
 		Peer: h.Entry, Operator: h.EntryOperator, Heartbeat: document.Duration(entry.DefaultHeartbeat),
+		HostList: p.HostList,
 	}
 }
 
@@ -71,17 +79,30 @@
 		s.Servers = append(s.Servers, standin.ServerSettings{
 			Name: b.Name, Address: b.Address, Slots: b.Slots, Work: document.Duration(b.Work),
 			Warmup: document.Duration(p.Shape.Warmup), ColdFactor: p.Shape.ColdFactor,
-			Restart: document.Duration(crashRestart),
+			Connections: b.Connections, ConnectionCost: b.ConnectionCost, Restart: document.Duration(crashRestart),
 		})
 	}
 	return s
 }
 
+// hostListSettings are the settings of the stand-in that serves the platform's
+// list of hosts. It outlives the servers that it names.
+func (p *Plan) hostListSettings() standin.Settings {
+	s := standin.Settings{HostList: p.HostList, HostListLag: document.Duration(hostListLag)}
+	for _, b := range p.Servers {
+		s.Listed = append(s.Listed, standin.ListedSettings{Name: b.Name, Address: b.Address})
+	}
+	return s
+}
+
 // write puts all settings files of a plan into a directory.
 func (p *Plan) write(dir, environment string) error {
 	if err := writeYAML(filepath.Join(dir, StoreName+".yaml"), standin.Settings{Store: p.Store}); err != nil {
 		return err
 	}
+	if err := writeYAML(filepath.Join(dir, HostListName+".yaml"), p.hostListSettings()); err != nil {
+		return err
+	}
 	for _, domain := range p.Document.DomainNames() {
 		if err := writeYAML(filepath.Join(dir, ServersName(domain)+".yaml"), p.serverSettings(domain)); err != nil {
 			return err
--- a/internal/site/plan.go
+++ b/internal/site/plan.go
@@ -19,6 +19,7 @@
 	portSteerOperator = 8084
 	portServer        = 9000
 	portStore         = 7000
+	portHostList      = 7001
 )
 
 // Shape is the size and content of a site.
@@ -55,6 +56,8 @@
 	Hosts    []HostPlan
 	Servers  []ServerPlan
 	Store    document.Address
+	// HostList is the platform's list of hosts.
+	HostList document.Address
 }
 
 // HostPlan is one entry host.
@@ -69,6 +72,10 @@
 	Service string
 	Slots   int
 	Work    time.Duration
+	// Connections is how many connections it accepts, and ConnectionCost what
+	// each new one costs.
+	Connections    int
+	ConnectionCost document.Duration
 }
 
 // Network is the part of 127.0.0.0/8 that a site uses: 127.<Octet>.0.0/16.
@@ -88,7 +95,10 @@
 
 // NewPlan lays out a site.
 func NewPlan(shape Shape, network Network) *Plan {
-	p := &Plan{Shape: shape, Network: network, Store: network.address(octetStore, 1, portStore)}
+	p := &Plan{
+		Shape: shape, Network: network,
+		Store: network.address(octetStore, 1, portStore), HostList: network.address(octetStore, 1, portHostList),
+	}
 	doc := &document.Document{
 		Weigh:  shape.Weigh,
 		Lookup: document.Lookup{TTL: document.Duration(shape.TTL), Hosts: 3},
@@ -161,7 +171,10 @@
 			Address: p.Network.address(octetServers+i, j+1, portServer),
 		}
 		out.Servers = append(out.Servers, b)
-		p.Servers = append(p.Servers, ServerPlan{BackendServer: b, Service: s.Name, Slots: s.Slots, Work: s.Work})
+		p.Servers = append(p.Servers, ServerPlan{
+			BackendServer: b, Service: s.Name, Slots: s.Slots, Work: s.Work,
+			Connections: out.Connections, ConnectionCost: out.ColdStart.Connection,
+		})
 	}
 	return out
 }
--- a/internal/site/runner.go
+++ b/internal/site/runner.go
@@ -134,10 +134,12 @@
 	return nil
 }
 
-// StartStandins starts the store and the backend servers.
+// StartStandins starts the store, the list of hosts and the backend servers.
 func (s *Site) StartStandins() error {
-	if _, err := s.Start(StoreName, standinProgram); err != nil {
-		return err
+	for _, name := range []string{StoreName, HostListName} {
+		if _, err := s.Start(name, standinProgram); err != nil {
+			return err
+		}
 	}
 	for _, domain := range s.Document.DomainNames() {
 		if err := s.StartServers(domain); err != nil {
@@ -211,10 +213,10 @@
 	return nil
 }
 
-// AwaitServers waits until the store and every backend server accept
-// connections.
+// AwaitServers waits until the store, the list of hosts and every backend
+// server accept connections.
 func (s *Site) AwaitServers(ctx context.Context) error {
-	addresses := []document.Address{s.Store}
+	addresses := []document.Address{s.Store, s.HostList}
 	for _, b := range s.Servers {
 		addresses = append(addresses, b.Address)
 	}
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -15,15 +15,24 @@
 type Settings struct {
 	// Store is the address of the key-value service; empty for none.
 	Store document.Address `yaml:"store,omitempty"`
-	// HostList is the address of the platform's list of hosts, which names the
-	// servers below; empty for none. HostListLag is how far it is behind.
+	// HostList is the address of the platform's list of hosts, which names
+	// Listed and the servers below; empty for none. HostListLag is how far it
+	// is behind.
 	HostList    document.Address  `yaml:"hostList,omitempty"`
 	HostListLag document.Duration `yaml:"hostListLag,omitempty"`
+	// Listed are servers of other processes that the list names too.
+	Listed []ListedSettings `yaml:"listed,omitempty"`
 	// Servers are the backend servers of this process.
 	Servers []ServerSettings `yaml:"servers"`
 	Log     settings.Log     `yaml:"log"`
 }
 
+// ListedSettings is one server of another process in the list of hosts.
+type ListedSettings struct {
+	Name    string           `yaml:"name"`
+	Address document.Address `yaml:"address"`
+}
+
 // ServerSettings is one backend server.
 type ServerSettings struct {
 	Name    string           `yaml:"name"`
@@ -45,6 +54,9 @@
 // listed returns the servers as the platform's list names them at first.
 func (s *Settings) listed() []port.ListedHost {
 	var out []port.ListedHost
+	for _, l := range s.Listed {
+		out = append(out, port.ListedHost{Name: l.Name, Address: l.Address.String()})
+	}
 	for _, b := range s.Servers {
 		out = append(out, port.ListedHost{Name: b.Name, Address: b.Address.String()})
 	}
@@ -54,6 +66,11 @@
 // Check implements settings.Checker.
 func (s *Settings) Check(lines document.Lines) []document.Problem {
 	var out []document.Problem
+	for i, l := range s.Listed {
+		key := fmt.Sprintf("listed[%d]", i)
+		out = append(out, settings.Required(lines, key+".name", l.Name)...)
+		out = append(out, settings.RequiredAddress(lines, key+".address", l.Address)...)
+	}
 	for i, srv := range s.Servers {
 		key := fmt.Sprintf("servers[%d]", i)
 		out = append(out, settings.Required(lines, key+".name", srv.Name)...)
