Refuse a torn or malformed list of hosts whole

Cause: the client took what decoded: null, {}, entries without a name or an address, an address listed twice, and bytes after the list. The list and its stand-in had no tests. Excluded: dropping bad entries only: a short list shows hosts as gone. Change: hostlist.Decode reads to the end, checks every entry and gives a *MalformedError; the stand-in takes replacements through it.

--- a/internal/adapter/hostlist/client.go
+++ b/internal/adapter/hostlist/client.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 
 	"cassiatray/internal/port"
@@ -46,7 +44,7 @@
 
 func (e *Error) Unwrap() error { return e.Err }
 
-// List is the platform's answer.
+// List is the platform's answer. Hosts is never null.
 type List struct {
 	Hosts []port.ListedHost `json:"hosts"`
 }
@@ -67,9 +65,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, &Error{URL: c.url, Status: resp.StatusCode}
 	}
-	var out List
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&out); err != nil {
+	hosts, err := Decode(resp.Body)
+	if err != nil {
 		return nil, &Error{URL: c.url, Status: resp.StatusCode, Err: err}
 	}
-	return out.Hosts, nil
+	return hosts, nil
 }
--- a/internal/standin/hostlist/list.go
+++ b/internal/standin/hostlist/list.go
@@ -63,14 +63,14 @@
 
 func (l *List) serve(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(client.List{Hosts: l.seen()})
+	json.NewEncoder(w).Encode(client.List{Hosts: append([]port.ListedHost{}, l.seen()...)})
 }
 
 func (l *List) replace(w http.ResponseWriter, r *http.Request) {
-	var list client.List
-	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
-		http.Error(w, "bad list", http.StatusBadRequest)
+	hosts, err := client.Decode(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	l.Set(list.Hosts)
+	l.Set(hosts)
 }
