Measure what control costs at three sizes of failure domain

Cause: the target bounds processor, memory and bytes of each daemon for control, and only steer processes had been measured.

Excluded: bytes on the interface (loads of the machine's other processes).

--- a/internal/measure/results.go
+++ b/internal/measure/results.go
@@ -49,6 +49,12 @@
 	CPUShare float64 `json:"cpuShare"`
 	// MaxResident is the largest resident memory of a process, in bytes.
 	MaxResident int64 `json:"maxResident"`
+	// Bytes is the mean number of bytes a second that a process exchanges with
+	// others of the system, both ways, and MaxBytes that of the busiest.
+	Bytes    float64 `json:"bytes"`
+	MaxBytes float64 `json:"maxBytes"`
+	// Phase names the part of the scenario; empty for all of it.
+	Phase string `json:"phase,omitempty"`
 }
 
 func (s *Scenario) figure(name string, value float64, unit string) {
@@ -159,6 +165,7 @@
 // Units of the tables.
 const (
 	percent  = 100
+	kilobyte = 1000
 	mebibyte = 1 << 20
 )
 
@@ -166,8 +173,9 @@
 	if len(s.Roles) == 0 {
 		return
 	}
-	b.WriteString("\n| role | processes | CPU each, % of a core | largest memory, MiB |\n|---|---|---|---|\n")
+	b.WriteString("\n| role | phase | processes | CPU each, % of a core | largest memory, MiB | kB/s each | kB/s busiest |\n|---|---|---|---|---|---|---|\n")
 	for _, r := range s.Roles {
-		fmt.Fprintf(b, "| %s | %d | %.2f | %.1f |\n", r.Role, r.Processes, percent*r.CPUShare, float64(r.MaxResident)/mebibyte)
+		fmt.Fprintf(b, "| %s | %s | %d | %.2f | %.1f | %.2f | %.2f |\n", r.Role, r.Phase, r.Processes, percent*r.CPUShare,
+			float64(r.MaxResident)/mebibyte, r.Bytes/kilobyte, r.MaxBytes/kilobyte)
 	}
 }
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/netip"
 	"runtime"
-	"strings"
 	"time"
 
 	"cassiatray/internal/load"
@@ -211,57 +210,3 @@
 	}
 	return len(total), highest
 }
-
-// usage samples the processes of each role.
-func (b *bed) usage() map[string]site.Usage {
-	out := map[string]site.Usage{}
-	for _, h := range b.Hosts {
-		for _, name := range []string{site.SteerName(h.Name), site.EntryName(h.Name)} {
-			if u, err := b.Process(name).Usage(); err == nil {
-				out[name] = u
-			}
-		}
-	}
-	if u, err := b.Process(site.StoreName).Usage(); err == nil {
-		out[site.StoreName] = u
-	}
-	return out
-}
-
-func roleOf(name string) string {
-	switch {
-	case strings.HasSuffix(name, "-steer"):
-		return "steer"
-	case strings.HasSuffix(name, "-entry"):
-		return "entry"
-	}
-	return "store stand-in"
-}
-
-// costs compares two samples taken some time apart.
-func costs(before, after map[string]site.Usage, took time.Duration) []RoleCost {
-	byRole := map[string]*RoleCost{}
-	for name, u := range after {
-		old, ok := before[name]
-		if !ok {
-			continue
-		}
-		role := roleOf(name)
-		c := byRole[role]
-		if c == nil {
-			c = &RoleCost{Role: role}
-			byRole[role] = c
-		}
-		c.Processes++
-		c.CPUShare += (u.CPU - old.CPU).Seconds() / took.Seconds()
-		c.MaxResident = max(c.MaxResident, u.Resident)
-	}
-	var out []RoleCost
-	for _, role := range []string{"entry", "steer", "store stand-in"} {
-		if c := byRole[role]; c != nil {
-			c.CPUShare /= float64(c.Processes)
-			out = append(out, *c)
-		}
-	}
-	return out
-}
--- a/internal/measure/steady.go
+++ b/internal/measure/steady.go
@@ -14,6 +14,9 @@
 var scenarios = []scenario{
 	{"overhead", "the same requests straight to the servers and through the system, 20 servers x 9 slots", runOverhead},
 	{"idle", "no load: what control costs", runIdle},
+	{"control-4", "what control costs, 2 failure domains of 4 entry hosts, 5,000 client blocks", control(4)},
+	{"control-8", "the same with 8 entry hosts each", control(8)},
+	{"control-17", "the same with 17 entry hosts each", control(17)},
 	{"steady-50", "sheet look-ups, sign-offs and archive pulls at 50% of the slots", steady(0.50)},
 	{"steady-80", "the same at 80%", steady(0.80)},
 	{"steady-95", "the same at 95%", steady(0.95)},
@@ -104,9 +107,10 @@
 	straight.Name, straight.Direct = "direct", direct
 	b.load(ctx, r.Time/4, through)
 	s.Rows = append(s.Rows, b.load(ctx, r.Time, straight)...)
-	before, start := b.usage(), time.Now()
-	s.Rows = append(s.Rows, b.load(ctx, r.Time, through)...)
-	s.Roles = costs(before, b.usage(), time.Since(start))
+	b.watch(ctx, s, "load", func() error {
+		s.Rows = append(s.Rows, b.load(ctx, r.Time, through)...)
+		return nil
+	})
 	d, t := s.Rows[0], s.Rows[1]
 	s.figure("added p50", load.Millis(t.P50-d.P50), "ms")
 	s.figure("added p99", load.Millis(t.P99-d.P99), "ms")
@@ -122,12 +126,9 @@
 		return err
 	}
 	defer b.end(s)
-	calls, before, start := b.storeCounts(ctx), b.usage(), time.Now()
-	if !pause(ctx, r.Time) {
-		return ctx.Err()
-	}
+	calls, start := b.storeCounts(ctx), time.Now()
+	b.watch(ctx, s, "idle", func() error { pause(ctx, r.Time); return nil })
 	took := time.Since(start)
-	s.Roles = costs(before, b.usage(), took)
 	after := b.storeCounts(ctx)
 	s.figure("store reads", float64(after.Reads-calls.Reads)/took.Minutes(), "calls/min")
 	s.figure("store writes", float64(after.Writes-calls.Writes)/took.Minutes(), "calls/min")
@@ -155,9 +156,10 @@
 			return err
 		}
 		defer b.end(s)
-		before, start := b.usage(), time.Now()
-		s.Rows = b.load(ctx, r.Time, coopStreams(shape, share)...)
-		s.Roles = costs(before, b.usage(), time.Since(start))
+		b.watch(ctx, s, "load", func() error {
+			s.Rows = b.load(ctx, r.Time, coopStreams(shape, share)...)
+			return nil
+		})
 		b.serverFigures(ctx, s)
 		return nil
 	}
