Renew slot grants once a second; warm a site before it is measured

Cause: entry processes passed both bounds of control with grants renewed four times a second (20.3 kB/s each at today's 4 hosts a failure domain, 46.4 at 17).

Change: leases last 4 s and are renewed every second. The load scenarios send a load of 6 s first that is not measured.

Conclusion: both bounds hold at 17 hosts a domain; at 33 the bytes do not, by the slope.

--- a/internal/daemon/slots/manager.go
+++ b/internal/daemon/slots/manager.go
@@ -23,9 +23,9 @@
 
 const (
 	// lease is how long a grant lasts without renewal.
-	lease = time.Second
+	lease = 4 * time.Second
 	// roundInterval is the interval of renewals.
-	roundInterval = 250 * time.Millisecond
+	roundInterval = time.Second
 	// pressInterval is the interval while this host lacks the grants of a
 	// server that it should hold: its last holder may give it back any time.
 	pressInterval = 25 * time.Millisecond
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -19,8 +19,9 @@
 	"cassiatray/internal/standin/store"
 )
 
-// during runs a fault while a load is on, and returns the load's rows.
+// during warms the site, then runs a fault while a load is on, and returns the load's rows.
 func (b *bed) during(ctx context.Context, d time.Duration, streams []load.Stream, fault func(context.Context) error) ([]load.Row, error) {
+	b.warm(ctx, streams)
 	var wg sync.WaitGroup
 	var rows []load.Row
 	wg.Go(func() { rows = b.load(ctx, d, streams...) })
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/netip"
 	"runtime"
+	"slices"
 	"time"
 
 	"cassiatray/internal/load"
@@ -159,6 +160,22 @@
 	})
 }
 
+// warmTime is the length of the load that goes before a measured one: entry
+// hosts gather their grants, servers start slowly and callers look up.
+const warmTime = 6 * time.Second
+
+// warmShare is the part of the measured rates that the load before has.
+const warmShare = 0.5
+
+// warm sends a load that is not measured.
+func (b *bed) warm(ctx context.Context, streams []load.Stream) {
+	slower := slices.Clone(streams)
+	for i := range slower {
+		slower[i].Rate *= warmShare
+	}
+	b.load(ctx, warmTime, slower...)
+}
+
 // serverStats reads what each stand-in server has seen.
 func (b *bed) serverStats(ctx context.Context) []server.Stats {
 	var out []server.Stats
--- a/internal/measure/steady.go
+++ b/internal/measure/steady.go
@@ -156,6 +156,7 @@
 			return err
 		}
 		defer b.end(s)
+		b.warm(ctx, coopStreams(shape, share))
 		b.watch(ctx, s, "load", func() error {
 			s.Rows = b.load(ctx, r.Time, coopStreams(shape, share)...)
 			return nil
@@ -185,6 +186,7 @@
 		return err
 	}
 	defer b.end(s)
+	b.warm(ctx, franchiseStreams(shape, base))
 	for _, factor := range []float64{1, 3, 1} {
 		rows := b.load(ctx, r.Time/2, franchiseStreams(shape, base*factor)...)
 		for i := range rows {
