--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -4,19 +4,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
 	"strings"
-	"time"
 
 	"cassiatray/api"
 	"cassiatray/client"
 	"cassiatray/internal/site"
-	"cassiatray/internal/standin/server"
 )
 
 // production is the environment that the demo's daemons run.
@@ -116,34 +112,6 @@
 	return nil
 }
 
-func (d *Demo) client(s *site.Site, address string) *client.Client {
-	var bootstrap []string
-	for _, h := range s.Hosts {
-		bootstrap = append(bootstrap, h.Caller.String())
-	}
-	return client.New(client.Config{Bootstrap: bootstrap, Address: netip.MustParseAddr(address)})
-}
-
-// requestTime bounds one request of the demo.
-const requestTime = 5 * time.Second
-
-func (d *Demo) request(ctx context.Context, s *site.Site, c *client.Client, r *client.Request) (*client.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, requestTime)
-	defer cancel()
-	start := time.Now()
-	a, err := c.Do(ctx, r)
-	if err != nil {
-		return nil, &StepError{Step: r.Method + " " + r.Path, Err: err}
-	}
-	var body server.Answer
-	if err := json.Unmarshal(a.Body, &body); err != nil {
-		return nil, &StepError{Step: r.Method + " " + r.Path, Err: err}
-	}
-	d.say(s, "%s %s: %d from %s by entry host %s in %s",
-		r.Method, r.Path, a.Status, body.Server, a.Host, time.Since(start).Round(time.Millisecond))
-	return a, nil
-}
-
 func (d *Demo) showCoop(ctx context.Context, s *site.Site) error {
 	c := d.client(s, "10.1.0.7")
 	answer, err := c.Lookup(ctx, "rodsheet")
@@ -173,24 +141,6 @@
 	return d.status(ctx, s)
 }
 
-// checkRuns asks the stand-in servers how often an operation ran.
-func (d *Demo) checkRuns(ctx context.Context, s *site.Site, id string) error {
-	runs := 0
-	for _, b := range s.Servers {
-		_, body := site.Get(ctx, "http://"+b.Address.String()+"/standin/stats")
-		var stats server.Stats
-		if err := json.Unmarshal(body, &stats); err != nil {
-			return &StepError{Step: "stats of " + b.Name, Err: err}
-		}
-		runs += stats.Operations[id]
-	}
-	d.say(s, "operation %s ran %d time(s), counted at the servers", id, runs)
-	if runs != 1 {
-		return &StepError{Step: "runs of " + id, Err: &UnexpectedError{Want: "1", Got: fmt.Sprint(runs)}}
-	}
-	return nil
-}
-
 // refuse shows a typed refusal.
 func (d *Demo) refuse(ctx context.Context, s *site.Site, c *client.Client) error {
 	_, err := c.Lookup(ctx, "no-such-service")
@@ -221,84 +171,6 @@
 	return d.status(ctx, s)
 }
 
-// drain plans the drain of one server, by document, and counts its runs after.
-func (d *Demo) drain(ctx context.Context, s *site.Site) error {
-	target := s.Servers[0]
-	c, err := d.clientOf(ctx, s, target.Service, target.Domain)
-	if err != nil {
-		return err
-	}
-	before, err := d.runsOf(ctx, c, target)
-	if err != nil {
-		return err
-	}
-	d.say(s, "drain %s by a document change", target.Name)
-	if err := s.WriteDrain("drain.yaml", target); err != nil {
-		return err
-	}
-	if err := d.ctl(ctx, s, "apply", s.File("drain.yaml"), "--reason", "service "+target.Name); err != nil {
-		return err
-	}
-	if err := d.ctl(ctx, s, "promote", "--reason", "service "+target.Name); err != nil {
-		return err
-	}
-	if err := site.Await(ctx, "the drain everywhere", func() bool { return s.InForce(ctx, 2) }); err != nil {
-		return err
-	}
-	after, err := d.runsOf(ctx, c, target)
-	if err != nil {
-		return err
-	}
-	d.say(s, "%s ran %d of %d requests before its drain, %d after", target.Name, before, drainRequests, after)
-	if before == 0 || after != 0 {
-		got := fmt.Sprintf("%d before and %d after", before, after)
-		return &StepError{Step: "drain", Err: &UnexpectedError{Want: "some before and 0 after", Got: got}}
-	}
-	return nil
-}
-
-// drainRequests is how many requests are sent before and after a drain.
-const drainRequests = 40
-
-// runsOf sends requests and returns how many of them a server ran.
-func (d *Demo) runsOf(ctx context.Context, c *client.Client, b site.ServerPlan) (uint64, error) {
-	before, err := d.runs(ctx, b)
-	if err != nil {
-		return 0, err
-	}
-	for range drainRequests {
-		if _, err := c.Do(ctx, &client.Request{Service: b.Service, Method: http.MethodGet, Path: "/stock/salt"}); err != nil {
-			return 0, &StepError{Step: "request to " + b.Service, Err: err}
-		}
-	}
-	after, err := d.runs(ctx, b)
-	return after - before, err
-}
-
-// clientOf returns a client whose look-ups name a host of a domain first.
-func (d *Demo) clientOf(ctx context.Context, s *site.Site, service, domain string) (*client.Client, error) {
-	for i := 1; i < 255; i++ {
-		c := d.client(s, fmt.Sprintf("10.0.0.%d", i))
-		answer, err := c.Lookup(ctx, service)
-		if err != nil {
-			return nil, err
-		}
-		if answer.Hosts[0].Domain == domain {
-			return c, nil
-		}
-	}
-	return nil, &StepError{Step: "look-up", Err: &UnexpectedError{Want: "a caller of " + domain, Got: "none"}}
-}
-
-func (d *Demo) runs(ctx context.Context, b site.ServerPlan) (uint64, error) {
-	_, body := site.Get(ctx, "http://"+b.Address.String()+"/standin/stats")
-	var stats server.Stats
-	if err := json.Unmarshal(body, &stats); err != nil {
-		return 0, &StepError{Step: "stats of " + b.Name, Err: err}
-	}
-	return stats.Runs, nil
-}
-
 func (d *Demo) status(ctx context.Context, s *site.Site) error { return d.ctl(ctx, s, "status") }
 
 // end stops everything in order.
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -8,11 +8,8 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
-	"cassiatray/client"
-	"cassiatray/internal/core/document"
 	"cassiatray/internal/load"
 	"cassiatray/internal/site"
 	"cassiatray/internal/standin/server"
@@ -50,15 +47,6 @@
 	return put(ctx, "http://"+b.Store.String()+"/standin/faults", f)
 }
 
-func (b *bed) apply(ctx context.Context, doc *document.Document, reason string) error {
-	file := b.File("change.yaml")
-	if err := site.WriteDocument(file, doc); err != nil {
-		return err
-	}
-	_, err := b.Ctl(ctx, "apply", file, "--environment", environment, "--reason", reason)
-	return err
-}
-
 // runDrain drains one server by document and watches for the last request that
 // it starts.
 func runDrain(r *Runner, ctx context.Context, s *Scenario) error {
@@ -93,50 +81,6 @@
 	return nil
 }
 
-// replaceTime is the length of the load in the replace scenario: each stop
-// waits out the time to live of look-up answers.
-const (
-	replacedHosts = 5
-	replaceTime   = 40 * time.Second
-	replaceGrace  = 30 * time.Second
-)
-
-// runReplace stops and starts entry processes one after another.
-func runReplace(r *Runner, ctx context.Context, s *Scenario) error {
-	shape := coop()
-	b, err := r.bring(ctx, s, shape)
-	if err != nil {
-		return err
-	}
-	defer b.end(s)
-	replaced, clean := 0, 0
-	s.Rows, err = b.during(ctx, replaceTime, coopStreams(shape, 0.5), func(ctx context.Context) error {
-		end := time.Now().Add(replaceTime - 5*time.Second)
-		for i := 0; i < replacedHosts && time.Now().Before(end); i++ {
-			h := b.Hosts[i*hostsPerDomain%len(b.Hosts)]
-			p := b.Process(site.EntryName(h.Name))
-			p.Signal(syscall.SIGTERM)
-			stop, cancel := context.WithTimeout(ctx, replaceGrace)
-			if p.Wait(stop) == 0 {
-				clean++
-			}
-			cancel()
-			if _, err := b.StartEntry(h); err != nil {
-				return err
-			}
-			if err := site.AwaitReady(ctx, h.EntryOperator); err != nil {
-				return err
-			}
-			replaced++
-		}
-		return nil
-	})
-	s.figure("entry hosts replaced", float64(replaced), "")
-	s.figure("of them stopped with status 0", float64(clean), "")
-	b.serverFigures(ctx, s)
-	return err
-}
-
 // settleTime is how long caps between regions stay shut after a change of
 // hosts: 10 s and the longest deadline of a class.
 const settleTime = 31 * time.Second
@@ -229,97 +173,3 @@
 	b.serverFigures(ctx, s)
 	return nil
 }
-
-// Sends of the request that crashes servers.
-const (
-	crashResends  = 30
-	crashRate     = 8 // requests a second from many callers
-	crashRestWait = 3 * time.Second
-)
-
-// runCrash sends a request that crashes servers under load: first one caller
-// sends it again after each answer, then many callers send another at once.
-func runCrash(r *Runner, ctx context.Context, s *Scenario) error {
-	shape := coop()
-	b, err := r.bring(ctx, s, shape)
-	if err != nil {
-		return err
-	}
-	defer b.end(s)
-	streams := coopStreams(shape, 0.3)
-	rows, err := b.during(ctx, r.Time, streams, func(ctx context.Context) error {
-		b.resend(ctx, "/sheets/1?crash=1")
-		return nil
-	})
-	label(rows, "one caller")
-	s.Rows = append(s.Rows, rows...)
-	one := b.crashes(ctx)
-	s.figure("servers lost to one caller's resends", float64(one), "")
-	pause(ctx, crashRestWait)
-	many := load.Stream{
-		Name: "crashing", Service: "rodsheet", Method: http.MethodGet, Path: "/sheets/2?crash=1",
-		Rate: crashRate, Timeout: 2 * time.Second,
-	}
-	rows = b.load(ctx, r.Time, append(streams, many)...)
-	label(rows, "many callers")
-	s.Rows = append(s.Rows, rows...)
-	s.figure("servers lost to many callers at once", float64(b.crashes(ctx)-one), "")
-	b.serverFigures(ctx, s)
-	return err
-}
-
-// resend sends one request again and again from one caller.
-func (b *bed) resend(ctx context.Context, path string) {
-	c := client.New(client.Config{Bootstrap: b.bootstrap(), Address: b.callers()[0]})
-	for range crashResends {
-		try, cancel := context.WithTimeout(ctx, 2*time.Second)
-		c.Do(try, &client.Request{Service: "rodsheet", Method: http.MethodGet, Path: path})
-		cancel()
-	}
-}
-
-func (b *bed) crashes(ctx context.Context) int {
-	n := 0
-	for _, st := range b.serverStats(ctx) {
-		n += st.Crashes
-	}
-	return n
-}
-
-// runChanges applies changes at two rates and times each until it is in force
-// at every entry process.
-func runChanges(r *Runner, ctx context.Context, s *Scenario) error {
-	b, err := r.bring(ctx, s, coop())
-	if err != nil {
-		return err
-	}
-	defer b.end(s)
-	sequence := uint64(1)
-	for _, rate := range []float64{0.76, 5} {
-		var slowest, total time.Duration
-		count := int(max(3, rate*r.Time.Seconds()))
-		start := time.Now()
-		for i := range count {
-			at := start.Add(time.Duration(float64(i) / rate * float64(time.Second)))
-			if !pause(ctx, time.Until(at)) {
-				return ctx.Err()
-			}
-			doc := *b.Document
-			doc.Lookup.Hosts = 2 + i%3
-			if err := b.apply(ctx, &doc, "measurement"); err != nil {
-				return err
-			}
-			sequence++
-			accepted := time.Now()
-			if err := site.Await(ctx, "a change everywhere", func() bool { return b.InForce(ctx, sequence) }); err != nil {
-				return err
-			}
-			took := time.Since(accepted)
-			slowest, total = max(slowest, took), total+took
-		}
-		s.figure(fmt.Sprintf("mean time to force everywhere at %.2f/s", rate), (total / time.Duration(count)).Seconds(), "s")
-		s.figure(fmt.Sprintf("longest time to force everywhere at %.2f/s", rate), slowest.Seconds(), "s")
-		s.figure(fmt.Sprintf("changes made a second at %.2f/s", rate), float64(count)/time.Since(start).Seconds(), "1/s")
-	}
-	return nil
-}
--- a/internal/site/runner.go
+++ b/internal/site/runner.go
@@ -3,18 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
-
-	"cassiatray/internal/core/document"
 )
 
 // crashRestart is how long a stand-in server stays away after a crash.
@@ -35,45 +30,6 @@
 	procs map[string]*Process
 }
 
-// Process is one started process.
-type Process struct {
-	Name string
-	cmd  *exec.Cmd
-	done chan struct{}
-	err  error
-	// ended is set once this process was told to end.
-	ended atomic.Bool
-}
-
-// Range of the second octet of sites' networks.
-const (
-	firstOctet = 20
-	lastOctet  = 250
-	portLock   = 6999
-)
-
-// NetworkError means that every network of 127.0.0.0/8 is in use.
-type NetworkError struct{ Err error }
-
-func (e *NetworkError) Error() string { return fmt.Sprintf("no free network: %v", e.Err) }
-
-func (e *NetworkError) Unwrap() error { return e.Err }
-
-// claim finds a network that no other site on this machine uses, and holds it
-// by a listener.
-func claim() (Network, net.Listener, error) {
-	var last error
-	for octet := firstOctet; octet <= lastOctet; octet++ {
-		n := Network{Octet: octet}
-		l, err := net.Listen("tcp", n.address(octetStore, 1, portLock).String())
-		if err == nil {
-			return n, l, nil
-		}
-		last = err
-	}
-	return Network{}, nil, &NetworkError{Err: last}
-}
-
 // New lays out a site on a free network. Bin holds the built programs.
 func New(shape Shape, bin, environment string) (*Site, error) {
 	network, lock, err := claim()
@@ -181,15 +137,6 @@
 	return s.procs[name]
 }
 
-// DiedError is a process that ended by itself.
-type DiedError struct {
-	Name string
-	// Log is the end of the process's log.
-	Log string
-}
-
-func (e *DiedError) Error() string { return fmt.Sprintf("%s died: %s", e.Name, e.Log) }
-
 // logTail is how much of a dead process's log is shown, in bytes.
 const logTail = 4000
 
@@ -211,58 +158,6 @@
 	return nil
 }
 
-// AwaitServers waits until the store and every backend server accept
-// connections.
-func (s *Site) AwaitServers(ctx context.Context) error {
-	addresses := []document.Address{s.Store}
-	for _, b := range s.Servers {
-		addresses = append(addresses, b.Address)
-	}
-	for _, a := range addresses {
-		err := Await(ctx, a.String(), func() bool { return s.Running() != nil || accepts(ctx, a.String()) })
-		if err != nil {
-			return err
-		}
-	}
-	return s.Running()
-}
-
-func accepts(ctx context.Context, address string) bool {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return false
-	}
-	conn.Close()
-	return true
-}
-
-// Signal sends a signal to the process.
-func (p *Process) Signal(sig os.Signal) error {
-	if sig == syscall.SIGTERM || sig == syscall.SIGINT || sig == syscall.SIGKILL {
-		p.ended.Store(true)
-	}
-	return p.cmd.Process.Signal(sig)
-}
-
-// Wait waits for the process to end and returns its exit status, or -1 when a
-// signal ended it or the context did first.
-func (p *Process) Wait(ctx context.Context) int {
-	select {
-	case <-p.done:
-		return p.cmd.ProcessState.ExitCode()
-	case <-ctx.Done():
-		return -1
-	}
-}
-
-// Kill ends the process at once and waits for it.
-func (p *Process) Kill() {
-	p.ended.Store(true)
-	p.cmd.Process.Kill()
-	<-p.done
-}
-
 // stopGrace is how long processes may take to stop in order.
 const stopGrace = 15 * time.Second
 
@@ -326,51 +221,3 @@
 	}
 	return string(out), nil
 }
-
-// poll is the interval at which conditions are looked at.
-const poll = 50 * time.Millisecond
-
-// WaitError is a condition that did not come about in time.
-type WaitError struct{ What string }
-
-func (e *WaitError) Error() string { return "gave up waiting for " + e.What }
-
-// Await waits until a condition holds.
-func Await(ctx context.Context, what string, cond func() bool) error {
-	t := time.NewTicker(poll)
-	defer t.Stop()
-	for !cond() {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return &WaitError{What: what}
-		}
-	}
-	return nil
-}
-
-// Get reads a URL and reports the status, or 0 when it cannot be reached.
-func Get(ctx context.Context, url string) (int, []byte) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return 0, nil
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, nil
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, nil
-	}
-	return resp.StatusCode, body
-}
-
-// AwaitReady waits until an operator address reports that its process is ready.
-func AwaitReady(ctx context.Context, operator document.Address) error {
-	return Await(ctx, "readiness of "+operator.String(), func() bool {
-		status, _ := Get(ctx, "http://"+operator.String()+"/readyz")
-		return status == http.StatusOK
-	})
-}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -36,57 +36,6 @@
 	ConnectionCost time.Duration
 }
 
-// Behavior is how the server behaves until told otherwise.
-type Behavior struct {
-	Draining bool `json:"draining"`
-	// Shed refuses all requests with 503 and Retry-After.
-	Shed bool `json:"shed"`
-	// ShedNotRun adds X-Not-Run to the refusals of Shed; ShedAfterRun sheds
-	// only once the request has run.
-	ShedNotRun   bool `json:"shedNotRun"`
-	ShedAfterRun bool `json:"shedAfterRun"`
-	// Twice sends each answer two times.
-	Twice bool `json:"twice"`
-	// CloseReused closes a connection at the moment that another request comes
-	// on it, before it runs.
-	CloseReused bool `json:"closeReused"`
-	// ExtraMillis is added to the work of each request.
-	ExtraMillis int `json:"extraMillis"`
-	// Cross answers with another request's ID.
-	Cross bool `json:"cross"`
-	// Short cuts each answer after half its body.
-	Short bool `json:"short"`
-	// Drop closes the connection after the work is done, without an answer.
-	Drop bool `json:"drop"`
-	// LieLoad is reported in place of the true number in flight when not zero.
-	LieLoad int `json:"lieLoad"`
-	// LieHealthy reports health while draining or shedding.
-	LieHealthy bool `json:"lieHealthy"`
-}
-
-// Stats are what the server has seen.
-type Stats struct {
-	Name     string `json:"name"`
-	Runs     uint64 `json:"runs"`
-	InFlight int    `json:"inFlight"`
-	// MaxInFlight is the highest number of requests held at once, running or
-	// waiting for a slot.
-	MaxInFlight int    `json:"maxInFlight"`
-	Canceled    uint64 `json:"canceled"`
-	Connections int    `json:"connections"`
-	// Accepted counts all connections, MaxConnections the most at once and
-	// RefusedConnections those closed for the limit.
-	Accepted           uint64 `json:"accepted"`
-	MaxConnections     int    `json:"maxConnections"`
-	RefusedConnections uint64 `json:"refusedConnections"`
-	// Crashes is how often a request crashed the server.
-	Crashes int `json:"crashes"`
-	// LastStart is when the server last began a request, in Unix microseconds.
-	LastStart int64 `json:"lastStart"`
-	// Operations is how often each operation ran.
-	Operations map[string]int `json:"operations"`
-}
-
 // Server is one stand-in server.
 type Server struct {
 	cfg     Config
@@ -129,61 +78,6 @@
 	return r
 }
 
-// SetBehavior replaces the behavior.
-func (s *Server) SetBehavior(b Behavior) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.behavior = b
-}
-
-// Stats returns a copy of what the server has seen.
-func (s *Server) Stats() Stats {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := s.stats
-	out.Operations = make(map[string]int, len(s.stats.Operations))
-	for id, n := range s.stats.Operations {
-		out.Operations[id] = n
-	}
-	return out
-}
-
-func (s *Server) enter() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stats.InFlight++
-	s.stats.MaxInFlight = max(s.stats.MaxInFlight, s.stats.InFlight)
-}
-
-func (s *Server) leave() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stats.InFlight--
-}
-
-func (s *Server) run(operation string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stats.Runs++
-	s.stats.LastStart = time.Now().UnixMicro()
-	if operation != "" {
-		s.stats.Operations[operation]++
-	}
-}
-
-func (s *Server) crashFunc() func() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stats.Crashes++
-	return s.crash
-}
-
-func (s *Server) canceled() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stats.Canceled++
-}
-
 // work returns how long the next request takes.
 func (s *Server) work(b Behavior) time.Duration {
 	d := s.cfg.Work + time.Duration(b.ExtraMillis)*time.Millisecond
@@ -301,9 +195,3 @@
 	}
 	w.Write(out)
 }
-
-func (s *Server) current() Behavior {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.behavior
-}
