--- a/internal/daemon/entry/feed.go
+++ b/internal/daemon/entry/feed.go
@@ -15,6 +15,7 @@
 	"cassiatray/internal/core/relay"
 	"cassiatray/internal/daemon/fetch"
 	"cassiatray/internal/port"
+	"cassiatray/internal/sleep"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
@@ -112,7 +113,7 @@
 		if err := f.followAddress(ctx, address); err != nil {
 			f.log.WithError(err).Debug("Follow ended.")
 		}
-		pause(ctx, feedRetry)
+		sleep.For(ctx, feedRetry)
 	}
 }
 
@@ -158,20 +159,11 @@
 func (f *Feed) guard(ctx context.Context, cancel context.CancelFunc, own bool) {
 	defer cancel()
 	if !own {
-		pause(ctx, returnAfter)
+		sleep.For(ctx, returnAfter)
 		return
 	}
 	for ctx.Err() == nil && f.missed.Load() < reportsMissed {
-		pause(ctx, f.cfg.Heartbeat.D())
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		sleep.For(ctx, f.cfg.Heartbeat.D())
 	}
 }
 
--- a/internal/daemon/entry/module.go
+++ b/internal/daemon/entry/module.go
@@ -108,15 +108,10 @@
 	})
 }
 
-// NotReadyError says why a process cannot serve yet.
-type NotReadyError struct{ Reason string }
-
-func (e *NotReadyError) Error() string { return "not ready: " + e.Reason }
-
 // Ready implements operatorhttp.Source.
 func (n *Node) Ready() error {
 	if n.feed.Snapshot() == nil {
-		return &NotReadyError{Reason: "no document of environment " + n.cfg.Environment}
+		return &operatorhttp.NotReadyError{Reason: "no document of environment " + n.cfg.Environment}
 	}
 	return nil
 }
--- a/internal/daemon/entry/peer.go
+++ b/internal/daemon/entry/peer.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"cassiatray/api"
+	"cassiatray/internal/adapter/peer"
 	"cassiatray/internal/daemon/slots"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
@@ -51,7 +52,7 @@
 	case *peerv1.Request_SuspectReport:
 		return n.serveSuspects(ctx, body.SuspectReport), nil
 	}
-	return nil, &UnsupportedError{Body: fmt.Sprintf("%T", req.Body)}
+	return nil, &peer.UnsupportedError{Body: fmt.Sprintf("%T", req.Body)}
 }
 
 // ServeFollow implements peer.Handler.
@@ -59,17 +60,9 @@
 	if slots.Serves(req) {
 		return n.slots.ServeStream(ctx, req, send)
 	}
-	return &UnsupportedError{Body: "follow"}
+	return &peer.UnsupportedError{Body: "follow"}
 }
 
-// UnsupportedError is an exchange that this process does not answer.
-type UnsupportedError struct{ Body string }
-
-func (e *UnsupportedError) Error() string { return "unsupported exchange " + e.Body }
-
-// ErrorCode implements peer.CodedError.
-func (e *UnsupportedError) ErrorCode() string { return "unsupported" }
-
 func (n *Node) serveDispatch(ctx context.Context, d *peerv1.Dispatch) result {
 	if d.Attempt == 0 {
 		return n.serveOwned(ctx, d)
--- a/internal/daemon/entry/probe.go
+++ b/internal/daemon/entry/probe.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cassiatray/internal/port"
+	"cassiatray/internal/sleep"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
@@ -28,7 +29,7 @@
 		if snap := n.feed.Snapshot(); snap != nil {
 			next = n.probeRound(ctx, snap, next)
 		}
-		pause(ctx, probeInterval)
+		sleep.For(ctx, probeInterval)
 	}
 }
 
--- a/internal/daemon/entry/retry.go
+++ b/internal/daemon/entry/retry.go
@@ -8,6 +8,7 @@
 
 	"cassiatray/api"
 	"cassiatray/internal/core/retry"
+	"cassiatray/internal/sleep"
 )
 
 // budgets are the retry budgets of this process, by service and class.
@@ -47,7 +48,7 @@
 		if attempt == retry.MaxAttempts || !retryable(x, out) || !n.budgets.spend(x) {
 			return out
 		}
-		pause(ctx, retry.Backoff(attempt, rand.Float64()))
+		sleep.For(ctx, retry.Backoff(attempt, rand.Float64()))
 		if ctx.Err() != nil {
 			return out
 		}
--- a/internal/daemon/entry/slots.go
+++ b/internal/daemon/entry/slots.go
@@ -8,6 +8,7 @@
 	"cassiatray/internal/adapter/hostlist"
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/port"
+	"cassiatray/internal/sleep"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
@@ -60,7 +61,7 @@
 		if limit := connectionLimit(n.feed.Index(), n.cfg.Domain); limit > 0 {
 			b.SetLimit(limit)
 		}
-		pause(ctx, connectionsInterval)
+		sleep.For(ctx, connectionsInterval)
 	}
 }
 
--- a/internal/daemon/entry/stop.go
+++ b/internal/daemon/entry/stop.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"cassiatray/internal/adapter/peer"
+	"cassiatray/internal/sleep"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
@@ -37,6 +38,6 @@
 	if snap := n.feed.Snapshot(); snap != nil {
 		linger += snap.Index.Doc.Lookup.TTL.D()
 	}
-	pause(ctx, linger)
+	sleep.For(ctx, linger)
 	n.log.Info("No caller holds a look-up answer that names this host.")
 }
--- a/internal/daemon/steer/lease.go
+++ b/internal/daemon/steer/lease.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cassiatray/internal/port"
+	"cassiatray/internal/sleep"
 )
 
 // Times of the lease of a domain's lead. Renewals of all domains together
@@ -32,7 +33,7 @@
 		default:
 			pause = n.cfg.Heartbeat.D()
 		}
-		if !sleep(ctx, pause) {
+		if !sleep.For(ctx, pause) {
 			n.leaveLease(id)
 			return
 		}
--- a/internal/daemon/steer/loops.go
+++ b/internal/daemon/steer/loops.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"cassiatray/internal/sleep"
 )
 
 // Run works until the context ends and all loops have stopped.
@@ -17,17 +19,6 @@
 	n.wg.Wait()
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Bounds of the pause after a failed watch or follow. The longest keeps all
 // leads together far under the platform's rate while it is out, and is short
 // enough for a change to be in force within seconds once it is back.
@@ -43,7 +34,7 @@
 
 func (b *backoff) sleep(ctx context.Context) bool {
 	b.next = min(max(retryShortest, 2*b.next), retryLongest)
-	return sleep(ctx, b.next/2+rand.N(b.next/2))
+	return sleep.For(ctx, b.next/2+rand.N(b.next/2))
 }
 
 // heartbeats ticks, and calls the other members of the domain.
@@ -53,7 +44,7 @@
 		for _, address := range n.neighbors() {
 			n.wg.Go(func() { n.beat(ctx, address) })
 		}
-		if !sleep(ctx, n.cfg.Heartbeat.D()) {
+		if !sleep.For(ctx, n.cfg.Heartbeat.D()) {
 			return
 		}
 	}
@@ -64,7 +55,7 @@
 func (n *Node) bootstrap(ctx context.Context) {
 	for !n.isReady() {
 		n.askSeeds(ctx)
-		if n.isReady() || !sleep(ctx, n.cfg.Heartbeat.D()) {
+		if n.isReady() || !sleep.For(ctx, n.cfg.Heartbeat.D()) {
 			return
 		}
 	}
--- a/internal/daemon/steer/pull.go
+++ b/internal/daemon/steer/pull.go
@@ -7,6 +7,7 @@
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/relay"
 	"cassiatray/internal/daemon/fetch"
+	"cassiatray/internal/sleep"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
@@ -20,7 +21,7 @@
 		var err error
 		switch {
 		case lead == nil:
-			if !sleep(ctx, retryShortest) {
+			if !sleep.For(ctx, retryShortest) {
 				return
 			}
 			continue
@@ -79,7 +80,7 @@
 }
 
 func (n *Node) cancelWhenLeadChanges(ctx context.Context, cancel context.CancelFunc, host string) {
-	for sleep(ctx, n.cfg.Heartbeat.D()) {
+	for sleep.For(ctx, n.cfg.Heartbeat.D()) {
 		if n.lead().GetHost() != host {
 			cancel()
 			return
--- a/internal/daemon/steer/serve.go
+++ b/internal/daemon/steer/serve.go
@@ -4,20 +4,13 @@
 	"context"
 	"fmt"
 
+	"cassiatray/internal/adapter/peer"
 	"cassiatray/internal/convert"
 	"cassiatray/internal/core/relay"
 	"cassiatray/internal/daemon/fetch"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
-// UnsupportedError is an exchange that this process does not answer.
-type UnsupportedError struct{ Body string }
-
-func (e *UnsupportedError) Error() string { return "unsupported exchange " + e.Body }
-
-// ErrorCode implements peer.CodedError.
-func (e *UnsupportedError) ErrorCode() string { return "unsupported" }
-
 // Serve implements peer.Handler.
 func (n *Node) Serve(_ context.Context, req *peerv1.Request) (*peerv1.Reply, error) {
 	switch body := req.Body.(type) {
@@ -28,7 +21,7 @@
 	case *peerv1.Request_FetchSections:
 		return fetch.Serve(body.FetchSections, n.receiver.Find), nil
 	}
-	return nil, &UnsupportedError{Body: fmt.Sprintf("%T", req.Body)}
+	return nil, &peer.UnsupportedError{Body: fmt.Sprintf("%T", req.Body)}
 }
 
 // serveHeartbeat takes a heartbeat of another steer process, or of this host's
--- a/internal/daemon/steer/state.go
+++ b/internal/daemon/steer/state.go
@@ -6,23 +6,19 @@
 	"slices"
 	"time"
 
+	"cassiatray/internal/adapter/operatorhttp"
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/membership"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
-// NotReadyError says why a process cannot serve yet.
-type NotReadyError struct{ Reason string }
-
-func (e *NotReadyError) Error() string { return "not ready: " + e.Reason }
-
 // Ready implements operatorhttp.Source.
 func (n *Node) Ready() error {
 	if n.head().Sequence == 0 {
-		return &NotReadyError{Reason: fmt.Sprintf("no document of environment %s", n.cfg.Environment)}
+		return &operatorhttp.NotReadyError{Reason: fmt.Sprintf("no document of environment %s", n.cfg.Environment)}
 	}
 	if !n.isReady() {
-		return &NotReadyError{Reason: "neither the store nor the peers have confirmed that the document is the newest"}
+		return &operatorhttp.NotReadyError{Reason: "neither the store nor the peers have confirmed that the document is the newest"}
 	}
 	return nil
 }
--- a/internal/daemon/steer/stop.go
+++ b/internal/daemon/steer/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"cassiatray/internal/sleep"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
@@ -18,12 +19,12 @@
 		if n.entryState() != peerv1.HostState_HOST_STATE_SERVING {
 			break
 		}
-		if !sleep(ctx, n.cfg.Heartbeat.D()) {
+		if !sleep.For(ctx, n.cfg.Heartbeat.D()) {
 			return
 		}
 	}
 	for n.entryState() == peerv1.HostState_HOST_STATE_LEAVING {
-		if !sleep(ctx, n.cfg.Heartbeat.D()) {
+		if !sleep.For(ctx, n.cfg.Heartbeat.D()) {
 			return
 		}
 	}
--- a/internal/drill/callers.go
+++ b/internal/drill/callers.go
@@ -13,6 +13,7 @@
 	"cassiatray/api"
 	"cassiatray/client"
 	"cassiatray/internal/site"
+	"cassiatray/internal/sleep"
 )
 
 // Callers send requests in a closed loop until they are stopped.
@@ -100,16 +101,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		// A request in flight is not cut when the drill ends.
 		c.one(context.WithoutCancel(ctx), cl, i, n)
-		wait(ctx, c.pace)
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		sleep.For(ctx, c.pace)
 	}
 }
 
--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cassiatray/internal/site"
+	"cassiatray/internal/sleep"
 )
 
 // Fault is what is done to one process.
@@ -84,7 +85,7 @@
 	if err := p.Signal(syscall.SIGSTOP); err != nil {
 		return c.died(ctx, p)
 	}
-	wait(ctx, time.Duration(rng.Int64N(int64(longestFreeze))))
+	sleep.For(ctx, time.Duration(rng.Int64N(int64(longestFreeze))))
 	if err := p.Signal(syscall.SIGCONT); err != nil {
 		return c.died(ctx, p)
 	}
--- a/internal/measure/changes.go
+++ b/internal/measure/changes.go
@@ -7,6 +7,7 @@
 
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/site"
+	"cassiatray/internal/sleep"
 )
 
 // runChanges applies changes at two rates and times each until it is in force
@@ -24,7 +25,7 @@
 		start := time.Now()
 		for i := range count {
 			at := start.Add(time.Duration(float64(i) / rate * float64(time.Second)))
-			if !pause(ctx, time.Until(at)) {
+			if !sleep.For(ctx, time.Until(at)) {
 				return ctx.Err()
 			}
 			doc := *b.Document
--- a/internal/measure/crash.go
+++ b/internal/measure/crash.go
@@ -7,6 +7,7 @@
 
 	"cassiatray/client"
 	"cassiatray/internal/load"
+	"cassiatray/internal/sleep"
 )
 
 // Sends of the request that crashes servers.
@@ -34,7 +35,7 @@
 	s.Rows = append(s.Rows, rows...)
 	one := b.crashes(ctx)
 	s.figure("servers lost to one caller's resends", float64(one), "")
-	pause(ctx, crashRestWait)
+	sleep.For(ctx, crashRestWait)
 	many := load.Stream{
 		Name: "crashing", Service: "rodsheet", Method: http.MethodGet, Path: "/sheets/2?crash=1",
 		Rate: crashRate, Timeout: 2 * time.Second,
--- a/internal/measure/distribution/frozen.go
+++ b/internal/measure/distribution/frozen.go
@@ -11,6 +11,7 @@
 	"cassiatray/internal/daemon/steer"
 	"cassiatray/internal/envstore"
 	"cassiatray/internal/site"
+	"cassiatray/internal/sleep"
 )
 
 // frozenTime is longer than a lead's lease lasts.
@@ -22,7 +23,7 @@
 		return err
 	}
 	defer s.Close()
-	sleep(ctx, idleTime)
+	sleep.For(ctx, idleTime)
 	lead := leadOf(ctx, s.Hosts[0])
 	p := s.Process(lead + "-steer")
 	if p == nil {
@@ -38,7 +39,7 @@
 	if err := phase(ctx, s, st, "while it is stopped", 1); err != nil {
 		return err
 	}
-	sleep(ctx, frozenTime-time.Since(began))
+	sleep.For(ctx, frozenTime-time.Since(began))
 	if err := p.Signal(syscall.SIGCONT); err != nil {
 		return err
 	}
--- a/internal/measure/distribution/members.go
+++ b/internal/measure/distribution/members.go
@@ -10,6 +10,7 @@
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/daemon/steertest"
 	"cassiatray/internal/site"
+	"cassiatray/internal/sleep"
 )
 
 // shape is a number of domains with a number of hosts each.
@@ -57,9 +58,9 @@
 		return err
 	}
 	// The lease is taken within one interval of renewal.
-	sleep(ctx, idleTime)
+	sleep.For(ctx, idleTime)
 	before := sample(c)
-	sleep(ctx, idleTime)
+	sleep.For(ctx, idleTime)
 	idle := before.to(sample(c))
 	before = sample(c)
 	times, err := change(ctx, c)
@@ -80,13 +81,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func complete(c *steertest.Cluster) bool {
 	for _, h := range c.Hosts {
 		s := h.Feed.Snapshot()
@@ -113,7 +107,7 @@
 		for _, h := range c.Hosts {
 			times = append(times, h.Feed.Since().Sub(head.Accepted))
 		}
-		sleep(ctx, changeGap-time.Since(began))
+		sleep.For(ctx, changeGap-time.Since(began))
 	}
 	return times, nil
 }
--- a/internal/measure/distribution/processes.go
+++ b/internal/measure/distribution/processes.go
@@ -14,6 +14,7 @@
 	"cassiatray/internal/envstore"
 	"cassiatray/internal/port"
 	"cassiatray/internal/site"
+	"cassiatray/internal/sleep"
 )
 
 // Sizes of the run with plain processes.
@@ -71,9 +72,9 @@
 		return err
 	}
 	defer s.Close()
-	sleep(ctx, idleTime)
+	sleep.For(ctx, idleTime)
 	idle := cpu(s)
-	sleep(ctx, idleTime)
+	sleep.For(ctx, idleTime)
 	report("idle", idle, cpu(s), idleTime)
 	before, began := cpu(s), time.Now()
 	times, err := changeProcesses(ctx, s, st)
@@ -109,7 +110,7 @@
 			return nil, err
 		}
 		all = append(all, times...)
-		sleep(ctx, changeGap-time.Since(began))
+		sleep.For(ctx, changeGap-time.Since(began))
 	}
 	return all, nil
 }
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -12,6 +12,7 @@
 
 	"cassiatray/internal/load"
 	"cassiatray/internal/site"
+	"cassiatray/internal/sleep"
 	"cassiatray/internal/standin/server"
 	"cassiatray/internal/standin/store"
 )
@@ -59,7 +60,7 @@
 	target := b.Servers[0]
 	var accepted time.Time
 	s.Rows, err = b.during(ctx, r.Time, coopStreams(shape, 0.5), func(ctx context.Context) error {
-		pause(ctx, r.Time/3)
+		sleep.For(ctx, r.Time/3)
 		if err := b.WriteDrain("drain.yaml", target); err != nil {
 			return err
 		}
@@ -94,7 +95,7 @@
 	}
 	defer b.end(s)
 	lost := b.Shape.Regions[1]
-	pause(ctx, settleTime)
+	sleep.For(ctx, settleTime)
 	s.Rows = b.load(ctx, r.Time/2, coopStreams(shape, 0.5)...)
 	label(s.Rows, "before")
 	b.killRegion(lost)
@@ -154,7 +155,7 @@
 			return err
 		}
 		s.figure("replaced host ready with the store down", time.Since(start).Seconds(), "s")
-		pause(ctx, outageTime-time.Since(start))
+		sleep.For(ctx, outageTime-time.Since(start))
 		return b.storeFaults(ctx, store.Faults{})
 	})
 	if err != nil {
--- a/internal/measure/steady.go
+++ b/internal/measure/steady.go
@@ -8,6 +8,7 @@
 
 	"cassiatray/internal/load"
 	"cassiatray/internal/site"
+	"cassiatray/internal/sleep"
 )
 
 // scenarios are all that can be run, in order.
@@ -123,7 +124,7 @@
 	}
 	defer b.end(s)
 	calls, before, start := b.storeCounts(ctx), b.usage(), time.Now()
-	if !pause(ctx, r.Time) {
+	if !sleep.For(ctx, r.Time) {
 		return ctx.Err()
 	}
 	took := time.Since(start)
@@ -135,17 +136,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // steady runs the co-op at a constant share of its slots.
 func steady(share float64) func(*Runner, context.Context, *Scenario) error {
 	return func(r *Runner, ctx context.Context, s *Scenario) error {
--- a/internal/standin/server/behavior.go
+++ b/internal/standin/server/behavior.go
@@ -1,9 +1,5 @@
 package server
 
-import (
-
-)
-
 // Behavior is how the server behaves until told otherwise.
 type Behavior struct {
 	Draining bool `json:"draining"`
