Say a process's identity and pool once for both daemons

Cause: newIdentity and newPool were the same in the wiring of entry and steer. Excluded: newMeter and newServer, which fx needs for the concrete types.

--- a/internal/adapter/peer/pool.go
+++ b/internal/adapter/peer/pool.go
@@ -27,12 +27,6 @@
 // dialTimeout bounds the opening of one session.
 const dialTimeout = 2 * time.Second
 
-// Identity is how a process presents itself to its peers.
-type Identity struct {
-	Host        string
-	Incarnation uint64
-}
-
 // Pool implements port.PeerCaller with one session for each address. A session
 // that breaks is opened again by the next call.
 type Pool struct {
@@ -72,6 +66,10 @@
 	return &Pool{self: self, dial: dial, sessions: map[string]*poolSession{}}
 }
 
+// NewTCPPool returns a pool that dials over TCP and counts the bytes of its
+// connections in m.
+func NewTCPPool(self Identity, m *Meter) *Pool { return NewPool(self, m.Dial(TCPDial)) }
+
 // Close ends all sessions.
 func (p *Pool) Close() error {
 	p.mu.Lock()
--- a/internal/daemon/entry/module.go
+++ b/internal/daemon/entry/module.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -16,7 +15,6 @@
 	"cassiatray/internal/adapter/operatorhttp"
 	"cassiatray/internal/adapter/peer"
 	"cassiatray/internal/core/document"
-	"cassiatray/internal/core/membership"
 	"cassiatray/internal/daemon/slots"
 	"cassiatray/internal/logging"
 	"cassiatray/internal/port"
@@ -31,20 +29,14 @@
 // Module wires an entry process. It needs *Settings, *logrus.Logger and
 // *prometheus.Registry.
 var Module = fx.Module("entry",
-	fx.Provide(newIdentity, newMeter, newPool, newFeed, newBackend, newNode, newServer, newSlots, newSlotMetrics, NewMetrics),
+	fx.Provide(newIdentity, newMeter, peer.NewTCPPool, newFeed, newBackend, newNode, newServer, newSlots, newSlotMetrics, NewMetrics),
 	fx.Invoke(start),
 )
 
-func newIdentity(cfg *Settings) peer.Identity {
-	return peer.Identity{Host: cfg.Host, Incarnation: membership.NewIncarnation(time.Now(), rand.Uint64())}
-}
+func newIdentity(cfg *Settings) peer.Identity { return peer.NewIdentity(cfg.Host) }
 
 func newMeter(reg *prometheus.Registry) *peer.Meter { return peer.NewMeter(reg) }
 
-func newPool(id peer.Identity, m *peer.Meter) *peer.Pool {
-	return peer.NewPool(id, m.Dial(peer.TCPDial))
-}
-
 func newFeed(cfg *Settings, id peer.Identity, pool *peer.Pool, log *logrus.Logger) *Feed {
 	return NewFeed(*cfg, id.Incarnation, pool, logging.Part(log, "feed"))
 }
--- a/internal/daemon/steer/module.go
+++ b/internal/daemon/steer/module.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
@@ -13,7 +11,6 @@
 	"cassiatray/internal/adapter/operatorhttp"
 	"cassiatray/internal/adapter/peer"
 	"cassiatray/internal/adapter/platform"
-	"cassiatray/internal/core/membership"
 	"cassiatray/internal/envstore"
 	"cassiatray/internal/logging"
 	"cassiatray/internal/port"
@@ -23,20 +20,14 @@
 // Module wires a steer process. It needs *Settings, *logrus.Logger and
 // *prometheus.Registry.
 var Module = fx.Module("steer",
-	fx.Provide(newIdentity, newMeter, newPool, newStore, newNode, newServer),
+	fx.Provide(newIdentity, newMeter, peer.NewTCPPool, newStore, newNode, newServer),
 	fx.Invoke(start),
 )
 
-func newIdentity(cfg *Settings) peer.Identity {
-	return peer.Identity{Host: cfg.Host, Incarnation: membership.NewIncarnation(time.Now(), rand.Uint64())}
-}
+func newIdentity(cfg *Settings) peer.Identity { return peer.NewIdentity(cfg.Host) }
 
 func newMeter(reg *prometheus.Registry) *peer.Meter { return peer.NewMeter(reg) }
 
-func newPool(id peer.Identity, m *peer.Meter) *peer.Pool {
-	return peer.NewPool(id, m.Dial(peer.TCPDial))
-}
-
 func newStore(cfg *Settings) *envstore.Store {
 	return envstore.New(platform.New(cfg.Platform.String(), cfg.PlatformTimeout.D()).Named(cfg.Host), port.SystemClock{})
 }
