Share the event queue of the simulations and the reading of stand-in counts

Cause: two simulations held the same heap of timed events, and five places read a stand-in server's counts by hand. Excluded: a change of order; events of one time still run as they were added. Change: internal/experiment/event.Queue; ServerPlan.Stats in internal/site.

--- a/internal/demo/drain.go
+++ b/internal/demo/drain.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 
 	"cassiatray/client"
 	"cassiatray/internal/site"
-	"cassiatray/internal/standin/server"
 )
 
 // drain plans the drain of one server, by document, and counts its runs after.
@@ -81,9 +79,8 @@
 }
 
 func (d *Demo) runs(ctx context.Context, b site.ServerPlan) (uint64, error) {
-	_, body := site.Get(ctx, "http://"+b.Address.String()+"/standin/stats")
-	var stats server.Stats
-	if err := json.Unmarshal(body, &stats); err != nil {
+	stats, err := b.Stats(ctx)
+	if err != nil {
 		return 0, &StepError{Step: "stats of " + b.Name, Err: err}
 	}
 	return stats.Runs, nil
--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -44,9 +44,8 @@
 func (d *Demo) checkRuns(ctx context.Context, s *site.Site, id string) error {
 	runs := 0
 	for _, b := range s.Servers {
-		_, body := site.Get(ctx, "http://"+b.Address.String()+"/standin/stats")
-		var stats server.Stats
-		if err := json.Unmarshal(body, &stats); err != nil {
+		stats, err := b.Stats(ctx)
+		if err != nil {
 			return &StepError{Step: "stats of " + b.Name, Err: err}
 		}
 		runs += stats.Operations[id]
--- a/internal/drill/record.go
+++ b/internal/drill/record.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
@@ -127,8 +126,7 @@
 		var stats server.Stats
 		var err error
 		fetch := func() bool {
-			_, body := site.Get(ctx, "http://"+b.Address.String()+"/standin/stats")
-			err = json.Unmarshal(body, &stats)
+			stats, err = b.Stats(ctx)
 			return err == nil
 		}
 		// A server that crashed comes back with its counts.
--- a/internal/experiment/slots/sim.go
+++ b/internal/experiment/slots/sim.go
@@ -5,12 +5,13 @@
 package slots
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cassiatray/internal/experiment/event"
 )
 
 // Fixed shape of the domain and its traffic.
@@ -117,33 +118,11 @@
 	leaving(s *sim, host, server int)
 }
 
-type event struct {
-	at time.Duration
-	n  int
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].n < e[j].n
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 type sim struct {
 	Setup
 	row     *Row
 	now     time.Duration
-	events  events
-	pushed  int
+	events  event.Queue
 	rng     *rand.Rand
 	servers []*server
 	frozen  [hosts]bool
@@ -165,13 +144,13 @@
 	s.policy = newPolicy(s)
 	s.faults()
 	s.after(settle, s.next)
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
+	for s.events.Len() > 0 {
+		e := s.events.Pop()
+		s.now = e.At
 		if s.now > settle+runTime+classes[1].deadline {
 			break
 		}
-		e.do()
+		e.Do()
 	}
 	return row
 }
@@ -181,8 +160,7 @@
 }
 
 func (s *sim) after(d time.Duration, do func()) {
-	s.pushed++
-	heap.Push(&s.events, event{at: s.now + d, n: s.pushed, do: do})
+	s.events.Add(s.now+d, do)
 }
 
 func (s *sim) faults() {
--- a/internal/experiment/steering/result.go
+++ b/internal/experiment/steering/result.go
@@ -1,7 +1,6 @@
 package steering
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -101,10 +100,10 @@
 		w.after(50*time.Millisecond, sample)
 	}
 	sample()
-	for w.queue.Len() > 0 && w.queue[0].at < w.length {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	for w.queue.Len() > 0 && w.queue.Next() < w.length {
+		e := w.queue.Pop()
+		w.now = e.At
+		e.Do()
 	}
 	w.result.Headroom = slices.Min(free[:]) / samples
 	return w.result
--- a/internal/experiment/steering/world.go
+++ b/internal/experiment/steering/world.go
@@ -4,12 +4,12 @@
 package steering
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"cassiatray/internal/core/document"
+	"cassiatray/internal/experiment/event"
 )
 
 // Sizes of the world: the franchise's depot-orders.
@@ -94,37 +94,11 @@
 	limit time.Duration
 }
 
-// event is something that happens at a time.
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at != e[j].at {
-		return e[i].at < e[j].at
-	}
-	return e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // world is one run.
 type world struct {
 	now      time.Duration
 	length   time.Duration
-	seq      int
-	queue    events
+	queue    event.Queue
 	rng      *rand.Rand
 	scenario Scenario
 	policy   policy
@@ -144,8 +118,7 @@
 func (w *world) time() time.Time { return epoch.Add(w.now) }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{at: w.now + d, seq: w.seq, do: do})
+	w.queue.Add(w.now+d, do)
 }
 
 // faulty reports whether the fault is there: in the middle third of a run.
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -13,7 +13,6 @@
 	"cassiatray/internal/load"
 	"cassiatray/internal/site"
 	"cassiatray/internal/sleep"
-	"cassiatray/internal/standin/server"
 	"cassiatray/internal/standin/store"
 )
 
@@ -71,9 +70,8 @@
 	if err != nil {
 		return err
 	}
-	var stats server.Stats
-	_, body := site.Get(ctx, "http://"+target.Address.String()+"/standin/stats")
-	if err := json.Unmarshal(body, &stats); err != nil {
+	stats, err := target.Stats(ctx)
+	if err != nil {
 		return err
 	}
 	last := time.UnixMicro(stats.LastStart).Sub(accepted)
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -164,8 +164,7 @@
 func (b *bed) serverStats(ctx context.Context) []server.Stats {
 	var out []server.Stats
 	for _, s := range b.Servers {
-		var stats server.Stats
-		if _, body := site.Get(ctx, "http://"+s.Address.String()+"/standin/stats"); json.Unmarshal(body, &stats) == nil {
+		if stats, err := s.Stats(ctx); err == nil {
 			out = append(out, stats)
 		}
 	}
