--- a/internal/site/await.go
+++ b/internal/site/await.go
@@ -58,10 +58,10 @@
 	})
 }
 
-// AwaitServers waits until the store and every backend server accept
-// connections.
+// AwaitServers waits until the store, the list of hosts and every backend
+// server accept connections.
 func (s *Site) AwaitServers(ctx context.Context) error {
-	addresses := []document.Address{s.Store}
+	addresses := []document.Address{s.Store, s.HostList}
 	for _, b := range s.Servers {
 		addresses = append(addresses, b.Address)
 	}
--- a/internal/site/runner.go
+++ b/internal/site/runner.go
@@ -90,10 +90,12 @@
 	return nil
 }
 
-// StartStandins starts the store and the backend servers.
+// StartStandins starts the store, the list of hosts and the backend servers.
 func (s *Site) StartStandins() error {
-	if _, err := s.Start(StoreName, standinProgram); err != nil {
-		return err
+	for _, name := range []string{StoreName, HostListName} {
+		if _, err := s.Start(name, standinProgram); err != nil {
+			return err
+		}
 	}
 	for _, domain := range s.Document.DomainNames() {
 		if err := s.StartServers(domain); err != nil {
