--- a/internal/measure/control.go
+++ b/internal/measure/control.go
@@ -8,6 +8,7 @@
 
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/site"
+	"cassiatray/internal/sleep"
 )
 
 // Size of the document in the control scenarios: client blocks besides those
@@ -34,7 +35,7 @@
 		}
 		calls := b.storeCounts(ctx)
 		start := time.Now()
-		err = b.watch(ctx, s, "idle", func() error { pause(ctx, r.Time); return ctx.Err() })
+		err = b.watch(ctx, s, "idle", func() error { sleep.For(ctx, r.Time); return ctx.Err() })
 		if err != nil {
 			return err
 		}
@@ -70,13 +71,13 @@
 	blocks := len(doc.Clients) - len(b.Document.Clients)
 	for i := range int(d.Seconds() * changeRate) {
 		at := start.Add(time.Duration(float64(i) / changeRate * float64(time.Second)))
-		if !pause(ctx, time.Until(at)) {
+		if !sleep.For(ctx, time.Until(at)) {
 			return ctx.Err()
 		}
 		if err := b.apply(ctx, withBlocks(b.Document, blocks+i+1), "measurement"); err != nil {
 			return err
 		}
 	}
-	pause(ctx, d-time.Since(start))
+	sleep.For(ctx, d-time.Since(start))
 	return ctx.Err()
 }
--- a/internal/measure/steady.go
+++ b/internal/measure/steady.go
@@ -8,6 +8,7 @@
 
 	"cassiatray/internal/load"
 	"cassiatray/internal/site"
+	"cassiatray/internal/sleep"
 )
 
 // scenarios are all that can be run, in order.
@@ -127,7 +128,7 @@
 	}
 	defer b.end(s)
 	calls, start := b.storeCounts(ctx), time.Now()
-	b.watch(ctx, s, "idle", func() error { pause(ctx, r.Time); return nil })
+	b.watch(ctx, s, "idle", func() error { sleep.For(ctx, r.Time); return nil })
 	took := time.Since(start)
 	after := b.storeCounts(ctx)
 	s.figure("store reads", float64(after.Reads-calls.Reads)/took.Minutes(), "calls/min")
@@ -136,17 +137,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // steady runs the co-op at a constant share of its slots.
 func steady(share float64) func(*Runner, context.Context, *Scenario) error {
 	return func(r *Runner, ctx context.Context, s *Scenario) error {
