--- a/internal/docs/docs_test.go
+++ b/internal/docs/docs_test.go
@@ -96,6 +96,40 @@
 	return ""
 }
 
+// TestNamedTests checks that every test that a page names exists.
+func TestNamedTests(t *testing.T) {
+	out, err := exec.Command("git", "-C", root, "grep", "-hoE", `^func (Test|Fuzz|Benchmark)\w+`, "--", "*_test.go").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := strings.ReplaceAll(string(out), "func ", "")
+	named := regexp.MustCompile("`((?:Test|Fuzz|Benchmark)[A-Z]\\w*)(…?)`")
+	pages, err := Pages(root)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := 0
+	for _, p := range pages {
+		text, err := os.ReadFile(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range named.FindAllStringSubmatch(string(text), -1) {
+			found++
+			want := m[1] + "\n"
+			if m[2] != "" {
+				want = m[1]
+			}
+			if !strings.Contains(known, want) {
+				t.Errorf("%s names %s, which is no test", p, m[1])
+			}
+		}
+	}
+	if found == 0 {
+		t.Fatal("no tests named")
+	}
+}
+
 func TestScanFindsFaults(t *testing.T) {
 	page := filepath.Join(t.TempDir(), "page.md")
 	text := "[a](missing.md)\n```\n$ bin/cassiatrayctl nothing --bogus\nmake demo\n```\n"
