--- a/internal/daemon/entry/probe.go
+++ b/internal/daemon/entry/probe.go
@@ -65,7 +65,7 @@
 	defer cancel()
 	_, err := n.peers.Call(ctx, address, &peerv1.Request{Body: &peerv1.Request_Probe{Probe: &peerv1.Probe{}}})
 	var pe *port.PeerError
-	return err == nil || errors.As(err, &pe) && pe.Code == port.PeerRefused
+	return err == nil || errors.As(err, &pe) && (pe.Code == port.PeerRefused || pe.Code == port.PeerStopping)
 }
 
 // noteProbe takes in the result of a probe; a domain that was lost or found
