--- a/internal/demo/drain.go
+++ b/internal/demo/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 
@@ -63,10 +64,24 @@
 	return after - before, err
 }
 
-// clientOf returns a client whose look-ups name a host of a domain first.
+// clientOf returns a client whose look-ups name a host of a domain first. It
+// waits for the domain: right after the start its hosts may not be named yet.
 func (d *Demo) clientOf(ctx context.Context, s *site.Site, service, domain string) (*client.Client, error) {
-	for i := 1; i < 255; i++ {
-		c := d.client(s, fmt.Sprintf("10.0.0.%d", i))
+	var found *client.Client
+	var fail error
+	err := site.Await(ctx, "a caller of "+domain, func() bool {
+		found, fail = d.findClient(ctx, s, service, domain)
+		return found != nil || fail != nil
+	})
+	return found, errors.Join(err, fail)
+}
+
+// maxCallers is how many caller addresses are tried.
+const maxCallers = 254
+
+func (d *Demo) findClient(ctx context.Context, s *site.Site, service, domain string) (*client.Client, error) {
+	for i := range maxCallers {
+		c := d.client(s, fmt.Sprintf("10.0.0.%d", i+1))
 		answer, err := c.Lookup(ctx, service)
 		if err != nil {
 			return nil, err
@@ -75,7 +90,7 @@
 			return c, nil
 		}
 	}
-	return nil, &StepError{Step: "look-up", Err: &UnexpectedError{Want: "a caller of " + domain, Got: "none"}}
+	return nil, nil
 }
 
 func (d *Demo) runs(ctx context.Context, b site.ServerPlan) (uint64, error) {
