Do not expect a host in every look-up answer of the demo

Cause: the demo read the first host of an answer that may have none while a site starts.

Change: an answer without hosts is passed over, and the demo waits on.

Excluded: an error at once (the site may be starting; the wait is bounded).

Conclusion: no change to what the demo must show.

--- a/internal/demo/drain.go
+++ b/internal/demo/drain.go
@@ -86,7 +86,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if answer.Hosts[0].Domain == domain {
+		if len(answer.Hosts) > 0 && answer.Hosts[0].Domain == domain {
 			return c, nil
 		}
 	}
