--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"net/url"
 	"strings"
+
+	"cassiatray/internal/adapter/operatorhttp"
 )
 
 // ExplainCmd tells why a client gets the answer it gets.
@@ -17,24 +19,8 @@
 	Host        string `help:"Entry host to ask, by name or operator address; any when not given." placeholder:"HOST"`
 }
 
-// Explanation is an entry host's answer to explain.
-type Explanation struct {
-	Service  string          `json:"service"`
-	Client   string          `json:"client"`
-	Block    string          `json:"block"`
-	Regions  []string        `json:"regions"`
-	Sequence uint64          `json:"sequence"`
-	Hosts    []ExplainedHost `json:"hosts"`
-	Notes    []string        `json:"notes"`
-}
-
-// ExplainedHost is one entry host that the answer names, in order.
-type ExplainedHost struct {
-	Name   string `json:"name"`
-	Domain string `json:"domain"`
-	Region string `json:"region"`
-	Reason string `json:"reason"`
-}
+// explanation is an entry host's answer, with its text for people.
+type explanation struct{ operatorhttp.Explanation }
 
 // Run implements the command.
 func (c *ExplainCmd) Run(app *App) error {
@@ -47,7 +33,7 @@
 		return err
 	}
 	path := "/explain?" + url.Values{"service": {c.Service}, "client": {client.String()}}.Encode()
-	out, err := firstAnswer[Explanation](app, addresses, path)
+	out, err := firstAnswer[explanation](app, addresses, path)
 	if err != nil {
 		return err
 	}
@@ -83,7 +69,7 @@
 	return out, err
 }
 
-func (e Explanation) write(w io.Writer) {
+func (e explanation) write(w io.Writer) {
 	block := "no client block of the document"
 	if e.Block != "" {
 		block = "block " + e.Block
--- a/internal/daemon/entry/explain.go
+++ b/internal/daemon/entry/explain.go
@@ -13,28 +13,6 @@
 	"cassiatray/internal/core/lookup"
 )
 
-// Explanation says why a look-up is answered as it is.
-type Explanation struct {
-	Service string `json:"service"`
-	Client  string `json:"client"`
-	// Block is the client block that matched; empty when none did.
-	Block string `json:"block,omitempty"`
-	// Regions are in the order of the caller's preference.
-	Regions  []string        `json:"regions"`
-	Sequence uint64          `json:"sequence"`
-	Hosts    []ExplainedHost `json:"hosts"`
-	// Notes are what else bore on the answer, one sentence each.
-	Notes []string `json:"notes"`
-}
-
-// ExplainedHost is a host of an answer with the reason for its place.
-type ExplainedHost struct {
-	Name   string `json:"name"`
-	Domain string `json:"domain"`
-	Region string `json:"region"`
-	Reason string `json:"reason"`
-}
-
 // serveExplain answers GET /explain?service=&client=.
 func (n *Node) serveExplain(w http.ResponseWriter, r *http.Request) {
 	client, err := netip.ParseAddr(r.URL.Query().Get("client"))
@@ -55,7 +33,7 @@
 }
 
 // Explain answers a look-up with its reasons.
-func (n *Node) Explain(service string, client netip.Addr) (*Explanation, *api.Error) {
+func (n *Node) Explain(service string, client netip.Addr) (*operatorhttp.Explanation, *api.Error) {
 	snap := n.feed.Snapshot()
 	if snap == nil {
 		return nil, notReady()
@@ -67,9 +45,9 @@
 	v := n.steering.at(snap, now)
 	block, ok := v.find(service, client)
 	q := n.query(snap, service, client, block)
-	out := &Explanation{
+	out := &operatorhttp.Explanation{
 		Service: service, Client: client.String(), Regions: q.Regions, Sequence: snap.Head.Sequence,
-		Hosts: []ExplainedHost{}, Notes: v.notes(service, now),
+		Hosts: []operatorhttp.ExplainedHost{}, Notes: v.notes(service, now),
 	}
 	if ok {
 		out.Block = block.Prefix.String()
@@ -78,7 +56,7 @@
 	}
 	hosts := v.plan.Choose(nil, q)
 	for i, h := range hosts {
-		out.Hosts = append(out.Hosts, ExplainedHost{
+		out.Hosts = append(out.Hosts, operatorhttp.ExplainedHost{
 			Name: h.Name, Domain: h.Domain, Region: h.Region, Reason: v.reason(q, hosts, i, now),
 		})
 	}
