--- /dev/null
+++ b/internal/adapter/serverconn/exchange.go
@@ -0,0 +1,224 @@
+package serverconn
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"cassiatray/internal/port"
+)
+
+const (
+	// wholeLimit is up to which size an answer is read whole before any of it
+	// is passed on, in bytes. Larger ones are streamed.
+	wholeLimit = 256 << 10
+	// maxForeign is how many answers to other requests are passed over before
+	// the connection is given up.
+	maxForeign = 3
+	// drainLimit bounds the body of an answer that is passed over, in bytes.
+	drainLimit = 1 << 20
+)
+
+// ForeignError is an answer that belongs to another request.
+type ForeignError struct{ Want, Got string }
+
+func (e *ForeignError) Error() string {
+	return fmt.Sprintf("answer to request %q while waiting for %q", e.Got, e.Want)
+}
+
+// Forward implements port.Forwarder.
+func (p *Pool) Forward(ctx context.Context, address string, r *port.ForwardRequest) (*port.ForwardAnswer, error) {
+	c, opened, err := p.take(ctx, address, r.Fresh)
+	if err != nil {
+		return nil, connectError(ctx, address, err)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		c.SetDeadline(deadline)
+	}
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Now()) })
+	a, err := p.exchange(ctx, address, c, r, stop)
+	if err != nil {
+		stop()
+		c.Close()
+		return nil, err
+	}
+	a.Opened = opened
+	return a, nil
+}
+
+func (p *Pool) exchange(ctx context.Context, address string, c *conn, r *port.ForwardRequest, stop func() bool) (*port.ForwardAnswer, error) {
+	sent, err := write(c, r)
+	if err != nil && (sent == 0 || !answered(c)) {
+		return nil, brokenError(ctx, address, sent > 0, err)
+	}
+	early := err != nil
+	resp, foreign, err := p.answer(c, r)
+	if err != nil {
+		return nil, brokenError(ctx, address, true, err)
+	}
+	a := &port.ForwardAnswer{Status: resp.StatusCode, Header: resp.Header, Meta: p.dialect.Server(resp.StatusCode, resp.Header), Closing: resp.Close}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeLimit))
+	if err != nil {
+		return nil, shortError(ctx, address, err)
+	}
+	a.Body = body
+	reuse := !resp.Close && !foreign && !early
+	if len(body) == wholeLimit {
+		a.Rest = &rest{Reader: resp.Body, end: func() { stop(); c.Close() }}
+		return a, nil
+	}
+	if !stop() || !reuse || c.r.Buffered() > 0 {
+		c.Close()
+		return a, nil
+	}
+	p.put(address, c, keepFor(resp.Header))
+	return a, nil
+}
+
+// rest is the part of an answer that is streamed.
+type rest struct {
+	io.Reader
+	end func()
+}
+
+// Close implements io.Closer.
+func (r *rest) Close() error {
+	r.end()
+	return nil
+}
+
+// answered reports whether a server has answered before it read the whole
+// request: its answer is then still to be read.
+func answered(c *conn) bool {
+	_, err := c.r.Peek(1)
+	return err == nil
+}
+
+// answer reads the answer that names this request. A server may send answers
+// to earlier requests once more; those are passed over.
+func (p *Pool) answer(c *conn, r *port.ForwardRequest) (*http.Response, bool, error) {
+	req := &http.Request{Method: r.Method}
+	for foreign := 0; ; {
+		resp, err := http.ReadResponse(c.r, req)
+		if err != nil {
+			return nil, foreign > 0, err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		meta := p.dialect.Server(resp.StatusCode, resp.Header)
+		if meta.ID == r.ID || meta.ID == "" && (meta.NotRun || meta.OtherInstance) {
+			return resp, foreign > 0, nil
+		}
+		foreign++
+		if _, err := io.CopyN(io.Discard, resp.Body, drainLimit); !errors.Is(err, io.EOF) || foreign > maxForeign || resp.Close {
+			return nil, true, &ForeignError{Want: r.ID, Got: meta.ID}
+		}
+	}
+}
+
+// write sends a request and returns how many bytes were given to the network.
+func write(c *conn, r *port.ForwardRequest) (int64, error) {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
+	if err := r.Header.Write(&b); err != nil {
+		return 0, err
+	}
+	chunked := r.Rest != nil && r.Size < 0
+	switch {
+	case chunked:
+		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+	case r.Size > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead:
+		b.WriteString("Content-Length: " + strconv.FormatInt(max(0, r.Size), 10) + "\r\n\r\n")
+	default:
+		b.WriteString("\r\n")
+	}
+	if !chunked {
+		b.Write(r.Body)
+	}
+	n, err := c.Write(b.Bytes())
+	if err != nil || r.Rest == nil {
+		return int64(n), err
+	}
+	if !chunked {
+		m, err := io.Copy(c, r.Rest)
+		return int64(n) + m, err
+	}
+	return writeChunks(c, int64(n), io.MultiReader(bytes.NewReader(r.Body), r.Rest))
+}
+
+func writeChunks(w io.Writer, sent int64, body io.Reader) (int64, error) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if _, werr := fmt.Fprintf(w, "%x\r\n%s\r\n", n, buf[:n]); werr != nil {
+				return sent, werr
+			}
+			sent += int64(n)
+		}
+		if errors.Is(err, io.EOF) {
+			_, err = io.WriteString(w, "0\r\n\r\n")
+			return sent, err
+		}
+		if err != nil {
+			return sent, err
+		}
+	}
+}
+
+// keepFor returns how long a connection may be used after an answer.
+func keepFor(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
+			return time.Duration(float64(seconds) * idleShare * float64(time.Second))
+		}
+	}
+	return idleDefault
+}
+
+func connectError(ctx context.Context, address string, err error) error {
+	code := port.BackendConnect
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		code = port.BackendRefused
+	case errors.Is(ctx.Err(), context.Canceled):
+		code = port.BackendCanceled
+	}
+	return &port.BackendError{Code: code, Address: address, Err: err}
+}
+
+func brokenError(ctx context.Context, address string, sent bool, err error) error {
+	code := port.BackendBroken
+	var timeout net.Error
+	var foreign *ForeignError
+	switch {
+	case errors.As(err, &foreign):
+		code = port.BackendMismatch
+	case errors.Is(ctx.Err(), context.Canceled):
+		code = port.BackendCanceled
+	case ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout() && !errors.Is(err, syscall.ETIMEDOUT):
+		code = port.BackendTimeout
+	}
+	return &port.BackendError{Code: code, Address: address, Sent: sent, Err: err}
+}
+
+func shortError(ctx context.Context, address string, err error) error {
+	be := brokenError(ctx, address, true, err).(*port.BackendError)
+	if be.Code == port.BackendBroken {
+		be.Code = port.BackendShort
+	}
+	return be
+}
--- /dev/null
+++ b/internal/adapter/serverconn/pool.go
@@ -0,0 +1,126 @@
+// Package serverconn exchanges HTTP/1.1 requests with backend servers, one at a
+// time on a connection. It tells apart what proves that nothing was sent from
+// what does not, and never takes bytes of one answer for another.
+package serverconn
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"cassiatray/internal/adapter/tcp"
+	"cassiatray/internal/port"
+)
+
+// Limits of connections to backend servers.
+const (
+	// connectTimeout bounds the opening of a connection. Servers answer within
+	// two round trips between regions, about 140 ms.
+	connectTimeout = 700 * time.Millisecond
+	// unackedTimeout is how long a server may leave bytes unacknowledged.
+	unackedTimeout = 900 * time.Millisecond
+	// idleDefault is how long a connection is kept when the server does not say.
+	idleDefault = 4 * time.Second
+	// idleShare is the part of the server's own idle timeout after which a
+	// connection is no longer used, so that requests do not cross its close.
+	idleShare = 0.7
+	// maxIdle bounds the idle connections to one server.
+	maxIdle = 16
+	// bufferSize is the size of a connection's read buffer, in bytes.
+	bufferSize = 4 << 10
+)
+
+// conn is one connection; a request owns it while it uses it.
+type conn struct {
+	net.Conn
+	r     *bufio.Reader
+	until time.Time
+}
+
+// Pool implements port.Forwarder.
+type Pool struct {
+	dialect port.Dialect
+	dial    func(ctx context.Context, address string) (net.Conn, error)
+	now     func() time.Time
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// New returns a pool that reads answers by a dialect.
+func New(dialect port.Dialect) *Pool {
+	d := tcp.Dialer{Connect: connectTimeout, Unacked: unackedTimeout}
+	return &Pool{dialect: dialect, dial: d.Dial, now: time.Now, idle: map[string][]*conn{}}
+}
+
+// take returns a connection, and whether it is new.
+func (p *Pool) take(ctx context.Context, address string, fresh bool) (*conn, bool, error) {
+	for !fresh {
+		c := p.pop(address)
+		if c == nil {
+			break
+		}
+		if p.now().Before(c.until) && tcp.Peek(c.Conn) == tcp.Quiet {
+			return c, false, nil
+		}
+		c.Close()
+	}
+	nc, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, true, err
+	}
+	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, bufferSize)}, true, nil
+}
+
+// pop returns the connection that was used last.
+func (p *Pool) pop(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) put(address string, c *conn, keep time.Duration) {
+	c.until = p.now().Add(keep)
+	c.SetDeadline(time.Time{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[address]) >= maxIdle {
+		c.Close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], c)
+}
+
+// Expire closes idle connections that are past their time, and those to
+// addresses that are no longer in use.
+func (p *Pool) Expire(inUse func(address string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	for address, list := range p.idle {
+		keep := list[:0]
+		for _, c := range list {
+			if inUse(address) && now.Before(c.until) {
+				keep = append(keep, c)
+			} else {
+				c.Close()
+			}
+		}
+		if len(keep) == 0 {
+			delete(p.idle, address)
+		} else {
+			p.idle[address] = keep
+		}
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() { p.Expire(func(string) bool { return false }) }
--- /dev/null
+++ b/internal/adapter/serverconn/probe.go
@@ -0,0 +1,33 @@
+package serverconn
+
+import (
+	"context"
+	"net/http"
+
+	"cassiatray/internal/port"
+)
+
+// Probe asks a server for its health on a connection of its own, and returns
+// what it says and its status.
+//
+// Errors: *port.BackendError.
+func (p *Pool) Probe(ctx context.Context, address, path string) (port.ServerMeta, int, error) {
+	c, _, err := p.take(ctx, address, true)
+	if err != nil {
+		return port.ServerMeta{}, 0, connectError(ctx, address, err)
+	}
+	defer c.Close()
+	if deadline, ok := ctx.Deadline(); ok {
+		c.SetDeadline(deadline)
+	}
+	r := &port.ForwardRequest{Method: http.MethodGet, URI: path, Host: address, Header: http.Header{"Connection": {"close"}}}
+	if sent, err := write(c, r); err != nil {
+		return port.ServerMeta{}, 0, brokenError(ctx, address, sent > 0, err)
+	}
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodGet})
+	if err != nil {
+		return port.ServerMeta{}, 0, brokenError(ctx, address, true, err)
+	}
+	resp.Body.Close()
+	return p.dialect.Server(resp.StatusCode, resp.Header), resp.StatusCode, nil
+}
--- /dev/null
+++ b/internal/core/fleet/health.go
@@ -0,0 +1,81 @@
+package fleet
+
+import "time"
+
+// Limits of beliefs about a server.
+const (
+	// downBase is how long a server that could not be reached is left alone
+	// before it is checked; each failed check doubles it, up to downMax.
+	downBase = 500 * time.Millisecond
+	downMax  = 4 * time.Second
+	// shedFor is how long a server that refused a request for want of room is
+	// passed over. It is about the time in which one of its slots comes free.
+	shedFor = 250 * time.Millisecond
+)
+
+// Health is what requests and checks have shown of one life of a server. It is
+// not safe for concurrent use.
+type Health struct {
+	// down is set while the server counts as unreachable: it gets no requests
+	// before a check has reached it.
+	down      bool
+	checking  bool
+	checkAt   time.Time
+	failures  int
+	coldUntil time.Time
+	shedUntil time.Time
+}
+
+// Unreachable notes that no connection could be made, or that one broke with
+// a request on it. It reports whether that changed the belief.
+func (h *Health) Unreachable(now time.Time) bool {
+	changed := !h.down
+	h.down, h.checking = true, false
+	h.checkAt = now.Add(min(downMax, downBase<<min(h.failures, 5)))
+	h.failures++
+	return changed
+}
+
+// Reached notes an answer of the server. It reports whether that changed the
+// belief.
+func (h *Health) Reached() bool {
+	changed := h.down
+	h.down, h.checking, h.failures = false, false, 0
+	return changed
+}
+
+// Cold notes that the server said it is cold until a time; the latest wins.
+func (h *Health) Cold(until time.Time) {
+	if until.After(h.coldUntil) {
+		h.coldUntil = until
+	}
+}
+
+// Warm notes that the server said it is not cold.
+func (h *Health) Warm(now time.Time) {
+	if h.coldUntil.After(now) {
+		h.coldUntil = now
+	}
+}
+
+// Shed notes that the server refused a request for want of room.
+func (h *Health) Shed(now time.Time) { h.shedUntil = now.Add(shedFor) }
+
+// Down reports whether the server counts as unreachable.
+func (h *Health) Down() bool { return h.down }
+
+// ColdUntil returns when the server stops being cold.
+func (h *Health) ColdUntil() time.Time { return h.coldUntil }
+
+// Shedding reports whether the server lately refused a request.
+func (h *Health) Shedding(now time.Time) bool { return now.Before(h.shedUntil) }
+
+// WantsCheck reports whether an unreachable server is to be checked now, and
+// notes that it is.
+func (h *Health) WantsCheck(now time.Time) bool {
+	if !h.down || h.checking || now.Before(h.checkAt) {
+		return false
+	}
+	h.checking = true
+	return true
+}
--- /dev/null
+++ b/internal/core/mirror/hubs.go
@@ -0,0 +1,70 @@
+package mirror
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is a gateway as the choice of hubs needs it.
+type Member struct {
+	Host    string
+	Region  string
+	Address string
+}
+
+// Order returns the gateways that another may pull records from, best first:
+// the hub of each region, that of its own region before the others, then the
+// rest. The hub of a region is the member with the highest hash; all gateways
+// that know the same members agree on it. Failed members come last.
+func Order(members []Member, self, region string, failed func(host string) bool) []Member {
+	ranked := rank(members, failed)
+	var hubs, rest []Member
+	seen := map[string]bool{}
+	for _, m := range ranked {
+		if !seen[m.Region] && !failed(m.Host) {
+			seen[m.Region] = true
+			hubs = append(hubs, m)
+			continue
+		}
+		rest = append(rest, m)
+	}
+	slices.SortStableFunc(hubs, func(a, b Member) int { return near(b, region) - near(a, region) })
+	out := append(hubs, rest...)
+	return slices.DeleteFunc(out, func(m Member) bool { return m.Host == self })
+}
+
+// IsHub reports whether a gateway is the hub of its region.
+func IsHub(members []Member, self, region string, failed func(host string) bool) bool {
+	for _, m := range rank(members, failed) {
+		if m.Region == region {
+			return m.Host == self
+		}
+	}
+	return false
+}
+
+func rank(members []Member, failed func(string) bool) []Member {
+	out := slices.Clone(members)
+	slices.SortFunc(out, func(a, b Member) int {
+		if fa, fb := failed(a.Host), failed(b.Host); fa != fb {
+			if fa {
+				return 1
+			}
+			return -1
+		}
+		if c := cmp.Compare(xxhash.Sum64String(b.Host), xxhash.Sum64String(a.Host)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Host, b.Host)
+	})
+	return out
+}
+
+func near(m Member, region string) int {
+	if m.Region == region {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/core/mirror/mirror.go
@@ -0,0 +1,148 @@
+// Package mirror holds a copy of the store records that gateways share. Records
+// come from the store or from other gateways and are ordered by the store's
+// revision, so they may arrive in any order and twice. It is pure: time is an
+// argument.
+package mirror
+
+import (
+	"strings"
+	"time"
+)
+
+// Record is one key of the store, or its removal.
+type Record struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Deleted  bool
+	// Read is when the record was read from the store, by this process's clock.
+	Read time.Time
+}
+
+// tombstoneLife is how long removals are kept, so that late records of before
+// do not bring a key back. It is far above the time that a record can be under
+// way between gateways.
+const tombstoneLife = time.Minute
+
+type item struct {
+	Record
+	change uint64
+}
+
+// Mirror is a copy of the store. It is not safe for concurrent use.
+type Mirror struct {
+	// Same reports whether two values of a key differ in nothing that others
+	// need to hear of.
+	Same    func(key string, a, b []byte) bool
+	items   map[string]*item
+	change  uint64
+	synced  time.Time
+	highest uint64
+}
+
+// New returns an empty mirror.
+func New(same func(key string, a, b []byte) bool) *Mirror {
+	return &Mirror{Same: same, items: map[string]*item{}}
+}
+
+// Apply takes in records, and returns those that changed what was known.
+func (m *Mirror) Apply(records []Record) []Record {
+	var out []Record
+	for _, r := range records {
+		if m.apply(r) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (m *Mirror) apply(r Record) bool {
+	m.highest = max(m.highest, r.Revision)
+	old := m.items[r.Key]
+	if old != nil && r.Revision <= old.Revision {
+		return false
+	}
+	if old != nil && !r.Deleted && !old.Deleted && m.Same(r.Key, old.Value, r.Value) {
+		old.Record = r
+		return false
+	}
+	m.change++
+	m.items[r.Key] = &item{Record: r, change: m.change}
+	return true
+}
+
+// Replace takes in a whole listing of a prefix, complete up to a revision: what
+// it lacks was removed, unless it was written after that. It returns the
+// records that changed.
+func (m *Mirror) Replace(prefix string, records []Record, revision uint64, now time.Time) []Record {
+	listed := make(map[string]bool, len(records))
+	for _, r := range records {
+		listed[r.Key] = true
+	}
+	for key, it := range m.items {
+		if !it.Deleted && strings.HasPrefix(key, prefix) && !listed[key] && it.Revision <= revision {
+			records = append(records, Record{Key: key, Deleted: true, Revision: revision, Read: now})
+		}
+	}
+	for i, r := range records {
+		// A removal at the revision of the key's own last write still counts.
+		if it := m.items[r.Key]; r.Deleted && it != nil && it.Revision == r.Revision {
+			records[i].Revision++
+		}
+	}
+	return m.Apply(records)
+}
+
+// Confirm notes that the mirror equalled the store at a time.
+func (m *Mirror) Confirm(at time.Time) {
+	if at.After(m.synced) {
+		m.synced = at
+	}
+}
+
+// Synced returns when the mirror last equalled the store; zero for never.
+func (m *Mirror) Synced() time.Time { return m.synced }
+
+// Revision returns the highest revision seen.
+func (m *Mirror) Revision() uint64 { return m.highest }
+
+// Change returns the number of the newest change.
+func (m *Mirror) Change() uint64 { return m.change }
+
+// Since returns the records with changes after a number.
+func (m *Mirror) Since(change uint64) []Record {
+	var out []Record
+	for _, it := range m.items {
+		if it.change > change {
+			out = append(out, it.Record)
+		}
+	}
+	return out
+}
+
+// Get returns the record of a key that exists.
+func (m *Mirror) Get(key string) (Record, bool) {
+	it := m.items[key]
+	if it == nil || it.Deleted {
+		return Record{}, false
+	}
+	return it.Record, true
+}
+
+// Each calls fn with every record under a prefix that exists.
+func (m *Mirror) Each(prefix string, fn func(Record)) {
+	for key, it := range m.items {
+		if !it.Deleted && strings.HasPrefix(key, prefix) {
+			fn(it.Record)
+		}
+	}
+}
+
+// Expire forgets old removals.
+func (m *Mirror) Expire(now time.Time) {
+	for key, it := range m.items {
+		if it.Deleted && now.Sub(it.Read) > tombstoneLife {
+			delete(m.items, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/placement/placement.go
@@ -0,0 +1,88 @@
+// Package placement ranks the backend servers of a service for an object. All
+// gateways of a failure domain rank alike without talking to each other, and a
+// server that joins or leaves moves only the objects that it wins or had. It is
+// pure.
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Weights of nearness. A server of the gateway's own failure domain wins more
+// objects than one of its region, and that more than one of another region,
+// where each answer crosses priced links; a weight too high overloads domains
+// with many callers and few servers (docs/design/platform.md).
+const (
+	WeightDomain = 8
+	WeightRegion = 3
+	WeightOther  = 1
+)
+
+// Server is a candidate.
+type Server struct {
+	ID string
+	// Weight is the server's share of objects against that of the others.
+	Weight float64
+	hash   uint64
+}
+
+// Ring is the servers of one service as one gateway sees them. It is immutable.
+type Ring struct{ servers []Server }
+
+// NewRing returns a ring of servers.
+func NewRing(servers []Server) *Ring {
+	list := slices.Clone(servers)
+	for i := range list {
+		list[i].hash = xxhash.Sum64String(list[i].ID)
+	}
+	return &Ring{servers: list}
+}
+
+// Len returns the number of servers.
+func (r *Ring) Len() int { return len(r.servers) }
+
+type scored struct {
+	index int
+	score float64
+}
+
+// Rank returns the indexes of the n best servers for an object, best first, by
+// weighted rendezvous hashing.
+func (r *Ring) Rank(object uint64, n int) []int {
+	all := make([]scored, len(r.servers))
+	for i, s := range r.servers {
+		u := Point(object ^ s.hash)
+		all[i] = scored{index: i, score: -s.Weight / math.Log(u)}
+	}
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	out := make([]int, 0, min(n, len(all)))
+	for _, s := range all[:min(n, len(all))] {
+		out = append(out, s.index)
+	}
+	return out
+}
+
+// Object returns the hash of an object of a route or service.
+func Object(scope, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	d.WriteString(scope)
+	d.WriteString("\x00")
+	d.WriteString(name)
+	return d.Sum64()
+}
+
+// Point spreads a hash over the open interval (0, 1).
+func Point(h uint64) float64 {
+	// The finalizer of SplitMix64: close hashes give points that are far apart.
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	h ^= h >> 31
+	return (float64(h>>11) + 0.5) / (1 << 53)
+}
--- /dev/null
+++ b/internal/core/routing/config.go
@@ -0,0 +1,128 @@
+// Package routing selects the route of a request and the service that runs it.
+// A Config is one immutable version of the operators' routing configuration.
+// The package is pure: randomness is an argument.
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Service is one group of interchangeable backend servers.
+type Service struct {
+	Name string
+	// HealthPath answers health checks.
+	HealthPath string
+	// MaxConns is how many connections one server accepts from all callers.
+	MaxConns int
+	// ColdFor is how long a started server stays cold.
+	ColdFor time.Duration
+	// ColdRate is how many requests a second a cold server tolerates, from all
+	// gateways together; zero when it has no limit.
+	ColdRate float64
+}
+
+// Part is one service of a split with its share of the route's requests.
+type Part struct {
+	Service string
+	Weight  float64
+}
+
+// Route says how requests under a path prefix of a host are served.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Idempotent routes may run a request more than once.
+	Idempotent bool
+	// Timeout is the longest that a caller is kept waiting; zero for no bound.
+	Timeout time.Duration
+	// Target is the latency within which an answer is worth its full value.
+	Target time.Duration
+	// Priority is the route's rank; 0 is the most urgent.
+	Priority int
+	// MaxAttempts bounds how many servers may run one request.
+	MaxAttempts int
+	// Sticky routes are served faster by a server that lately served the same
+	// object.
+	Sticky bool
+	// Homes are the regions that may serve the route; empty for all.
+	Homes []string
+	// Parts are the services with their shares, in the order configured.
+	Parts []Part
+}
+
+// AllowsRegion reports whether servers of a region may serve the route.
+func (r *Route) AllowsRegion(region string) bool {
+	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
+}
+
+// Limits bound what a caller may send, and how slowly.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the routing configuration.
+type Config struct {
+	// Version orders configurations.
+	Version  uint64
+	Services map[string]*Service
+	Limits   Limits
+	// hosts holds each host's routes with the longest prefix first.
+	hosts map[string][]*Route
+}
+
+// NewConfig returns a configuration with these routes.
+func NewConfig(version uint64, services []Service, limits Limits, routes []Route) *Config {
+	c := &Config{Version: version, Services: make(map[string]*Service, len(services)), Limits: limits, hosts: map[string][]*Route{}}
+	for i := range services {
+		c.Services[services[i].Name] = &services[i]
+	}
+	for i := range routes {
+		r := &routes[i]
+		c.hosts[r.Host] = append(c.hosts[r.Host], r)
+	}
+	for _, list := range c.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return c
+}
+
+// Match returns the route of a request, or nil. A port in host is ignored.
+func (c *Config) Match(host, path string) *Route {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	for _, r := range c.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// HasHost reports whether any route is of the host.
+func (c *Config) HasHost(host string) bool { return len(c.hosts[host]) > 0 }
+
+// Routes returns the number of routes.
+func (c *Config) Routes() int {
+	n := 0
+	for _, list := range c.hosts {
+		n += len(list)
+	}
+	return n
+}
+
+// EachRoute calls fn with every route.
+func (c *Config) EachRoute(fn func(*Route)) {
+	for _, list := range c.hosts {
+		for _, r := range list {
+			fn(r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/gateway/dump.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"time"
+
+	"cassiatray/internal/adapter/operatorhttp"
+	peerv1 "cassiatray/proto/peer/v1"
+)
+
+// State is the dump of a gateway.
+type State struct {
+	Host        string                  `json:"host"`
+	Domain      string                  `json:"domain"`
+	Incarnation uint64                  `json:"incarnation,string"`
+	Stopping    bool                    `json:"stopping"`
+	Version     uint64                  `json:"version"`
+	Revision    uint64                  `json:"revision"`
+	ViewAgeMS   int64                   `json:"view_age_ms"`
+	Watching    bool                    `json:"watching"`
+	Evacuated   map[string]bool         `json:"evacuated"`
+	Members     []*peerv1.GatewayMember `json:"members"`
+	Servers     []ServerState           `json:"servers"`
+}
+
+// ServerState is what is known of one backend server, and why it is not used.
+type ServerState struct {
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	Address  string  `json:"address"`
+	Domain   string  `json:"domain"`
+	State    string  `json:"state"`
+	Down     bool    `json:"down"`
+	ColdMS   int64   `json:"cold_ms"`
+	InFlight int32   `json:"in_flight"`
+	Busy     float64 `json:"busy"`
+}
+
+// Dump implements operatorhttp.Source.
+func (n *Node) Dump() any {
+	now := time.Now()
+	v := n.keeper.View()
+	out := State{
+		Host: n.cfg.Host, Domain: n.cfg.Domain, Incarnation: n.syncer.identity.Incarnation, Stopping: n.stopping.Load(),
+		Revision: v.revision, ViewAgeMS: now.Sub(n.keeper.Synced()).Milliseconds(), Watching: n.syncer.watching(),
+		Evacuated: v.evacuated, Members: v.members,
+	}
+	if v.config != nil {
+		out.Version = v.config.Version
+	}
+	for _, s := range n.keeper.Servers() {
+		rec := s.rec()
+		out.Servers = append(out.Servers, ServerState{
+			ID: rec.ID, Service: rec.Service, Address: rec.Address, Domain: rec.Domain, State: rec.State.String(),
+			Down: s.down(), ColdMS: s.coldLeft(now).Milliseconds(), InFlight: s.inFlight.Load(), Busy: s.busy(now),
+		})
+	}
+	return out
+}
+
+var _ operatorhttp.Source = (*operatorSource)(nil)
+
+// operatorSource implements operatorhttp.Source.
+type operatorSource struct{ node *Node }
+
+// Dump implements operatorhttp.Source.
+func (o *operatorSource) Dump() any { return o.node.Dump() }
+
+// Ready implements operatorhttp.Source.
+func (o *operatorSource) Ready() error {
+	if !o.node.Ready() {
+		return &operatorhttp.NotReadyError{Reason: "no configuration or no servers known, or stopping"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/gateway/keeper.go
@@ -0,0 +1,282 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/mirror"
+	"cassiatray/internal/core/routing"
+	"cassiatray/internal/port"
+	peerv1 "cassiatray/proto/peer/v1"
+)
+
+const (
+	// heardLife is how long a gateway counts as alive after it was heard from.
+	heardLife = 3 * time.Second
+	// outageGap is how long the store must have been out of reach for records
+	// that lapsed meanwhile to get lapseGrace.
+	outageGap = 3 * time.Second
+	// lapseGrace is how long after an outage records that lapsed meanwhile
+	// still count: their owners write them again within about two seconds.
+	lapseGrace = 2200 * time.Millisecond
+)
+
+// heardMember is a gateway that was heard from.
+type heardMember struct {
+	member *peerv1.GatewayMember
+	at     time.Time
+	// direct is set when the gateway itself was heard.
+	direct bool
+}
+
+// Keeper holds the mirror of the store and makes views of it.
+type Keeper struct {
+	cfg    *Settings
+	schema port.Schema
+	log    *logrus.Entry
+	view   atomic.Pointer[view]
+
+	mu     sync.Mutex
+	mirror *mirror.Mirror
+	// changed is closed and replaced with each change that peers need.
+	changed        chan struct{}
+	config         *routing.Config
+	configRevision uint64
+	splits         map[*routing.Route]*lockedSplit
+	servers        map[string]*server
+	stored         map[string]*peerv1.GatewayMember
+	heard          map[string]heardMember
+	// graceUntil is when lapsed records stop counting; lapsed are those kept.
+	graceUntil time.Time
+	lapsed     map[string]mirror.Record
+}
+
+// NewKeeper returns a keeper that knows nothing.
+func NewKeeper(cfg *Settings, schema port.Schema, log *logrus.Entry) *Keeper {
+	k := &Keeper{
+		cfg: cfg, schema: schema, log: log, changed: make(chan struct{}),
+		servers: map[string]*server{}, stored: map[string]*peerv1.GatewayMember{},
+		heard: map[string]heardMember{}, lapsed: map[string]mirror.Record{},
+	}
+	k.mirror = mirror.New(func(key string, a, b []byte) bool {
+		kind, _ := schema.Kind(key)
+		return kind == port.RecordServer && schema.SameServer(a, b)
+	})
+	k.view.Store(&view{})
+	return k
+}
+
+// View returns the newest view.
+func (k *Keeper) View() *view { return k.view.Load() }
+
+// Apply takes in records of the store or of a peer.
+func (k *Keeper) Apply(records []mirror.Record, source string, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.take(k.mirror.Apply(records), source, now)
+}
+
+// Replace takes in a listing of the whole store.
+func (k *Keeper) Replace(records []mirror.Record, revision uint64, source string, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.noteGap(now)
+	k.take(k.mirror.Replace("", records, revision, now), source, now)
+	k.mirror.Confirm(now)
+}
+
+// Confirm notes that the mirror equalled the store at a time.
+func (k *Keeper) Confirm(at, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.noteGap(now)
+	k.mirror.Confirm(at)
+}
+
+// noteGap starts the grace of lapsed records when an outage ends.
+func (k *Keeper) noteGap(now time.Time) {
+	if last := k.mirror.Synced(); !last.IsZero() && now.Sub(last) > outageGap {
+		k.graceUntil = now.Add(lapseGrace)
+		k.log.WithFields(logrus.Fields{"gap_ms": now.Sub(last).Milliseconds(), "revision": k.mirror.Revision()}).Info("Store view regained.")
+	}
+}
+
+// Synced returns when the mirror last equalled the store.
+func (k *Keeper) Synced() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.mirror.Synced()
+}
+
+// take acts on changed records. The caller holds k.mu.
+func (k *Keeper) take(records []mirror.Record, source string, now time.Time) {
+	if len(records) == 0 {
+		return
+	}
+	for _, r := range records {
+		kind, name := k.schema.Kind(r.Key)
+		fields := logrus.Fields{"key": r.Key, "revision": r.Revision, "source": source, "age_ms": now.Sub(r.Read).Milliseconds()}
+		switch kind {
+		case port.RecordConfig:
+			k.takeConfig(r, fields)
+		case port.RecordEvacuation:
+			k.log.WithFields(fields).WithField("evacuated", !r.Deleted).Info("Evacuation changed.")
+		case port.RecordServer:
+			k.takeServer(name, r, fields, now)
+		case port.RecordMember:
+			k.takeMember(name, r, fields, now)
+		}
+	}
+	close(k.changed)
+	k.changed = make(chan struct{})
+	k.publish(now)
+}
+
+// publish swaps the view. The caller holds k.mu.
+func (k *Keeper) publish(now time.Time) { k.view.Store(k.build(now)) }
+
+// each calls fn with every record that exists. The caller holds k.mu.
+func (k *Keeper) each(_ time.Time, fn func(mirror.Record)) { k.mirror.Each("", fn) }
+
+func (k *Keeper) takeConfig(r mirror.Record, fields logrus.Fields) {
+	if r.Deleted {
+		k.log.WithFields(fields).Warn("Configuration removed; the last one stays in force.")
+		return
+	}
+	c, err := k.schema.Config(r.Value)
+	if err != nil {
+		k.log.WithFields(fields).WithError(err).Error("Configuration refused; the last one stays in force.")
+		return
+	}
+	if k.config != nil && c.Version <= k.config.Version {
+		k.log.WithFields(fields).WithField("version", c.Version).Warn("Configuration is not newer; the last one stays in force.")
+		return
+	}
+	k.config, k.configRevision = c, r.Revision
+	k.splits = map[*routing.Route]*lockedSplit{}
+	c.EachRoute(func(route *routing.Route) {
+		if len(route.Parts) > 1 {
+			k.splits[route] = &lockedSplit{split: routing.NewSplit(route.Parts)}
+		}
+	})
+	k.log.WithFields(fields).WithFields(logrus.Fields{"version": c.Version, "routes": c.Routes()}).Info("Configuration in force.")
+}
+
+func (k *Keeper) takeServer(id string, r mirror.Record, fields logrus.Fields, now time.Time) {
+	old := k.servers[id]
+	if r.Deleted {
+		if old != nil && now.Before(k.graceUntil) {
+			k.lapsed[id] = r
+			k.log.WithFields(fields).Info("Server's record lapsed during an outage; waiting for it.")
+			return
+		}
+		delete(k.servers, id)
+		k.log.WithFields(fields).Info("Server gone.")
+		return
+	}
+	delete(k.lapsed, id)
+	rec, err := k.schema.Server(id, r.Value)
+	if err != nil {
+		delete(k.servers, id)
+		k.log.WithFields(fields).WithError(err).Warn("Server's record refused.")
+		return
+	}
+	s := old
+	if old != nil && old.rec().SameLife(rec) {
+		s.record.Store(&rec)
+	} else {
+		s = newServer(rec, k.cfg.regionOf(rec.Domain))
+	}
+	if rec.Cold > 0 {
+		until := r.Read.Add(rec.Cold)
+		s.change(func(h *fleet.Health) bool { h.Cold(until); return true })
+	}
+	k.servers[id] = s
+	fields["service"], fields["state"], fields["cold_ms"] = rec.Service, rec.State.String(), rec.Cold.Milliseconds()
+	k.log.WithFields(fields).Info("Server changed.")
+}
+
+func (k *Keeper) takeMember(host string, r mirror.Record, fields logrus.Fields, now time.Time) {
+	if r.Deleted {
+		delete(k.stored, host)
+		k.log.WithFields(fields).Info("Gateway's record gone.")
+		return
+	}
+	m := new(peerv1.GatewayMember)
+	if err := proto.Unmarshal(r.Value, m); err != nil || m.Host != host {
+		k.log.WithFields(fields).WithError(err).Warn("Gateway's record refused.")
+		return
+	}
+	k.stored[host] = m
+	k.log.WithFields(fields).WithField("incarnation", m.Incarnation).Info("Gateway known.")
+}
+
+// Hear notes that a gateway was heard from, itself or through another.
+func (k *Keeper) Hear(m *peerv1.GatewayMember, direct bool, now time.Time) {
+	if m == nil || m.Host == "" {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	old, known := k.heard[m.Host]
+	if known && old.member.Incarnation > m.Incarnation {
+		return
+	}
+	if known && !direct && old.direct && now.Sub(old.at) < heardLife {
+		return
+	}
+	k.heard[m.Host] = heardMember{member: m, at: now, direct: direct}
+	if !known || old.member.State != m.State || old.member.Incarnation != m.Incarnation || now.Sub(old.at) >= heardLife {
+		k.publish(now)
+	}
+}
+
+// Tick ends graces and forgets what is over.
+func (k *Keeper) Tick(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	changed := false
+	if len(k.lapsed) > 0 && !now.Before(k.graceUntil) {
+		for id, r := range k.lapsed {
+			delete(k.servers, id)
+			k.log.WithFields(logrus.Fields{"key": r.Key, "revision": r.Revision}).Info("Server gone.")
+		}
+		clear(k.lapsed)
+		changed = true
+	}
+	for host, h := range k.heard {
+		if now.Sub(h.at) >= heardLife {
+			delete(k.heard, host)
+			changed = changed || k.stored[host] == nil
+		}
+	}
+	k.mirror.Expire(now)
+	if changed {
+		k.publish(now)
+	}
+}
+
+// Addresses returns the addresses of all servers that are known.
+func (k *Keeper) Addresses() map[string]bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make(map[string]bool, len(k.servers))
+	for _, s := range k.servers {
+		out[s.rec().Address] = true
+	}
+	return out
+}
+
+// Servers returns all servers that are known, in no order.
+func (k *Keeper) Servers() []*server {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Collect(maps.Values(k.servers))
+}
--- /dev/null
+++ b/internal/daemon/gateway/metrics.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cassiatray/internal/port"
+)
+
+// Metrics are the counters of a gateway.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	attempts *prometheus.CounterVec
+	server   *prometheus.HistogramVec
+	calls    *prometheus.CounterVec
+	checks   prometheus.Counter
+	opened   prometheus.Counter
+}
+
+// latencyBuckets cover the latencies that routes aim for, in seconds.
+var latencyBuckets = []float64{0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8}
+
+// NewMetrics registers the metrics.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cassiatray_gateway_requests_total", Help: "Requests of callers by route and status; 0 when the caller left.",
+		}, []string{"route", "status"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cassiatray_gateway_request_seconds", Help: "Time from a request's arrival to its end.", Buckets: latencyBuckets,
+		}, []string{"route"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cassiatray_gateway_attempts_total", Help: "Sendings to backend servers by service and result.",
+		}, []string{"service", "result"}),
+		server: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cassiatray_gateway_attempt_seconds", Help: "Time from a sending to its result.", Buckets: latencyBuckets,
+		}, []string{"service"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cassiatray_gateway_store_calls_total", Help: "Calls of the platform's store by kind and result.",
+		}, []string{"call", "result"}),
+		checks: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cassiatray_gateway_health_checks_total", Help: "Health checks sent to backend servers.",
+		}),
+		opened: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cassiatray_gateway_connections_opened_total", Help: "Connections opened to backend servers.",
+		}),
+	}
+	reg.MustRegister(m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened)
+	return m
+}
+
+func (m *Metrics) request(route string, status int, took time.Duration) {
+	m.requests.WithLabelValues(route, strconv.Itoa(status)).Inc()
+	m.latency.WithLabelValues(route).Observe(took.Seconds())
+}
+
+func (m *Metrics) attempt(service string, a attempt, took time.Duration) {
+	result := strconv.Itoa(a.Status)
+	if a.Error != "" {
+		result = "error"
+	}
+	m.attempts.WithLabelValues(service, result).Inc()
+	m.server.WithLabelValues(service).Observe(took.Seconds())
+}
+
+func (m *Metrics) call(kind string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "error"
+		for _, code := range []port.StoreCode{port.StoreNotFound, port.StoreConflict, port.StoreCompacted, port.StoreUnknown, port.StoreUnavailable} {
+			if port.IsStoreCode(err, code) {
+				result = string(code)
+			}
+		}
+	}
+	m.calls.WithLabelValues(kind, result).Inc()
+}
--- /dev/null
+++ b/internal/daemon/gateway/module.go
@@ -0,0 +1,190 @@
+// Package gateway is the one process of an entry host on a platform that keeps
+// the configuration, the list of backend servers and the leases: it answers
+// look-ups, forwards requests and shares with its peers what one of them reads
+// from the platform's store (docs/design/platform.md).
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"cassiatray/internal/adapter/operatorhttp"
+	"cassiatray/internal/adapter/peer"
+	"cassiatray/internal/adapter/serverconn"
+	"cassiatray/internal/adapter/tcp"
+	"cassiatray/internal/core/document"
+	"cassiatray/internal/logging"
+	"cassiatray/internal/port"
+	"cassiatray/internal/program"
+	"cassiatray/internal/sleep"
+	peerv1 "cassiatray/proto/peer/v1"
+)
+
+// Limits of callers until a configuration sets them.
+const (
+	headerTimeout = 5 * time.Second
+	headerBytes   = 64 << 10
+	idleTimeout   = 60 * time.Second
+)
+
+// Limits of connections between gateways.
+const (
+	peerConnect = 700 * time.Millisecond
+	peerUnacked = 1500 * time.Millisecond
+)
+
+// poolSweep is how often connections that are past their time are closed.
+const poolSweep = time.Second
+
+// Module wires a gateway. It needs *Settings, *logrus.Logger,
+// *prometheus.Registry, port.Registry, port.Schema, port.Dialect and Handlers.
+var Module = fx.Module("gateway",
+	fx.Provide(newIdentity, newMeter, newPool, newKeeper, newSyncer, newForwarder, newNode, NewMetrics, newRegisterer, newPeerServer),
+	fx.Invoke(start),
+)
+
+// Handlers are the calls with which callers find gateways, as the platform
+// spells them.
+type Handlers struct {
+	Directory func(*Node) http.Handler
+	Ready     func(*Node) http.Handler
+}
+
+func newRegisterer(reg *prometheus.Registry) prometheus.Registerer { return reg }
+
+func newIdentity(cfg *Settings) peer.Identity { return peer.NewIdentity(cfg.Host) }
+
+func newMeter(reg *prometheus.Registry) *peer.Meter { return peer.NewMeter(reg) }
+
+func newPool(id peer.Identity, m *peer.Meter) *peer.Pool {
+	d := tcp.Dialer{Connect: peerConnect, Unacked: peerUnacked}
+	return peer.NewPool(id, m.Dial(d.Dial))
+}
+
+func newKeeper(cfg *Settings, schema port.Schema, log *logrus.Logger) *Keeper {
+	return NewKeeper(cfg, schema, logging.Part(log, "state"))
+}
+
+func newSyncer(cfg *Settings, id peer.Identity, k *Keeper, store port.Registry, schema port.Schema, pool *peer.Pool, log *logrus.Logger, m *Metrics) *Syncer {
+	return NewSyncer(cfg, id, k, store, schema, pool, logging.Part(log, "sync"), m)
+}
+
+func newForwarder(d port.Dialect) *serverconn.Pool { return serverconn.New(d) }
+
+func newNode(cfg *Settings, k *Keeper, s *Syncer, d port.Dialect, f *serverconn.Pool, log *logrus.Logger, m *Metrics) *Node {
+	n := NewNode(cfg, k, d, f, f, logging.Part(log, "request"), m)
+	n.syncer = s
+	return n
+}
+
+func newPeerServer(id peer.Identity, k *Keeper) *peer.Server {
+	return peer.NewServer(id, &exchanges{keeper: k, epoch: id.Incarnation})
+}
+
+// exchanges implements peer.Handler.
+type exchanges struct {
+	keeper *Keeper
+	epoch  uint64
+}
+
+// Serve implements peer.Handler.
+func (e *exchanges) Serve(ctx context.Context, req *peerv1.Request) (*peerv1.Reply, error) {
+	pull := req.GetMirrorPull()
+	if pull == nil {
+		return nil, &port.PeerError{Code: port.PeerRefused, Reason: "not for gateways"}
+	}
+	return &peerv1.Reply{Body: &peerv1.Reply_MirrorPage{MirrorPage: e.keeper.Page(ctx, e.epoch, pull)}}, nil
+}
+
+// ServeFollow implements peer.Handler.
+func (e *exchanges) ServeFollow(context.Context, *peerv1.Request, func(*peerv1.Reply) error) error {
+	return &port.PeerError{Code: port.PeerRefused, Reason: "not for gateways"}
+}
+
+// listeners are the open sockets of a gateway.
+type listeners struct{ caller, ready, directory, peer, operator net.Listener }
+
+func listen(cfg *Settings) (*listeners, error) {
+	l := new(listeners)
+	for _, x := range []struct {
+		to *net.Listener
+		at document.Address
+	}{{&l.caller, cfg.Caller}, {&l.ready, cfg.Ready}, {&l.directory, cfg.Directory}, {&l.peer, cfg.Peer}, {&l.operator, cfg.Operator}} {
+		nl, err := program.Listen(x.at)
+		if err != nil {
+			return nil, err
+		}
+		*x.to = nl
+	}
+	return l, nil
+}
+
+func start(lc fx.Lifecycle, cfg *Settings, n *Node, k *Keeper, s *Syncer, f *serverconn.Pool, srv *peer.Server, pool *peer.Pool, h Handlers, reg *prometheus.Registry, log *logrus.Logger) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	quiet := logging.Discard()
+	callers := &http.Server{
+		Handler: n, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: newServerLog(logging.Part(log, "caller")),
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			l, err := listen(cfg)
+			if err != nil {
+				return err
+			}
+			srv.Start(l.peer)
+			for _, x := range []struct {
+				l net.Listener
+				h http.Handler
+			}{{l.ready, h.Ready(n)}, {l.directory, h.Directory(n)}, {l.operator, operatorhttp.NewRouter(&operatorSource{node: n}, reg)}} {
+				side := &http.Server{Handler: x.h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: newServerLog(quiet)}
+				go side.Serve(x.l)
+			}
+			go callers.Serve(l.caller)
+			wg.Go(func() { s.Run(ctx) })
+			wg.Go(func() {
+				for sleep.For(ctx, poolSweep) {
+					in := k.Addresses()
+					f.Expire(func(address string) bool { return in[address] })
+				}
+			})
+			wg.Go(func() { n.reloadOnHangup(ctx) })
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			err := n.stop(stop, callers)
+			cancel()
+			pool.Close()
+			n.Close()
+			f.Close()
+			return err
+		},
+	})
+}
+
+// reloadOnHangup notes SIGHUP. Addresses and names of a running process do not
+// change; a new settings file is in force with the next start.
+func (n *Node) reloadOnHangup(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-hup:
+			n.log.Info("Hangup: settings are kept until the next start.")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/gateway/serve.go
@@ -0,0 +1,431 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/placement"
+	"cassiatray/internal/core/retry"
+	"cassiatray/internal/core/routing"
+	"cassiatray/internal/port"
+)
+
+// Times and sizes of a request.
+const (
+	// bodyWhole is up to which size a request's body is read whole before it
+	// is sent, in bytes. Only such requests are sent twice.
+	bodyWhole = 256 << 10
+	// defaultLeft is the time that a caller without a deadline has.
+	defaultLeft = 30 * time.Second
+	// answerGrace is how long after a request's time its server may still
+	// answer: it stops at the time, and its answer has to travel.
+	answerGrace = 120 * time.Millisecond
+	// extraAttempts is how many servers may refuse a request beside those that
+	// may run it.
+	extraAttempts = 2
+	// minLeft is the least time in which sending a request makes sense.
+	minLeft = 20 * time.Millisecond
+	// freshWithin is the age up to which a view is good enough to say that a
+	// route does not exist.
+	freshWithin = 2 * time.Second
+)
+
+// Node forwards requests of callers to backend servers.
+type Node struct {
+	cfg     *Settings
+	keeper  *Keeper
+	syncer  *Syncer
+	dialect port.Dialect
+	forward port.Forwarder
+	prober  port.Prober
+	log     *logrus.Entry
+	metrics *Metrics
+
+	ctx        context.Context
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+	inFlight   atomic.Int64
+	stopping   atomic.Bool
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Window
+}
+
+// NewNode returns a node that forwards by the keeper's views.
+func NewNode(cfg *Settings, k *Keeper, d port.Dialect, f port.Forwarder, p port.Prober, log *logrus.Entry, m *Metrics) *Node {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Node{
+		cfg: cfg, keeper: k, dialect: d, forward: f, prober: p, log: log, metrics: m,
+		ctx: ctx, cancel: cancel, budgets: map[string]*retry.Window{},
+	}
+}
+
+// Close ends background work.
+func (n *Node) Close() {
+	n.cancel()
+	n.background.Wait()
+}
+
+// exchange is one request of a caller on its way through this gateway.
+type exchange struct {
+	start   time.Time
+	meta    port.CallerMeta
+	view    *view
+	route   *routing.Route
+	service string
+	object  uint64
+	// deadline is when the caller gets an answer at the latest.
+	deadline time.Time
+	body     []byte
+	rest     io.Reader
+	tried    map[*server]bool
+	attempts []attempt
+	// mayHaveRun is set once a server may have begun the request.
+	mayHaveRun bool
+	// kept is a server's failure that is passed on when no other server does
+	// better.
+	kept *port.ForwardAnswer
+}
+
+// attempt is one sending of a request, for the log.
+type attempt struct {
+	Server string  `json:"server"`
+	Rank   int     `json:"rank"`
+	Busy   float64 `json:"busy"`
+	ColdMS int64   `json:"cold_ms,omitempty"`
+	Status int     `json:"status,omitempty"`
+	Error  string  `json:"error,omitempty"`
+	MS     int64   `json:"ms"`
+	New    bool    `json:"new_conn,omitempty"`
+}
+
+// ServeHTTP implements http.Handler.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	if n.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{start: time.Now(), meta: n.dialect.Caller(r.Header), view: n.keeper.View(), tried: map[*server]bool{}}
+	if x.view.config == nil {
+		n.refuse(w, x, http.StatusServiceUnavailable, "no configuration")
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	x.route = x.view.config.Match(r.Host, path)
+	if x.route == nil {
+		if time.Since(n.keeper.Synced()) > freshWithin {
+			n.refuse(w, x, http.StatusServiceUnavailable, "no route, but the configuration may be old")
+			return
+		}
+		n.refuse(w, x, http.StatusNotFound, "no route")
+		return
+	}
+	n.admit(x)
+	if status, why := n.readBody(w, r, x); status != 0 {
+		n.refuse(w, x, status, why)
+		return
+	}
+	n.serve(w, r, x)
+}
+
+// admit settles a request's service, object and time.
+func (n *Node) admit(x *exchange) {
+	left := x.meta.Left
+	if left <= 0 {
+		left = defaultLeft
+	}
+	if x.route.Timeout > 0 {
+		left = min(left, x.route.Timeout)
+	}
+	x.deadline = x.start.Add(left)
+	point := rand.Float64()
+	if x.meta.Object != "" && x.route.Sticky {
+		x.object = placement.Object(x.route.Name, x.meta.Object)
+		point = placement.Point(x.object)
+	} else {
+		x.object = rand.Uint64()
+	}
+	x.service = x.view.service(x.route, point)
+	n.budget(x.service, func(b *retry.Window) bool { b.Request(x.start); return true })
+}
+
+// budget runs fn on the retry budget of a service.
+func (n *Node) budget(service string, fn func(*retry.Window) bool) bool {
+	gateways := max(1, len(n.keeper.View().hosts))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b := n.budgets[service]
+	if b == nil {
+		b = new(retry.Window)
+		n.budgets[service] = b
+	}
+	bounds := n.cfg.Bounds
+	b.Span, b.Ratio, b.Extra = time.Duration(bounds.RetryWindow), bounds.RetryRatio, bounds.RetryExtra/float64(gateways)
+	return fn(b)
+}
+
+// readBody reads the begin of the body, and all of a small one. It returns a
+// status when the request cannot be served.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, x *exchange) (int, string) {
+	if r.Body == nil || r.ContentLength == 0 {
+		return 0, ""
+	}
+	limit := x.view.config.Limits.BodyBytes
+	if limit > 0 && r.ContentLength > limit {
+		return http.StatusRequestEntityTooLarge, "body over the limit"
+	}
+	body := io.Reader(r.Body)
+	if limit > 0 {
+		body = http.MaxBytesReader(w, r.Body, limit)
+	}
+	data, err := io.ReadAll(io.LimitReader(body, bodyWhole))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return http.StatusRequestEntityTooLarge, "body over the limit"
+	case err != nil:
+		return http.StatusBadRequest, "body broken off: " + err.Error()
+	}
+	x.body = data
+	if len(data) == bodyWhole {
+		x.rest = body
+	}
+	return 0, ""
+}
+
+// serve sends the request to one server after another until one has answered.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request, x *exchange) {
+	runs := 0
+	for {
+		now := time.Now()
+		left := x.deadline.Sub(now)
+		if left < minLeft {
+			n.fail(w, x, "out of time")
+			return
+		}
+		// A view that is newer than the request's may have lost servers.
+		v := n.keeper.View()
+		c, why := n.pick(v, x.route, x.service, x.object, x.tried, now)
+		if c.server == nil {
+			n.fail(w, x, string(why))
+			return
+		}
+		if len(x.attempts) > 0 && !n.budget(x.service, func(b *retry.Window) bool { return b.Spend(now) }) {
+			n.fail(w, x, "retry budget spent")
+			return
+		}
+		x.tried[c.server] = true
+		a, err := n.send(r, x, c, left)
+		if err == nil && !a.Meta.NotRun {
+			runs++
+			if !n.again(x, a, runs) {
+				n.deliver(w, x, a)
+				return
+			}
+			x.kept = a
+			continue
+		}
+		var be *port.BackendError
+		if errors.As(err, &be) && be.Sent {
+			x.mayHaveRun = true
+			runs++
+			if r.Context().Err() != nil {
+				n.finish(x, 0, "caller left")
+				return
+			}
+			if !x.route.Idempotent || runs >= x.route.MaxAttempts || x.rest != nil || be.Code == port.BackendTimeout {
+				n.fail(w, x, "server failed: "+string(be.Code))
+				return
+			}
+		}
+		if x.rest != nil || len(x.attempts) >= x.route.MaxAttempts+extraAttempts {
+			n.fail(w, x, "no more attempts")
+			return
+		}
+	}
+}
+
+// again reports whether an answer is a failure that another server may better.
+func (n *Node) again(x *exchange, a *port.ForwardAnswer, runs int) bool {
+	return a.Status >= http.StatusInternalServerError && x.route.Idempotent && x.rest == nil && a.Rest == nil && runs < x.route.MaxAttempts
+}
+
+// send sends the request to one server.
+func (n *Node) send(r *http.Request, x *exchange, c choice, left time.Duration) (*port.ForwardAnswer, error) {
+	s := c.server
+	rec := s.rec()
+	// Work that may not be repeated goes on when its caller has left: it may be
+	// done already.
+	parent := n.ctx
+	if x.route.Idempotent {
+		parent = r.Context()
+	}
+	ctx, cancel := context.WithDeadline(parent, x.deadline.Add(answerGrace))
+	req := &port.ForwardRequest{
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: forwardHeader(r.Header), Body: x.body, Rest: x.rest,
+		Size: r.ContentLength, ID: x.meta.ID,
+	}
+	if x.rest == nil {
+		req.Size = int64(len(x.body))
+	}
+	n.dialect.Forward(req.Header, left, rec.ID)
+	mine := s.inFlight.Add(1)
+	begin := time.Now()
+	a, err := n.forward.Forward(ctx, rec.Address, req)
+	s.inFlight.Add(-1)
+	took := time.Since(begin)
+	if a == nil || a.Rest == nil {
+		cancel()
+	} else {
+		context.AfterFunc(ctx, cancel)
+	}
+	at := attempt{Server: rec.ID, Rank: c.rank, Busy: c.busy, ColdMS: c.cold.Milliseconds(), MS: took.Milliseconds()}
+	if err != nil {
+		at.Error = err.Error()
+		n.noteFailure(s, err)
+	} else {
+		at.Status, at.New = a.Status, a.Opened
+		s.learn(a.Meta, int(mine), time.Now())
+		if a.Opened {
+			n.metrics.opened.Inc()
+		}
+	}
+	x.attempts = append(x.attempts, at)
+	n.metrics.attempt(x.service, at, took)
+	return a, err
+}
+
+// noteFailure changes the belief about a server after a failed exchange.
+func (n *Node) noteFailure(s *server, err error) {
+	var be *port.BackendError
+	if !errors.As(err, &be) {
+		return
+	}
+	switch be.Code {
+	case port.BackendConnect, port.BackendRefused, port.BackendBroken:
+		if s.change(func(h *fleet.Health) bool { return h.Unreachable(time.Now()) }) {
+			rec := s.rec()
+			n.log.WithFields(logrus.Fields{"server": rec.ID, "address": rec.Address}).WithError(err).Warn("Server unreachable.")
+		}
+	}
+}
+
+// hopHeaders concern one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// forwardHeader returns the headers that are passed on.
+func forwardHeader(h http.Header) http.Header {
+	out := maps.Clone(h)
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// deliver passes a server's answer on.
+func (n *Node) deliver(w http.ResponseWriter, x *exchange, a *port.ForwardAnswer) {
+	h := w.Header()
+	for name, values := range forwardHeader(a.Header) {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		// Keeps net/http from guessing one.
+		h["Content-Type"] = nil
+	}
+	if a.Rest == nil {
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	} else if size := a.Header.Get("Content-Length"); size != "" {
+		h.Set("Content-Length", size)
+	}
+	w.WriteHeader(a.Status)
+	_, err := w.Write(a.Body)
+	if a.Rest != nil {
+		if err == nil {
+			_, err = io.Copy(w, a.Rest)
+		}
+		a.Rest.Close()
+		if err != nil {
+			n.finish(x, a.Status, "answer broken off: "+err.Error())
+			// The caller must not take the part for the whole.
+			panic(http.ErrAbortHandler)
+		}
+	}
+	n.finish(x, a.Status, "answered")
+}
+
+// fail ends a request that no server has answered: with a server's own failure
+// if there is one, with a promise that it has not run if that is sure, and else
+// without.
+func (n *Node) fail(w http.ResponseWriter, x *exchange, why string) {
+	switch {
+	case x.kept != nil:
+		n.deliver(w, x, x.kept)
+	case !x.mayHaveRun:
+		n.refuse(w, x, http.StatusServiceUnavailable, why)
+	case time.Now().After(x.deadline.Add(-minLeft)):
+		n.refuse(w, x, http.StatusGatewayTimeout, why)
+	default:
+		n.refuse(w, x, http.StatusBadGateway, why)
+	}
+}
+
+// Bounds of the time after which a refused caller may come again: long enough
+// for a slot to come free, spread so that callers do not return together.
+const (
+	retryAfterLeast  = 100 * time.Millisecond
+	retryAfterSpread = 400 * time.Millisecond
+)
+
+// refuse answers with a status of this gateway's own.
+func (n *Node) refuse(w http.ResponseWriter, x *exchange, status int, why string) {
+	if status == http.StatusServiceUnavailable {
+		after := retryAfterLeast + rand.N(retryAfterSpread)
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+	n.finish(x, status, why)
+}
+
+// finish logs and counts the end of a request.
+func (n *Node) finish(x *exchange, status int, why string) {
+	took := time.Since(x.start)
+	route := ""
+	if x.route != nil {
+		route = x.route.Name
+	}
+	n.metrics.request(route, status, took)
+	fields := logrus.Fields{
+		"request": x.meta.ID, "object": x.meta.Object, "route": route, "service": x.service, "status": status, "ms": took.Milliseconds(),
+		"left_ms": x.meta.Left.Milliseconds(), "attempts": x.attempts,
+	}
+	if x.view.config != nil {
+		fields["version"] = x.view.config.Version
+	}
+	if status >= 200 && status < 400 {
+		n.log.WithFields(fields).Info(why)
+		return
+	}
+	fields["view_age_ms"] = time.Since(n.keeper.Synced()).Milliseconds()
+	n.log.WithFields(fields).Warn(why)
+}
--- /dev/null
+++ b/internal/daemon/gateway/server.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/pace"
+	"cassiatray/internal/port"
+)
+
+// server is one life of a backend server as this gateway knows it.
+type server struct {
+	// record is the newest record of this life; only state and slots change.
+	record atomic.Pointer[fleet.Record]
+	region string
+	// inFlight counts this gateway's requests at the server.
+	inFlight atomic.Int32
+	load     atomic.Pointer[loadReport]
+
+	// mu is a leaf: nothing else is locked under it.
+	mu     sync.Mutex
+	health fleet.Health
+	pace   pace.Limiter
+}
+
+func newServer(rec fleet.Record, region string) *server {
+	s := &server{region: region}
+	s.record.Store(&rec)
+	return s
+}
+
+func (s *server) rec() *fleet.Record { return s.record.Load() }
+
+// loadReport is what a server said of its load with an answer.
+type loadReport struct {
+	port.ServerLoad
+	// others is the part of the load that other gateways put there.
+	others int
+	at     time.Time
+}
+
+// loadMemory is how long a server's report still says something about its
+// load: a few service times.
+const loadMemory = 2 * time.Second
+
+// report takes in a server's own count, made when mine requests of this gateway
+// were at it.
+func (s *server) report(l *port.ServerLoad, mine int, now time.Time) {
+	if l == nil {
+		return
+	}
+	s.load.Store(&loadReport{ServerLoad: *l, others: max(0, l.Running+l.Waiting-mine), at: now})
+}
+
+// busy estimates the requests at the server as a share of its slots.
+func (s *server) busy(now time.Time) float64 {
+	n := float64(s.inFlight.Load())
+	if r := s.load.Load(); r != nil {
+		fresh := 1 - float64(now.Sub(r.at))/float64(loadMemory)
+		n += float64(r.others) * math.Max(0, fresh)
+	}
+	return n / float64(max(1, s.rec().Slots))
+}
+
+// change runs fn on the server's health and returns its result.
+func (s *server) change(fn func(*fleet.Health) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fn(&s.health)
+}
+
+// down reports whether the server counts as unreachable.
+func (s *server) down() bool { return s.change((*fleet.Health).Down) }
+
+// coldLeft returns how much longer the server is cold.
+func (s *server) coldLeft(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(0, s.health.ColdUntil().Sub(now))
+}
+
+// takePace counts a request to the cold server if its pace allows it.
+func (s *server) takePace(now time.Time, rate float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pace.Take(now, rate)
+}
--- /dev/null
+++ b/internal/daemon/gateway/sync.go
@@ -0,0 +1,378 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"cassiatray/internal/adapter/peer"
+	"cassiatray/internal/core/mirror"
+	"cassiatray/internal/port"
+	"cassiatray/internal/sleep"
+	peerv1 "cassiatray/proto/peer/v1"
+)
+
+// Times of the exchange with the store and with peers.
+const (
+	// watchWait is how long the store may keep a watch waiting; it bounds the
+	// age of what a quiet watch confirms.
+	watchWait = 700 * time.Millisecond
+	// watchPause is the least time between two watches. What happens meanwhile
+	// comes with the next, so it bounds the calls a second.
+	watchPause = 600 * time.Millisecond
+	// staleAfter is the age of the mirror from which on a gateway that is no
+	// hub turns to the store itself. It leaves time to act within the shortest
+	// bound, that on drains.
+	staleAfter = 1700 * time.Millisecond
+	// pullWait and spareWait are how long the first and the second source may
+	// keep a pull waiting.
+	pullWait  = 800 * time.Millisecond
+	spareWait = 2500 * time.Millisecond
+	// pullSlack is added to a pull's wait before its source counts as failed.
+	pullSlack = 700 * time.Millisecond
+	// failedFor is how long a source that failed is tried last.
+	failedFor = 2 * time.Second
+	// retryBase and retryMax bound the pause after a failed call of the store.
+	retryBase = 200 * time.Millisecond
+	retryMax  = 1500 * time.Millisecond
+	// leaseTTL is how long the store keeps the record of a gateway that is
+	// silent, and renewEvery how often its lease is renewed.
+	leaseTTL   = 4 * time.Second
+	renewEvery = 1300 * time.Millisecond
+	// tickEvery is how often beliefs are checked for having ended.
+	tickEvery = 200 * time.Millisecond
+	// sources is how many gateways each pulls from.
+	sources = 2
+)
+
+// Syncer keeps the mirror up to date: hubs from the store, others from hubs,
+// and whoever finds no fresh source from the store itself.
+type Syncer struct {
+	cfg      *Settings
+	identity peer.Identity
+	keeper   *Keeper
+	store    port.Registry
+	schema   port.Schema
+	pool     port.PeerCaller
+	log      *logrus.Entry
+	metrics  *Metrics
+	state    atomic.Int32
+
+	mu     sync.Mutex
+	failed map[string]time.Time
+	busy   map[string]bool
+	lease  port.LeaseID
+}
+
+// NewSyncer returns a syncer that has not started.
+func NewSyncer(cfg *Settings, id peer.Identity, k *Keeper, store port.Registry, schema port.Schema, pool port.PeerCaller, log *logrus.Entry, m *Metrics) *Syncer {
+	s := &Syncer{
+		cfg: cfg, identity: id, keeper: k, store: store, schema: schema, pool: pool, log: log, metrics: m,
+		failed: map[string]time.Time{}, busy: map[string]bool{},
+	}
+	s.state.Store(int32(peerv1.HostState_HOST_STATE_STARTING))
+	return s
+}
+
+// Run works until the context ends.
+func (s *Syncer) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { s.watch(ctx) })
+	wg.Go(func() { s.register(ctx) })
+	for rank := range sources {
+		wg.Go(func() { s.follow(ctx, rank) })
+	}
+	wg.Go(func() {
+		for sleep.For(ctx, tickEvery) {
+			s.keeper.Hear(s.self(), true, time.Now())
+			s.keeper.Tick(time.Now())
+		}
+	})
+	wg.Wait()
+}
+
+// self is this gateway as it announces itself.
+func (s *Syncer) self() *peerv1.GatewayMember {
+	return &peerv1.GatewayMember{
+		Host: s.cfg.Host, Domain: s.cfg.Domain, Region: s.cfg.Region, Incarnation: s.identity.Incarnation,
+		CallerAddress: s.cfg.Caller.String(), PeerAddress: s.cfg.Peer.String(),
+		State: peerv1.HostState(s.state.Load()), Capacity: uint32(s.cfg.Capacity * 1000),
+	}
+}
+
+// isFailed reports whether a source failed lately.
+func (s *Syncer) isFailed(host string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.failed[host]) < failedFor
+}
+
+func (s *Syncer) fail(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed[host] = time.Now()
+}
+
+// known returns the other gateways and this one. Before any is known, hosts
+// named by the settings may run some.
+func (s *Syncer) known() []mirror.Member {
+	var out []mirror.Member
+	for _, m := range s.keeper.View().members {
+		out = append(out, mirror.Member{Host: m.Host, Region: m.Region, Address: m.PeerAddress})
+	}
+	if len(out) > 0 {
+		return out
+	}
+	port := strconv.Itoa(int(s.cfg.Peer.Port()))
+	for _, seed := range s.cfg.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil || host == s.cfg.Peer.Addr().String() {
+			continue
+		}
+		out = append(out, mirror.Member{Host: seed, Address: net.JoinHostPort(host, port)})
+	}
+	return out
+}
+
+// watching reports whether this gateway is to watch the store.
+func (s *Syncer) watching() bool {
+	return time.Since(s.keeper.Synced()) > staleAfter ||
+		mirror.IsHub(s.known(), s.cfg.Host, s.cfg.Region, s.isFailed)
+}
+
+// watch keeps the mirror equal to the store while this gateway is to.
+func (s *Syncer) watch(ctx context.Context) {
+	var revision uint64
+	failures := 0
+	for ctx.Err() == nil {
+		if !s.watching() {
+			revision = 0
+			sleep.For(ctx, 100*time.Millisecond)
+			continue
+		}
+		started := time.Now()
+		next, err := s.step(ctx, revision)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			failures++
+			if failures == 1 || port.IsStoreCode(err, port.StoreCompacted) {
+				s.log.WithError(err).WithField("revision", revision).Warn("Store lost.")
+			}
+			if port.IsStoreCode(err, port.StoreCompacted) {
+				revision = 0
+				continue
+			}
+			sleep.For(ctx, backoff(failures))
+			continue
+		}
+		if failures > 0 {
+			s.log.WithFields(logrus.Fields{"revision": next, "failures": failures}).Info("Store reached again.")
+		}
+		failures, revision = 0, next
+		sleep.For(ctx, watchPause-time.Since(started))
+	}
+}
+
+func backoff(failures int) time.Duration {
+	d := min(retryMax, retryBase<<min(failures-1, 8))
+	return d/2 + time.Duration(rand.Int64N(int64(d/2)))
+}
+
+// step lists the store when revision is zero, and else watches it once. It
+// returns where the next watch continues.
+func (s *Syncer) step(ctx context.Context, revision uint64) (uint64, error) {
+	if revision == 0 {
+		l, err := s.store.ListPrefix(ctx, "")
+		s.metrics.call("list", err)
+		if err != nil {
+			return 0, err
+		}
+		now := time.Now()
+		records := make([]mirror.Record, 0, len(l.Entries))
+		for _, e := range l.Entries {
+			records = append(records, mirror.Record{Key: e.Key, Value: e.Value, Revision: e.Revision, Read: now})
+		}
+		s.keeper.Replace(records, l.Revision, "store", now)
+		return l.Revision, nil
+	}
+	ch, err := s.store.WatchPrefix(ctx, "", revision, watchWait)
+	s.metrics.call("watch", err)
+	if err != nil {
+		return revision, err
+	}
+	now := time.Now()
+	records := make([]mirror.Record, 0, len(ch.List))
+	for _, c := range ch.List {
+		records = append(records, mirror.Record{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, Read: now})
+	}
+	s.keeper.Confirm(now, now)
+	s.keeper.Apply(records, "store", now)
+	return ch.Revision, nil
+}
+
+// follow pulls from one source after another. Rank tells the loops apart: each
+// takes the best source that no other loop uses.
+func (s *Syncer) follow(ctx context.Context, rank int) {
+	wait := pullWait
+	if rank > 0 {
+		wait = spareWait
+	}
+	var last string
+	var epoch, since uint64
+	for ctx.Err() == nil {
+		m, ok := s.claim()
+		if !ok {
+			sleep.For(ctx, 100*time.Millisecond)
+			continue
+		}
+		if m.Host != last {
+			last, epoch, since = m.Host, 0, 0
+		}
+		page, err := s.pull(ctx, m, epoch, since, wait)
+		s.release(m)
+		if err != nil {
+			if ctx.Err() == nil {
+				s.fail(m.Host)
+				s.log.WithError(err).WithField("peer", m.Host).Warn("Source lost.")
+				sleep.For(ctx, 50*time.Millisecond)
+			}
+			continue
+		}
+		now := time.Now()
+		s.keeper.TakePage(page, m.Host, now)
+		epoch, since = page.Epoch, page.Next
+		if page.AgeMicros < 0 || time.Duration(page.AgeMicros)*time.Microsecond > staleAfter {
+			// The source lost the store too; another may still have it.
+			s.fail(m.Host)
+			sleep.For(ctx, 100*time.Millisecond)
+		}
+	}
+}
+
+// claim returns the best source that is free.
+func (s *Syncer) claim() (mirror.Member, bool) {
+	order := mirror.Order(s.known(), s.cfg.Host, s.cfg.Region, s.isFailed)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range order {
+		if !s.busy[m.Host] {
+			s.busy[m.Host] = true
+			return m, true
+		}
+	}
+	return mirror.Member{}, false
+}
+
+func (s *Syncer) release(m mirror.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.busy, m.Host)
+}
+
+func (s *Syncer) pull(ctx context.Context, m mirror.Member, epoch, since uint64, wait time.Duration) (*peerv1.MirrorPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+pullSlack)
+	defer cancel()
+	reply, err := s.pool.Call(ctx, m.Address, &peerv1.Request{Body: &peerv1.Request_MirrorPull{MirrorPull: &peerv1.MirrorPull{
+		Epoch: epoch, Since: since, WaitMicros: wait.Microseconds(), Self: s.self(),
+	}}})
+	if err != nil {
+		return nil, err
+	}
+	page := reply.GetMirrorPage()
+	if page == nil {
+		return nil, &port.PeerError{Code: port.PeerMismatch, Address: m.Address, Sent: true}
+	}
+	return page, nil
+}
+
+// Ready reports whether this gateway knows enough to serve.
+func (s *Syncer) Ready() bool {
+	v := s.keeper.View()
+	return v.config != nil && len(v.services) > 0
+}
+
+// register announces this gateway in the store while it serves.
+func (s *Syncer) register(ctx context.Context) {
+	for !s.Ready() {
+		if !sleep.For(ctx, 20*time.Millisecond) {
+			return
+		}
+	}
+	s.state.Store(int32(peerv1.HostState_HOST_STATE_SERVING))
+	s.log.Info("Ready.")
+	failures := 0
+	for ctx.Err() == nil && s.state.Load() == int32(peerv1.HostState_HOST_STATE_SERVING) {
+		if err := s.announce(ctx); err != nil {
+			failures++
+			if failures == 1 {
+				s.log.WithError(err).Warn("Cannot announce this gateway in the store.")
+			}
+			sleep.For(ctx, backoff(failures+2))
+			continue
+		}
+		failures = 0
+		sleep.For(ctx, renewEvery)
+	}
+}
+
+// announce renews the lease, or opens one and writes the record under it.
+func (s *Syncer) announce(ctx context.Context) error {
+	if s.lease != "" && s.announced() {
+		err := s.store.RenewLease(ctx, s.lease)
+		s.metrics.call("renew", err)
+		if !port.IsStoreCode(err, port.StoreNotFound) {
+			return err
+		}
+		s.lease = ""
+	}
+	if s.lease == "" {
+		id, err := s.store.GrantLease(ctx, leaseTTL)
+		s.metrics.call("grant", err)
+		if err != nil {
+			return err
+		}
+		s.lease = id
+	}
+	value, err := proto.Marshal(s.self())
+	if err != nil {
+		return err
+	}
+	err = s.store.Put(ctx, s.schema.MemberKey(s.cfg.Host), value, s.lease)
+	s.metrics.call("put", err)
+	if port.IsStoreCode(err, port.StoreNotFound) {
+		s.lease = ""
+	}
+	return err
+}
+
+// announced reports whether the mirror lacks nothing of this gateway's record.
+// A record that was removed under a live lease is written again.
+func (s *Syncer) announced() bool {
+	s.keeper.mu.Lock()
+	defer s.keeper.mu.Unlock()
+	m := s.keeper.stored[s.cfg.Host]
+	return m != nil && m.Incarnation == s.identity.Incarnation || time.Since(s.keeper.mirror.Synced()) > staleAfter
+}
+
+// Leave takes this gateway out of the directory everywhere.
+func (s *Syncer) Leave(ctx context.Context) {
+	s.state.Store(int32(peerv1.HostState_HOST_STATE_LEAVING))
+	s.keeper.Hear(s.self(), true, time.Now())
+	if s.lease == "" {
+		return
+	}
+	err := s.store.RevokeLease(ctx, s.lease)
+	s.metrics.call("revoke", err)
+	if err != nil {
+		s.log.WithError(err).Warn("Cannot revoke the lease; it lapses by itself.")
+	}
+}
--- /dev/null
+++ b/internal/daemon/gateway/view.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/mirror"
+	"cassiatray/internal/core/placement"
+	"cassiatray/internal/core/routing"
+	"cassiatray/internal/port"
+	peerv1 "cassiatray/proto/peer/v1"
+)
+
+// view is everything that the path of a request reads, at one moment. It is
+// immutable but for the parts with their own lock, and swapped whole.
+type view struct {
+	config *routing.Config
+	// revision is that of config's record.
+	revision uint64
+	services map[string]*group
+	splits   map[*routing.Route]*lockedSplit
+	// evacuated are the failure domains whose servers get no work.
+	evacuated map[string]bool
+	// members are the gateways that serve, without leaving ones.
+	members []*peerv1.GatewayMember
+	// hosts are the names of members, sorted.
+	hosts []string
+}
+
+// group is the servers of one service that may get work.
+type group struct {
+	servers []*server
+	ring    *placement.Ring
+	// ranks caches the order of servers by object.
+	ranks sync.Map
+}
+
+// rank returns the indexes of the servers for an object, best first.
+func (g *group) rank(object uint64) []int {
+	if r, ok := g.ranks.Load(object); ok {
+		return r.([]int)
+	}
+	r := g.ring.Rank(object, g.ring.Len())
+	g.ranks.Store(object, r)
+	return r
+}
+
+type lockedSplit struct {
+	mu    sync.Mutex
+	split *routing.Split
+}
+
+func (s *lockedSplit) choose(point float64) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.split.Choose(point)
+}
+
+// service returns the service that runs a request of a route.
+func (v *view) service(r *routing.Route, point float64) string {
+	if s := v.splits[r]; s != nil {
+		return s.choose(point)
+	}
+	return r.Parts[0].Service
+}
+
+// build makes the view of the mirror's records. The caller holds k.mu.
+func (k *Keeper) build(now time.Time) *view {
+	v := &view{
+		config: k.config, revision: k.configRevision, services: map[string]*group{},
+		splits: k.splits, evacuated: map[string]bool{},
+	}
+	k.each(now, func(r mirror.Record) {
+		if kind, name := k.schema.Kind(r.Key); kind == port.RecordEvacuation && !r.Deleted {
+			v.evacuated[name] = true
+		}
+	})
+	for _, s := range k.servers {
+		rec := s.rec()
+		if rec.State != fleet.Ready || v.evacuated[rec.Domain] || s.region == "" {
+			continue
+		}
+		if v.config == nil || v.config.Services[rec.Service] == nil {
+			continue
+		}
+		g := v.services[rec.Service]
+		if g == nil {
+			g = new(group)
+			v.services[rec.Service] = g
+		}
+		g.servers = append(g.servers, s)
+	}
+	for _, g := range v.services {
+		g.finish(k.cfg)
+	}
+	v.members = k.members(now)
+	for _, m := range v.members {
+		v.hosts = append(v.hosts, m.Host)
+	}
+	return v
+}
+
+// finish orders the servers and makes their ring.
+func (g *group) finish(cfg *Settings) {
+	slices.SortFunc(g.servers, func(a, b *server) int { return strings.Compare(a.rec().ID, b.rec().ID) })
+	list := make([]placement.Server, len(g.servers))
+	for i, s := range g.servers {
+		list[i] = placement.Server{ID: s.rec().ID, Weight: nearness(cfg, s) * float64(s.rec().Slots)}
+	}
+	g.ring = placement.NewRing(list)
+}
+
+func nearness(cfg *Settings, s *server) float64 {
+	switch {
+	case s.rec().Domain == cfg.Domain:
+		return placement.WeightDomain
+	case s.region == cfg.Region:
+		return placement.WeightRegion
+	}
+	return placement.WeightOther
+}
+
+// members returns the gateways that serve, sorted by host. The caller holds
+// k.mu.
+func (k *Keeper) members(now time.Time) []*peerv1.GatewayMember {
+	all := map[string]*peerv1.GatewayMember{}
+	for _, h := range k.heard {
+		if now.Sub(h.at) < heardLife {
+			all[h.member.Host] = h.member
+		}
+	}
+	for host, m := range k.stored {
+		if h := all[host]; h == nil || h.Incarnation < m.Incarnation {
+			all[host] = m
+		}
+	}
+	out := make([]*peerv1.GatewayMember, 0, len(all))
+	for _, m := range all {
+		if m.State == peerv1.HostState_HOST_STATE_SERVING {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b *peerv1.GatewayMember) int { return cmp.Compare(a.Host, b.Host) })
+	return out
+}
--- /dev/null
+++ b/internal/logging/async.go
@@ -0,0 +1,102 @@
+package logging
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// queueLines is how many lines wait for a slow reader before more are
+	// dropped.
+	queueLines = 2048
+	// reportEvery is how often dropped lines are reported.
+	reportEvery = time.Second
+)
+
+// Async writes lines to a slow writer without ever waiting for it. Lines that
+// find the queue full are dropped and counted.
+type Async struct {
+	lines   chan []byte
+	done    chan struct{}
+	dropped atomic.Uint64
+}
+
+// NewAsync returns a writer in front of w.
+func NewAsync(w io.Writer) *Async {
+	a := &Async{lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	go a.run(w)
+	return a
+}
+
+// Write implements io.Writer; it never fails.
+func (a *Async) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	select {
+	case a.lines <- append([]byte(nil), p...):
+	default:
+		a.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Close writes what is queued, for at most a while.
+func (a *Async) Close(atMost time.Duration) {
+	close(a.lines)
+	select {
+	case <-a.done:
+	case <-time.After(atMost):
+	}
+}
+
+func (a *Async) run(w io.Writer) {
+	defer close(a.done)
+	last := time.Now()
+	for line := range a.lines {
+		if _, err := w.Write(line); err != nil {
+			a.dropped.Add(1)
+		}
+		if time.Since(last) < reportEvery {
+			continue
+		}
+		last = time.Now()
+		if n := a.dropped.Swap(0); n > 0 {
+			fmt.Fprintf(w, "{\"level\":\"warning\",\"msg\":\"log: Lines dropped.\",\"lines\":%d}\n", n)
+		}
+	}
+}
+
+// Capped is a formatter that leaves out lines of level info and below beyond a
+// number a second, so that warnings keep their room under load.
+type Capped struct {
+	Inner logrus.Formatter
+	// PerSecond is how many lines a second are kept.
+	PerSecond int64
+
+	second, lines, left atomic.Int64
+}
+
+// Format implements logrus.Formatter. A line that is left out is empty.
+func (c *Capped) Format(e *logrus.Entry) ([]byte, error) {
+	if e.Level < logrus.InfoLevel {
+		return c.Inner.Format(e)
+	}
+	now := e.Time.Unix()
+	if old := c.second.Load(); old != now && c.second.CompareAndSwap(old, now) {
+		c.lines.Store(0)
+		if n := c.left.Swap(0); n > 0 {
+			e = e.WithField("lines_left_out_before", n)
+			e.Level, e.Message, e.Time = logrus.InfoLevel, e.Message, time.Unix(now, 0)
+		}
+	}
+	if c.lines.Add(1) > c.PerSecond {
+		c.left.Add(1)
+		return nil, nil
+	}
+	return c.Inner.Format(e)
+}
--- /dev/null
+++ b/internal/port/dialect.go
@@ -0,0 +1,100 @@
+package port
+
+import (
+	"net/http"
+	"time"
+
+	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/routing"
+)
+
+// CallerMeta is what the headers of a caller's request say.
+type CallerMeta struct {
+	// ID names this attempt of the caller; empty when it gave none.
+	ID string
+	// Object names what the request is about; empty when it is about nothing
+	// that others share.
+	Object string
+	// Left is how long the caller will wait; zero when it does not say.
+	Left time.Duration
+}
+
+// ServerMeta is what the headers of a backend server's answer say.
+type ServerMeta struct {
+	// ID is the echoed attempt; empty when there is none.
+	ID string
+	// Signed is set when the server itself made the answer.
+	Signed bool
+	// NotRun is set when the server proves that it did not run the request.
+	NotRun bool
+	// OtherInstance is set when the process at the address is not the one the
+	// request was meant for.
+	OtherInstance bool
+	// Instance is the server's own name for its process; empty when not said.
+	Instance string
+	// Cold is how much longer the server stays cold; zero when warm.
+	Cold time.Duration
+	// Load is nil when the server does not tell it.
+	Load *ServerLoad
+}
+
+// ServerLoad is a server's own count of its requests.
+type ServerLoad struct{ Running, Waiting, Slots int }
+
+// Dialect is how callers and backend servers write down what the gateway needs
+// to know. An adapter implements it for the headers of one platform.
+type Dialect interface {
+	// Caller reads a caller's headers.
+	Caller(h http.Header) CallerMeta
+	// Forward sets the headers of a request to a backend server: the time left
+	// and the process that it is meant for.
+	Forward(h http.Header, left time.Duration, instance string)
+	// Server reads the headers of a backend server's answer.
+	Server(status int, h http.Header) ServerMeta
+}
+
+// RecordKind says what a key of the platform's store holds.
+type RecordKind int
+
+// Values of RecordKind.
+const (
+	RecordOther RecordKind = iota
+	// RecordConfig is the routing configuration.
+	RecordConfig
+	// RecordEvacuation asks that a failure domain's servers get no work.
+	RecordEvacuation
+	// RecordServer is what a backend server says of itself.
+	RecordServer
+	// RecordMember is a gateway of this system.
+	RecordMember
+)
+
+// Schema decodes the records of the platform's store.
+type Schema interface {
+	// Kind returns what a key holds and the name at its end: the failure
+	// domain, the server or the host.
+	Kind(key string) (RecordKind, string)
+	// MemberKey is the key of a gateway's own record.
+	MemberKey(host string) string
+	// Config decodes a routing configuration. Errors: *RecordError.
+	Config(value []byte) (*routing.Config, error)
+	// Server decodes a backend server's record. Errors: *RecordError.
+	Server(id string, value []byte) (fleet.Record, error)
+	// SameServer reports whether two records of one server differ in nothing
+	// but a heartbeat's counter and the passing of time.
+	SameServer(a, b []byte) bool
+}
+
+// RecordError is a record that cannot be used.
+type RecordError struct {
+	Key    string
+	Field  string
+	Reason string
+}
+
+func (e *RecordError) Error() string {
+	if e.Field == "" {
+		return "record " + e.Key + ": " + e.Reason
+	}
+	return "record " + e.Key + ": field " + e.Field + ": " + e.Reason
+}
--- /dev/null
+++ b/internal/port/forward.go
@@ -0,0 +1,56 @@
+package port
+
+import (
+	"context"
+	"io"
+	"net/http"
+)
+
+// ForwardRequest is one request of a caller on its way to a backend server.
+type ForwardRequest struct {
+	Method string
+	// URI is the request target as the caller sent it.
+	URI  string
+	Host string
+	// Header holds the end-to-end headers.
+	Header http.Header
+	// Body is the body's begin, or all of it when Rest is nil. Size is that of
+	// the whole body, or -1 when it is not known before its end.
+	Body []byte
+	Rest io.Reader
+	Size int64
+	// ID is echoed by the server; an answer with another one is not ours.
+	ID string
+	// Fresh asks for a connection on which nothing was sent before.
+	Fresh bool
+}
+
+// ForwardAnswer is an answer of a backend server.
+type ForwardAnswer struct {
+	Status int
+	Header http.Header
+	Meta   ServerMeta
+	// Body is the whole body, or its begin when Rest is set. Closing Rest ends
+	// the exchange.
+	Body []byte
+	Rest io.ReadCloser
+	// Closing is set when the server closes the connection after the answer.
+	Closing bool
+	// Opened is set when the exchange opened a connection.
+	Opened bool
+}
+
+// Forwarder sends requests to backend servers by address ("ip:port").
+//
+// Errors: *BackendError, which says whether any byte may have reached the
+// server.
+type Forwarder interface {
+	Forward(ctx context.Context, address string, req *ForwardRequest) (*ForwardAnswer, error)
+}
+
+// Prober asks backend servers for their health.
+//
+// Errors: *BackendError.
+type Prober interface {
+	Probe(ctx context.Context, address, path string) (meta ServerMeta, status int, err error)
+}
--- a/internal/port/platform.go
+++ b/internal/port/platform.go
@@ -61,6 +61,7 @@
 	StoreTooLarge    StoreCode = "too-large"
 	StoreUnavailable StoreCode = "unavailable"
 	StoreUnknown     StoreCode = "unknown"
+	StoreCompacted   StoreCode = "compacted"
 )
 
 // StoreError is a failed call to the platform's key-value service.
--- /dev/null
+++ b/internal/port/registry.go
@@ -0,0 +1,54 @@
+package port
+
+import (
+	"context"
+	"time"
+)
+
+// Change is one write or removal of a key.
+type Change struct {
+	Entry
+	// Deleted is set when the key was removed; Revision is then that of the
+	// removal, and there is no value.
+	Deleted bool
+}
+
+// Listing is the keys under a prefix. It was read in pages, so a key that
+// changed meanwhile may be listed with a revision above Revision.
+type Listing struct {
+	Entries []Entry
+	// Revision is the store's revision when the first page was read: every
+	// change up to it is in Entries.
+	Revision uint64
+}
+
+// Changes is what happened under a prefix.
+type Changes struct {
+	List []Change
+	// Revision is where the next watch continues.
+	Revision uint64
+}
+
+// Registry is the platform's key-value service as the gateway uses it: a
+// service that watches whole prefixes. Every method is one call against the
+// platform's budget.
+//
+// Errors: *StoreError, with code StoreNotFound for a lease that has ended,
+// StoreConflict for a key that is not as expected, StoreCompacted for a watch
+// from a revision that the store has forgotten, StoreUnavailable (the call had
+// no effect) or StoreUnknown (the reply was lost).
+type Registry interface {
+	// ListPrefix reads all keys with a prefix.
+	ListPrefix(ctx context.Context, prefix string) (Listing, error)
+	// WatchPrefix returns the changes after a revision, at once when there are
+	// any and after wait when there are none.
+	WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
+	// GrantLease opens a lease that lapses ttl after its last renewal.
+	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// RenewLease extends a lease.
+	RenewLease(ctx context.Context, id LeaseID) error
+	// RevokeLease ends a lease and deletes the keys it holds.
+	RevokeLease(ctx context.Context, id LeaseID) error
+	// Put writes a key, whatever it holds, and ties it to a lease.
+	Put(ctx context.Context, key string, value []byte, id LeaseID) error
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -5,8 +5,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -46,10 +49,15 @@
 type Daemon struct {
 	Name string
 	Help string
+	// SettingsEnv names an environment variable with the path of the settings
+	// file, for when the command line has none; empty for no such variable.
+	SettingsEnv string
 	// Settings is a pointer to the settings type.
 	Settings settings.Checker
 	// Log returns the log settings once they are read.
 	Log func() settings.Log
+	// LogTo is where logs go; nil for standard error.
+	LogTo io.Writer
 	// Options are the fx options of the daemon, without settings and logger.
 	Options fx.Option
 }
@@ -57,7 +65,7 @@
 // Main runs a daemon until it is told to stop, and returns its exit status.
 func Main(d Daemon) int {
 	var cli commandLine
-	kong.Parse(&cli, kong.Name(d.Name), kong.Description(d.Help), kong.Vars{"version": d.Name + " " + Version})
+	d.parse(&cli)
 	if err := settings.Load(cli.Settings, d.Settings); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", d.Name, err)
 		return settings.ExitInvalid
@@ -65,7 +73,11 @@
 	if cli.Check {
 		return ExitOK
 	}
-	log := logging.New(d.Log(), os.Stderr)
+	to := d.LogTo
+	if to == nil {
+		to = os.Stderr
+	}
+	log := logging.New(d.Log(), to)
 	app := fx.New(
 		fx.NopLogger, fx.StartTimeout(startTimeout), fx.StopTimeout(stopTimeout),
 		fx.Supply(log, newRegistry()), d.Options,
@@ -73,6 +85,20 @@
 	return run(app, logging.Part(log, "main"))
 }
 
+// parse reads the command line, and exits when it is wrong.
+func (d Daemon) parse(cli *commandLine) {
+	parser := kong.Must(cli, kong.Name(d.Name), kong.Description(d.Help), kong.Vars{"version": d.Name + " " + Version})
+	args := os.Args[1:]
+	named := slices.ContainsFunc(args, func(a string) bool {
+		return strings.HasPrefix(a, "-s") || strings.HasPrefix(a, "--settings")
+	})
+	if path := os.Getenv(d.SettingsEnv); d.SettingsEnv != "" && path != "" && !named {
+		args = append(slices.Clone(args), "--settings="+path)
+	}
+	_, err := parser.Parse(args)
+	parser.FatalIfErrorf(err)
+}
+
 func newRegistry() *prometheus.Registry {
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
