Place objects by region and keep two homes an object; bound waits by the target

Ruled out: more retries (they add load), least-loaded choice (warms all). Change: an object has two homes; it goes to the second only when that is quicker by half a service time. Shares of requests to zones follow from capacities and are equal for all gateways of a region; routes with large answers are placed by failure domain. A request that would wait longer than its target allows is refused at once, less urgent ones earlier.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -12,16 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Weights of nearness. A server of the gateway's own failure domain wins more
-// objects than one of its region, and that more than one of another region,
-// where each answer crosses priced links; a weight too high overloads domains
-// with many callers and few servers (docs/design/platform.md).
-const (
-	WeightDomain = 8
-	WeightRegion = 3
-	WeightOther  = 1
-)
-
 // Server is a candidate.
 type Server struct {
 	ID string
@@ -55,8 +45,7 @@
 func (r *Ring) Rank(object uint64, n int) []int {
 	all := make([]scored, len(r.servers))
 	for i, s := range r.servers {
-		u := Point(object ^ s.hash)
-		all[i] = scored{index: i, score: -s.Weight / math.Log(u)}
+		all[i] = scored{index: i, score: -s.Weight / math.Log(Point(object^s.hash))}
 	}
 	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	out := make([]int, 0, min(n, len(all)))
--- a/internal/core/routing/config.go
+++ b/internal/core/routing/config.go
@@ -126,3 +126,29 @@
 		}
 	}
 }
+
+// Levels counts, for each route, the priorities above its own among the routes
+// of a service that it uses.
+func (c *Config) Levels() map[*Route]int {
+	byService := map[string][]int{}
+	c.EachRoute(func(r *Route) {
+		for _, p := range r.Parts {
+			if !slices.Contains(byService[p.Service], r.Priority) {
+				byService[p.Service] = append(byService[p.Service], r.Priority)
+			}
+		}
+	})
+	out := map[*Route]int{}
+	c.EachRoute(func(r *Route) {
+		for _, p := range r.Parts {
+			above := 0
+			for _, other := range byService[p.Service] {
+				if other < r.Priority {
+					above++
+				}
+			}
+			out[r] = max(out[r], above)
+		}
+	})
+	return out
+}
--- a/internal/daemon/gateway/dump.go
+++ b/internal/daemon/gateway/dump.go
@@ -32,7 +32,7 @@
 	Down     bool    `json:"down"`
 	ColdMS   int64   `json:"cold_ms"`
 	InFlight int32   `json:"in_flight"`
-	Busy     float64 `json:"busy"`
+	Requests float64 `json:"requests"`
 }
 
 // Dump implements operatorhttp.Source.
@@ -51,7 +51,7 @@
 		rec := s.rec()
 		out.Servers = append(out.Servers, ServerState{
 			ID: rec.ID, Service: rec.Service, Address: rec.Address, Domain: rec.Domain, State: rec.State.String(),
-			Down: s.down(), ColdMS: s.coldLeft(now).Milliseconds(), InFlight: s.inFlight.Load(), Busy: s.busy(now),
+			Down: s.down(), ColdMS: s.coldLeft(now).Milliseconds(), InFlight: s.inFlight.Load(), Requests: s.requests(now),
 		})
 	}
 	return out
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -50,6 +50,7 @@
 	config         *routing.Config
 	configRevision uint64
 	splits         map[*routing.Route]*lockedSplit
+	levels         map[*routing.Route]int
 	servers        map[string]*server
 	stored         map[string]*peerv1.GatewayMember
 	heard          map[string]heardMember
@@ -160,7 +161,7 @@
 		return
 	}
 	k.config, k.configRevision = c, r.Revision
-	k.splits = map[*routing.Route]*lockedSplit{}
+	k.splits, k.levels = map[*routing.Route]*lockedSplit{}, c.Levels()
 	c.EachRoute(func(route *routing.Route) {
 		if len(route.Parts) > 1 {
 			k.splits[route] = &lockedSplit{split: routing.NewSplit(route.Parts)}
--- a/internal/daemon/gateway/module.go
+++ b/internal/daemon/gateway/module.go
@@ -129,7 +129,7 @@
 	return l, nil
 }
 
-func start(lc fx.Lifecycle, cfg *Settings, n *Node, k *Keeper, s *Syncer, f *serverconn.Pool, srv *peer.Server, pool *peer.Pool, h Handlers, reg *prometheus.Registry, log *logrus.Logger) {
+func start(lc fx.Lifecycle, cfg *Settings, n *Node, k *Keeper, s *Syncer, f *serverconn.Pool, srv *peer.Server, h Handlers, reg *prometheus.Registry, log *logrus.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	quiet := logging.Discard()
@@ -165,9 +165,7 @@
 		OnStop: func(stop context.Context) error {
 			err := n.stop(stop, callers)
 			cancel()
-			pool.Close()
-			n.Close()
-			f.Close()
+			n.cancel()
 			return err
 		},
 	})
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -7,23 +7,25 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/overload"
 	"cassiatray/internal/core/pace"
-	"cassiatray/internal/core/routing"
 	"cassiatray/internal/port"
 )
 
-// fullAt is the share of its slots from which on a server counts as full, so
-// that objects spill to their next server.
-const fullAt = 1.0
+// homes is how many servers an object is served by while they can be reached.
+// With one more than one there is room when the first is full; with many, every
+// server would have to keep every object warm.
+const homes = 2
 
 // choice is a server with what decided for it.
 type choice struct {
 	server *server
 	// rank is the server's place in the object's order, from 0.
 	rank int
-	// busy is its estimated load as a share of its slots.
-	busy float64
-	cold time.Duration
+	// requests and wait are the estimated load and the time for a slot.
+	requests float64
+	wait     time.Duration
+	cold     time.Duration
 }
 
 // verdict says why no server was chosen.
@@ -36,59 +38,95 @@
 	verdictTried   verdict = "all servers tried"
 	verdictDown    verdict = "servers unreachable"
 	verdictCold    verdict = "servers cold"
+	verdictFull    verdict = "servers full"
 )
 
-// pick chooses the server of a request: the first in the object's order that
-// has room, or else the one with the most room.
-func (n *Node) pick(v *view, route *routing.Route, service string, object uint64, tried map[*server]bool, now time.Time) (choice, verdict) {
-	g := v.services[service]
+// pick chooses the server of a request among the first in its object's order
+// that can be used: the first, unless another is quicker by more than what it
+// costs to warm the object there.
+func (n *Node) pick(v *view, x *exchange, now time.Time) (choice, verdict) {
+	g := v.services[x.service]
 	if g == nil {
 		return choice{}, verdictUnknown
 	}
+	service := n.costs.service(x.route)
+	limit := overload.MaxWait(x.route.Target, x.deadline.Sub(now), service, v.levels[x.route])
 	var best choice
 	why := verdictUnknown
-	for rank, i := range g.rank(object) {
+	found := 0
+	for rank, i := range g.rank(n.costs.scope(x.route), x.object) {
 		s := g.servers[i]
-		switch {
-		case !route.AllowsRegion(s.region):
+		c, reason := n.consider(v, x, s, service, now)
+		if reason != verdictNone {
+			why = reason
 			continue
-		case tried[s]:
-			why = verdictTried
-			continue
-		case s.down():
-			n.check(v, s, now)
-			why = verdictDown
-			continue
-		}
-		c := choice{server: s, rank: rank, busy: s.busy(now), cold: s.coldLeft(now)}
-		if c.cold > 0 && !n.mayWarm(v, s, now) {
-			why = verdictCold
-			continue
-		}
-		if s.change(func(h *fleet.Health) bool { return h.Shedding(now) }) {
-			c.busy += 2
 		}
-		if c.busy < fullAt {
-			return c, verdictNone
-		}
-		if best.server == nil || c.busy < best.busy {
+		c.rank = rank
+		found++
+		if best.server == nil || c.wait+spillCost(x, service) < best.wait {
 			best = c
 		}
+		if found == homes {
+			break
+		}
+	}
+	switch {
+	case best.server == nil:
+		return choice{}, why
+	case best.wait > limit:
+		return best, verdictFull
+	case best.cold > 0 && !n.mayWarm(v, best.server, now):
+		return choice{}, verdictCold
+	}
+	return best, verdictNone
+}
+
+// spillCost is how much longer a request may wait at an object's first server
+// before it goes to the next, which may have to warm the object first.
+func spillCost(x *exchange, service time.Duration) time.Duration {
+	if !x.route.Sticky {
+		return 0
+	}
+	return service / 2
+}
+
+// consider returns a server's load, or why it cannot be used.
+func (n *Node) consider(v *view, x *exchange, s *server, service time.Duration, now time.Time) (choice, verdict) {
+	switch {
+	case !x.route.AllowsRegion(s.region):
+		return choice{}, verdictUnknown
+	case x.tried[s]:
+		return choice{}, verdictTried
+	case s.down():
+		n.check(v, s, now)
+		return choice{}, verdictDown
 	}
-	if best.server != nil {
-		return best, verdictNone
+	c := choice{server: s, requests: s.requests(now), cold: s.coldLeft(now)}
+	if c.cold > 0 && !n.owns(v, s) {
+		return choice{}, verdictCold
 	}
-	return choice{}, why
+	if s.change(func(h *fleet.Health) bool { return h.Shedding(now) }) {
+		// The server's queue was full a moment ago.
+		c.requests = max(c.requests, float64(shedQueue*s.rec().Slots))
+	}
+	c.wait = overload.Load{Requests: c.requests, Slots: s.rec().Slots, Service: service}.Wait()
+	return c, verdictNone
 }
 
+// shedQueue is how many requests for each slot a server is taken to hold when
+// it refuses more.
+const shedQueue = 3
+
 // mayWarm reports whether this gateway may send a request to a cold server now,
 // and counts it.
 func (n *Node) mayWarm(v *view, s *server, now time.Time) bool {
 	rate := v.config.Services[s.rec().Service].ColdRate
-	if rate <= 0 {
-		return true
-	}
-	return pace.Owner(s.rec().ID, v.hosts) == n.cfg.Host && s.takePace(now, rate)
+	return rate <= 0 || s.takePace(now, rate)
+}
+
+// owns reports whether this gateway is the one that sends to a cold server.
+func (n *Node) owns(v *view, s *server) bool {
+	return v.config.Services[s.rec().Service].ColdRate <= 0 || pace.Owner(s.rec().ID, v.hosts) == n.cfg.Host
 }
 
 // checkTimeout bounds a health check.
--- a/internal/daemon/gateway/serve.go
+++ b/internal/daemon/gateway/serve.go
@@ -31,7 +31,7 @@
 	defaultLeft = 30 * time.Second
 	// answerGrace is how long after a request's time its server may still
 	// answer: it stops at the time, and its answer has to travel.
-	answerGrace = 120 * time.Millisecond
+	answerGrace = 60 * time.Millisecond
 	// extraAttempts is how many servers may refuse a request beside those that
 	// may run it.
 	extraAttempts = 2
@@ -59,6 +59,8 @@
 	inFlight   atomic.Int64
 	stopping   atomic.Bool
 
+	costs costs
+
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
 }
@@ -72,12 +74,6 @@
 	}
 }
 
-// Close ends background work.
-func (n *Node) Close() {
-	n.cancel()
-	n.background.Wait()
-}
-
 // exchange is one request of a caller on its way through this gateway.
 type exchange struct {
 	start   time.Time
@@ -94,6 +90,8 @@
 	attempts []attempt
 	// mayHaveRun is set once a server may have begun the request.
 	mayHaveRun bool
+	// refusal is the server that was too busy for the request.
+	refusal choice
 	// kept is a server's failure that is passed on when no other server does
 	// better.
 	kept *port.ForwardAnswer
@@ -101,14 +99,16 @@
 
 // attempt is one sending of a request, for the log.
 type attempt struct {
-	Server string  `json:"server"`
-	Rank   int     `json:"rank"`
-	Busy   float64 `json:"busy"`
-	ColdMS int64   `json:"cold_ms,omitempty"`
-	Status int     `json:"status,omitempty"`
-	Error  string  `json:"error,omitempty"`
-	MS     int64   `json:"ms"`
-	New    bool    `json:"new_conn,omitempty"`
+	Server string `json:"server"`
+	Rank   int    `json:"rank"`
+	// Requests and WaitMS are the server's load as it was estimated.
+	Requests float64 `json:"requests"`
+	WaitMS   int64   `json:"wait_ms,omitempty"`
+	ColdMS   int64   `json:"cold_ms,omitempty"`
+	Status   int     `json:"status,omitempty"`
+	Error    string  `json:"error,omitempty"`
+	MS       int64   `json:"ms"`
+	New      bool    `json:"new_conn,omitempty"`
 }
 
 // ServeHTTP implements http.Handler.
@@ -218,8 +218,9 @@
 		}
 		// A view that is newer than the request's may have lost servers.
 		v := n.keeper.View()
-		c, why := n.pick(v, x.route, x.service, x.object, x.tried, now)
-		if c.server == nil {
+		c, why := n.pick(v, x, now)
+		if why != verdictNone {
+			x.refusal = c
 			n.fail(w, x, string(why))
 			return
 		}
@@ -281,7 +282,7 @@
 	if x.rest == nil {
 		req.Size = int64(len(x.body))
 	}
-	n.dialect.Forward(req.Header, left, rec.ID)
+	n.dialect.Forward(req.Header, max(minLeft/2, left-n.travel(s)), rec.ID)
 	mine := s.inFlight.Add(1)
 	begin := time.Now()
 	a, err := n.forward.Forward(ctx, rec.Address, req)
@@ -292,13 +293,14 @@
 	} else {
 		context.AfterFunc(ctx, cancel)
 	}
-	at := attempt{Server: rec.ID, Rank: c.rank, Busy: c.busy, ColdMS: c.cold.Milliseconds(), MS: took.Milliseconds()}
+	at := attempt{Server: rec.ID, Rank: c.rank, Requests: c.requests, WaitMS: c.wait.Milliseconds(), ColdMS: c.cold.Milliseconds(), MS: took.Milliseconds()}
 	if err != nil {
 		at.Error = err.Error()
 		n.noteFailure(s, err)
 	} else {
 		at.Status, at.New = a.Status, a.Opened
 		s.learn(a.Meta, int(mine), time.Now())
+		n.costs.learn(x.route, a, took)
 		if a.Opened {
 			n.metrics.opened.Inc()
 		}
@@ -308,6 +310,22 @@
 	return a, err
 }
 
+// Times that an answer needs from a server to here: a few times the delay of
+// the links within and between regions.
+const (
+	travelNear = 10 * time.Millisecond
+	travelFar  = 80 * time.Millisecond
+)
+
+// travel is the part of a request's time that is kept for the way of the
+// answer, so that a server that stops in time still answers in time.
+func (n *Node) travel(s *server) time.Duration {
+	if s.region == n.cfg.Region {
+		return travelNear
+	}
+	return travelFar
+}
+
 // noteFailure changes the belief about a server after a failed exchange.
 func (n *Node) noteFailure(s *server, err error) {
 	var be *port.BackendError
@@ -399,7 +417,7 @@
 // refuse answers with a status of this gateway's own.
 func (n *Node) refuse(w http.ResponseWriter, x *exchange, status int, why string) {
 	if status == http.StatusServiceUnavailable {
-		after := retryAfterLeast + rand.N(retryAfterSpread)
+		after := retryAfterLeast + x.refusal.wait/2 + rand.N(retryAfterSpread)
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Length", "0")
@@ -419,6 +437,9 @@
 		"request": x.meta.ID, "object": x.meta.Object, "route": route, "service": x.service, "status": status, "ms": took.Milliseconds(),
 		"left_ms": x.meta.Left.Milliseconds(), "attempts": x.attempts,
 	}
+	if x.refusal.server != nil {
+		fields["full_server"], fields["full_wait_ms"] = x.refusal.server.rec().ID, x.refusal.wait.Milliseconds()
+	}
 	if x.view.config != nil {
 		fields["version"] = x.view.config.Version
 	}
--- a/internal/daemon/gateway/server.go
+++ b/internal/daemon/gateway/server.go
@@ -55,14 +55,14 @@
 	s.load.Store(&loadReport{ServerLoad: *l, others: max(0, l.Running+l.Waiting-mine), at: now})
 }
 
-// busy estimates the requests at the server as a share of its slots.
-func (s *server) busy(now time.Time) float64 {
+// requests estimates how many requests run or wait at the server.
+func (s *server) requests(now time.Time) float64 {
 	n := float64(s.inFlight.Load())
 	if r := s.load.Load(); r != nil {
 		fresh := 1 - float64(now.Sub(r.at))/float64(loadMemory)
 		n += float64(r.others) * math.Max(0, fresh)
 	}
-	return n / float64(max(1, s.rec().Slots))
+	return n
 }
 
 // change runs fn on the server's health and returns its result.
--- a/internal/daemon/gateway/view.go
+++ b/internal/daemon/gateway/view.go
@@ -29,23 +29,39 @@
 	members []*peerv1.GatewayMember
 	// hosts are the names of members, sorted.
 	hosts []string
+	// levels counts, for each route, the urgencies above its own among the
+	// routes of the same service.
+	levels map[*routing.Route]int
 }
 
+// scope is how near gateways must be to each other to place objects alike.
+type scope int
+
+// Values of scope.
+const (
+	// scopeRegion places an object once for all gateways of a region.
+	scopeRegion scope = iota
+	// scopeDomain places it once for each failure domain, which keeps large
+	// bodies off the links between domains.
+	scopeDomain
+	scopes
+)
+
 // group is the servers of one service that may get work.
 type group struct {
 	servers []*server
-	ring    *placement.Ring
+	rings   [scopes]*placement.Ring
 	// ranks caches the order of servers by object.
-	ranks sync.Map
+	ranks [scopes]sync.Map
 }
 
 // rank returns the indexes of the servers for an object, best first.
-func (g *group) rank(object uint64) []int {
-	if r, ok := g.ranks.Load(object); ok {
+func (g *group) rank(sc scope, object uint64) []int {
+	if r, ok := g.ranks[sc].Load(object); ok {
 		return r.([]int)
 	}
-	r := g.ring.Rank(object, g.ring.Len())
-	g.ranks.Store(object, r)
+	r := g.rings[sc].Rank(object, len(g.servers))
+	g.ranks[sc].Store(object, r)
 	return r
 }
 
@@ -72,7 +88,7 @@
 func (k *Keeper) build(now time.Time) *view {
 	v := &view{
 		config: k.config, revision: k.configRevision, services: map[string]*group{},
-		splits: k.splits, evacuated: map[string]bool{},
+		splits: k.splits, levels: k.levels, evacuated: map[string]bool{},
 	}
 	k.each(now, func(r mirror.Record) {
 		if kind, name := k.schema.Kind(r.Key); kind == port.RecordEvacuation && !r.Deleted {
@@ -104,24 +120,37 @@
 	return v
 }
 
-// finish orders the servers and makes their ring.
+// finish orders the servers and makes their rings.
 func (g *group) finish(cfg *Settings) {
 	slices.SortFunc(g.servers, func(a, b *server) int { return strings.Compare(a.rec().ID, b.rec().ID) })
-	list := make([]placement.Server, len(g.servers))
-	for i, s := range g.servers {
-		list[i] = placement.Server{ID: s.rec().ID, Weight: nearness(cfg, s) * float64(s.rec().Slots)}
-	}
-	g.ring = placement.NewRing(list)
+	g.rings[scopeRegion] = g.newRing(cfg, cfg.Region, func(d DomainRegion) string { return d.Region })
+	g.rings[scopeDomain] = g.newRing(cfg, cfg.Domain, func(d DomainRegion) string { return d.Domain })
 }
 
-func nearness(cfg *Settings, s *server) float64 {
-	switch {
-	case s.rec().Domain == cfg.Domain:
-		return placement.WeightDomain
-	case s.region == cfg.Region:
-		return placement.WeightRegion
+// newRing weighs the servers by the shares of their zones. Every failure domain
+// is taken to bring as many requests as another.
+func (g *group) newRing(cfg *Settings, own string, zoneOf func(DomainRegion) string) *placement.Ring {
+	index := map[string]int{}
+	var zones []placement.Zone
+	for _, d := range cfg.Domains {
+		name := zoneOf(d)
+		if _, ok := index[name]; !ok {
+			index[name] = len(zones)
+			zones = append(zones, placement.Zone{})
+		}
+		zones[index[name]].Callers++
+	}
+	zone := func(s *server) int { return index[zoneOf(DomainRegion{Domain: s.rec().Domain, Region: s.region})] }
+	for _, s := range g.servers {
+		zones[zone(s)].Capacity += float64(s.rec().Slots)
+	}
+	shares := placement.Shares(zones, index[own])
+	list := make([]placement.Server, len(g.servers))
+	for i, s := range g.servers {
+		z := zone(s)
+		list[i] = placement.Server{ID: s.rec().ID, Weight: shares[z] * float64(s.rec().Slots) / zones[z].Capacity}
 	}
-	return placement.WeightOther
+	return placement.NewRing(list)
 }
 
 // members returns the gateways that serve, sorted by host. The caller holds
