Load reports fade in a service time; objects placed by region; spill dearer

A report of two seconds ago was taken for the load now, though a request takes 70 ms there, and a server that was refused got no new report. Placing large answers by failure domain doubled the objects a server had to keep warm (6 servers an object). Change: a report fades to the server's usual load in a service time and that within a second; waits up to the target are taken; objects spill only when that saves a whole service time; one placement for a region.

--- a/cmd/cassiatray-gateway/main.go
+++ b/cmd/cassiatray-gateway/main.go
@@ -17,6 +17,10 @@
 	"cassiatray/platform"
 )
 
+// logPerSecond is how many lines of level info a second are kept: above the
+// requests that a host of a fifth of a core serves at its busiest.
+const logPerSecond = 400
+
 // logFlush bounds the writing of the last log lines.
 const logFlush = 200 * time.Millisecond
 
@@ -24,13 +28,14 @@
 	cfg := new(gateway.Settings)
 	out := logging.NewAsync(os.Stdout)
 	status := program.Main(program.Daemon{
-		Name:        "cassiatray-gateway",
-		Help:        "Answer look-ups of callers and forward their requests to backend servers.",
-		SettingsEnv: platform.SettingsEnv,
-		Settings:    cfg,
-		Log:         func() settings.Log { return cfg.Log },
-		LogTo:       out,
-		Options:     fx.Options(fx.Supply(cfg), fx.Provide(newStore, newSchema, newDialect, newHandlers), gateway.Module),
+		Name:         "cassiatray-gateway",
+		Help:         "Answer look-ups of callers and forward their requests to backend servers.",
+		SettingsEnv:  platform.SettingsEnv,
+		Settings:     cfg,
+		Log:          func() settings.Log { return cfg.Log },
+		LogTo:        out,
+		LogPerSecond: logPerSecond,
+		Options:      fx.Options(fx.Supply(cfg), fx.Provide(newStore, newSchema, newDialect, newHandlers), gateway.Module),
 	})
 	out.Close(logFlush)
 	os.Exit(status)
--- /dev/null
+++ b/internal/core/mirror/mirror_test.go
@@ -0,0 +1,144 @@
+package mirror
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func never(string, []byte, []byte) bool { return false }
+
+// history is the writes of a store in order.
+func history(t *rapid.T) []Record {
+	n := rapid.IntRange(1, 40).Draw(t, "writes")
+	var out []Record
+	for i := range n {
+		out = append(out, Record{
+			Key: fmt.Sprintf("k%d", rapid.IntRange(0, 5).Draw(t, "key")), Value: fmt.Append(nil, i),
+			Revision: uint64(i + 1), Deleted: rapid.IntRange(0, 3).Draw(t, "kind") == 0,
+		})
+	}
+	return out
+}
+
+func final(h []Record) map[string]string {
+	out := map[string]string{}
+	for _, r := range h {
+		delete(out, r.Key)
+		if !r.Deleted {
+			out[r.Key] = string(r.Value)
+		}
+	}
+	return out
+}
+
+func contents(m *Mirror) map[string]string {
+	out := map[string]string{}
+	m.Each("", func(r Record) { out[r.Key] = string(r.Value) })
+	return out
+}
+
+// TestMirrorsConverge checks that records that arrive in any order and twice
+// give the store's state, and that taking them as they come does not.
+func TestMirrorsConverge(t *testing.T) {
+	naiveFailed := false
+	rapid.Check(t, func(t *rapid.T) {
+		h := history(t)
+		mixed := rapid.Permutation(append(append([]Record{}, h...), h...)).Draw(t, "arrival")
+		m, naive := New(never), map[string]string{}
+		for _, r := range mixed {
+			m.Apply([]Record{r})
+			delete(naive, r.Key)
+			if !r.Deleted {
+				naive[r.Key] = string(r.Value)
+			}
+		}
+		if got, want := fmt.Sprint(contents(m)), fmt.Sprint(final(h)); got != want {
+			t.Fatalf("got %s, want %s", got, want)
+		}
+		naiveFailed = naiveFailed || fmt.Sprint(naive) != fmt.Sprint(final(h))
+	})
+	if !naiveFailed {
+		t.Fatal("taking records as they come converged: the property finds nothing")
+	}
+}
+
+// TestReplaceDropsWhatIsGone checks a listing after forgotten history, with
+// writes that race with it.
+func TestReplaceDropsWhatIsGone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := history(t)
+		seen := rapid.IntRange(0, len(h)).Draw(t, "seen")
+		listed := rapid.IntRange(seen, len(h)).Draw(t, "listed")
+		m := New(never)
+		m.Apply(h[:seen])
+		// A peer was faster with the newest writes.
+		m.Apply(h[listed:])
+		var listing []Record
+		at := map[string]Record{}
+		for _, r := range h[:listed] {
+			at[r.Key] = r
+		}
+		for _, r := range at {
+			if !r.Deleted {
+				listing = append(listing, r)
+			}
+		}
+		m.Replace("", listing, uint64(listed), time.Unix(0, 0))
+		if got, want := fmt.Sprint(contents(m)), fmt.Sprint(final(h)); got != want {
+			t.Fatalf("got %s, want %s (seen %d, listed %d of %v)", got, want, seen, listed, h)
+		}
+	})
+}
+
+// TestHeartbeatsAreNoNews checks that a record that says the same again is kept
+// but not passed on.
+func TestHeartbeatsAreNoNews(t *testing.T) {
+	m := New(func(_ string, a, b []byte) bool { return a[0] == b[0] })
+	m.Apply([]Record{{Key: "s", Value: []byte("a1"), Revision: 1}})
+	change := m.Change()
+	if got := m.Apply([]Record{{Key: "s", Value: []byte("a2"), Revision: 2}}); len(got) > 0 || m.Change() != change {
+		t.Error("a heartbeat counted as a change")
+	}
+	if r, _ := m.Get("s"); string(r.Value) != "a2" {
+		t.Errorf("kept %s", r.Value)
+	}
+	if got := m.Apply([]Record{{Key: "s", Value: []byte("b1"), Revision: 3}}); len(got) != 1 || len(m.Since(change)) != 1 {
+		t.Error("a change did not count")
+	}
+}
+
+// TestHubsAreAgreed checks that every gateway pulls from the hub of its region
+// first, that hubs know that they are, and that a hub that fails is replaced.
+func TestHubsAreAgreed(t *testing.T) {
+	var members []Member
+	for i := range 12 {
+		members = append(members, Member{Host: fmt.Sprintf("h%d", i), Region: fmt.Sprintf("r%d", i%3)})
+	}
+	none := func(string) bool { return false }
+	hubs := map[string]string{}
+	for _, m := range members {
+		if IsHub(members, m.Host, m.Region, none) {
+			if hubs[m.Region] != "" {
+				t.Fatalf("two hubs in %s", m.Region)
+			}
+			hubs[m.Region] = m.Host
+		}
+	}
+	for _, m := range members {
+		order := Order(members, m.Host, m.Region, none)
+		if want := hubs[m.Region]; m.Host != want && order[0].Host != want {
+			t.Errorf("%s pulls from %s, hub is %s", m.Host, order[0].Host, want)
+		}
+		if len(order) != len(members)-1 {
+			t.Errorf("%s knows %d sources", m.Host, len(order))
+		}
+		failed := func(h string) bool { return h == hubs[m.Region] }
+		next := Order(members, m.Host, m.Region, failed)
+		if next[0].Host == hubs[m.Region] || next[0].Region != m.Region && !IsHub(members, m.Host, m.Region, failed) {
+			t.Errorf("%s pulls from %v though it failed", m.Host, next[0])
+		}
+	}
+}
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -24,7 +24,7 @@
 
 // urgencyStep is the part of the longest wait of one urgency that the next
 // lower one is admitted to, so that under load the urgent requests find room.
-const urgencyStep = 0.6
+const urgencyStep = 0.8
 
 // MaxWait returns how long a request may wait for a slot. Behind a longer queue
 // every request would be late, the ones that come after it too; a caller that
@@ -34,11 +34,8 @@
 func MaxWait(target, left, service time.Duration, level int) time.Duration {
 	room := left - service
 	if target > 0 {
-		room = min(room, target-service)
+		room = min(room, target)
 	}
-	// A request that cannot meet its target anyway may still take a short
-	// queue: half a service time.
-	room = max(room, min(service/2, left-service))
 	for range level {
 		room = time.Duration(urgencyStep * float64(room))
 	}
--- a/internal/daemon/gateway/dump.go
+++ b/internal/daemon/gateway/dump.go
@@ -51,7 +51,7 @@
 		rec := s.rec()
 		out.Servers = append(out.Servers, ServerState{
 			ID: rec.ID, Service: rec.Service, Address: rec.Address, Domain: rec.Domain, State: rec.State.String(),
-			Down: s.down(), ColdMS: s.coldLeft(now).Milliseconds(), InFlight: s.inFlight.Load(), Requests: s.requests(now),
+			Down: s.down(), ColdMS: s.coldLeft(now).Milliseconds(), InFlight: s.inFlight.Load(), Requests: s.requests(now, time.Second),
 		})
 	}
 	return out
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -54,7 +54,7 @@
 	var best choice
 	why := verdictUnknown
 	found := 0
-	for rank, i := range g.rank(n.costs.scope(x.route), x.object) {
+	for rank, i := range g.rank(x.object) {
 		s := g.servers[i]
 		c, reason := n.consider(v, x, s, service, now)
 		if reason != verdictNone {
@@ -87,7 +87,7 @@
 	if !x.route.Sticky {
 		return 0
 	}
-	return service / 2
+	return service
 }
 
 // consider returns a server's load, or why it cannot be used.
@@ -101,7 +101,7 @@
 		n.check(v, s, now)
 		return choice{}, verdictDown
 	}
-	c := choice{server: s, requests: s.requests(now), cold: s.coldLeft(now)}
+	c := choice{server: s, requests: s.requests(now, service), cold: s.coldLeft(now)}
 	if c.cold > 0 && !n.owns(v, s) {
 		return choice{}, verdictCold
 	}
--- a/internal/daemon/gateway/server.go
+++ b/internal/daemon/gateway/server.go
@@ -36,15 +36,19 @@
 
 // loadReport is what a server said of its load with an answer.
 type loadReport struct {
-	port.ServerLoad
-	// others is the part of the load that other gateways put there.
-	others int
-	at     time.Time
+	// others is the part of the load that other gateways put there, and usual
+	// its average over the last reports.
+	others, usual float64
+	at            time.Time
 }
 
-// loadMemory is how long a server's report still says something about its
-// load: a few service times.
-const loadMemory = 2 * time.Second
+// usualWeight is the weight of a new report in the average.
+const usualWeight = 0.2
+
+// usualFades is the time in which the average of a server that sends no more
+// reports loses its meaning. Without it a server that once was full would never
+// be tried again.
+const usualFades = time.Second
 
 // report takes in a server's own count, made when mine requests of this gateway
 // were at it.
@@ -52,15 +56,24 @@
 	if l == nil {
 		return
 	}
-	s.load.Store(&loadReport{ServerLoad: *l, others: max(0, l.Running+l.Waiting-mine), at: now})
+	r := &loadReport{others: float64(max(0, l.Running+l.Waiting-mine)), at: now}
+	r.usual = r.others
+	if old := s.load.Load(); old != nil {
+		r.usual = old.usual + usualWeight*(r.others-old.usual)
+	}
+	s.load.Store(r)
 }
 
-// requests estimates how many requests run or wait at the server.
-func (s *server) requests(now time.Time) float64 {
+// requests estimates how many requests run or wait at the server, each of which
+// takes about service. What a report says of the others fades in that time: by
+// then those requests are gone, and what is there is what is there usually.
+func (s *server) requests(now time.Time, service time.Duration) float64 {
 	n := float64(s.inFlight.Load())
 	if r := s.load.Load(); r != nil {
-		fresh := 1 - float64(now.Sub(r.at))/float64(loadMemory)
-		n += float64(r.others) * math.Max(0, fresh)
+		age := float64(now.Sub(r.at))
+		fresh := math.Exp(-age / float64(max(service, time.Millisecond)))
+		usual := r.usual * math.Exp(-age/float64(usualFades))
+		n += usual + fresh*(r.others-usual)
 	}
 	return n
 }
--- a/internal/daemon/gateway/stop.go
+++ b/internal/daemon/gateway/stop.go
@@ -17,7 +17,7 @@
 	// of callers that hold an older answer of the directory.
 	lingerShare = 0.45
 	// exitReserve is kept free at the end for the process to exit.
-	exitReserve = 400 * time.Millisecond
+	exitReserve = 800 * time.Millisecond
 )
 
 // Ready reports whether callers may be sent here.
--- a/internal/daemon/gateway/view.go
+++ b/internal/daemon/gateway/view.go
@@ -34,34 +34,21 @@
 	levels map[*routing.Route]int
 }
 
-// scope is how near gateways must be to each other to place objects alike.
-type scope int
-
-// Values of scope.
-const (
-	// scopeRegion places an object once for all gateways of a region.
-	scopeRegion scope = iota
-	// scopeDomain places it once for each failure domain, which keeps large
-	// bodies off the links between domains.
-	scopeDomain
-	scopes
-)
-
 // group is the servers of one service that may get work.
 type group struct {
 	servers []*server
-	rings   [scopes]*placement.Ring
+	ring    *placement.Ring
 	// ranks caches the order of servers by object.
-	ranks [scopes]sync.Map
+	ranks sync.Map
 }
 
 // rank returns the indexes of the servers for an object, best first.
-func (g *group) rank(sc scope, object uint64) []int {
-	if r, ok := g.ranks[sc].Load(object); ok {
+func (g *group) rank(object uint64) []int {
+	if r, ok := g.ranks.Load(object); ok {
 		return r.([]int)
 	}
-	r := g.rings[sc].Rank(object, len(g.servers))
-	g.ranks[sc].Store(object, r)
+	r := g.ring.Rank(object, len(g.servers))
+	g.ranks.Store(object, r)
 	return r
 }
 
@@ -120,37 +107,30 @@
 	return v
 }
 
-// finish orders the servers and makes their rings.
+// finish orders the servers and makes their ring. Objects are placed alike by
+// all gateways of a region, whose callers share them; every failure domain is
+// taken to bring as many requests as another.
 func (g *group) finish(cfg *Settings) {
 	slices.SortFunc(g.servers, func(a, b *server) int { return strings.Compare(a.rec().ID, b.rec().ID) })
-	g.rings[scopeRegion] = g.newRing(cfg, cfg.Region, func(d DomainRegion) string { return d.Region })
-	g.rings[scopeDomain] = g.newRing(cfg, cfg.Domain, func(d DomainRegion) string { return d.Domain })
-}
-
-// newRing weighs the servers by the shares of their zones. Every failure domain
-// is taken to bring as many requests as another.
-func (g *group) newRing(cfg *Settings, own string, zoneOf func(DomainRegion) string) *placement.Ring {
 	index := map[string]int{}
 	var zones []placement.Zone
 	for _, d := range cfg.Domains {
-		name := zoneOf(d)
-		if _, ok := index[name]; !ok {
-			index[name] = len(zones)
+		if _, ok := index[d.Region]; !ok {
+			index[d.Region] = len(zones)
 			zones = append(zones, placement.Zone{})
 		}
-		zones[index[name]].Callers++
+		zones[index[d.Region]].Callers++
 	}
-	zone := func(s *server) int { return index[zoneOf(DomainRegion{Domain: s.rec().Domain, Region: s.region})] }
 	for _, s := range g.servers {
-		zones[zone(s)].Capacity += float64(s.rec().Slots)
+		zones[index[s.region]].Capacity += float64(s.rec().Slots)
 	}
-	shares := placement.Shares(zones, index[own])
+	shares := placement.Shares(zones, index[cfg.Region])
 	list := make([]placement.Server, len(g.servers))
 	for i, s := range g.servers {
-		z := zone(s)
+		z := index[s.region]
 		list[i] = placement.Server{ID: s.rec().ID, Weight: shares[z] * float64(s.rec().Slots) / zones[z].Capacity}
 	}
-	return placement.NewRing(list)
+	g.ring = placement.NewRing(list)
 }
 
 // members returns the gateways that serve, sorted by host. The caller holds
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -58,6 +58,8 @@
 	Log func() settings.Log
 	// LogTo is where logs go; nil for standard error.
 	LogTo io.Writer
+	// LogPerSecond caps the lines of level info a second; zero for no cap.
+	LogPerSecond int64
 	// Options are the fx options of the daemon, without settings and logger.
 	Options fx.Option
 }
@@ -78,6 +80,9 @@
 		to = os.Stderr
 	}
 	log := logging.New(d.Log(), to)
+	if d.LogPerSecond > 0 {
+		log.SetFormatter(&logging.Capped{Inner: log.Formatter, PerSecond: d.LogPerSecond})
+	}
 	app := fx.New(
 		fx.NopLogger, fx.StartTimeout(startTimeout), fx.StopTimeout(stopTimeout),
 		fx.Supply(log, newRegistry()), d.Options,
