Pull what changed since a store revision; hubs on the largest hosts

The two pull loops traded sources, and each new source began with its whole mirror (100 kB, 145 gateways, over 10 Mbit/s links). Change: a pull names the revision up to which the puller has everything, so any source continues it. The first source is waited on, the second asked once a second. Hubs are the largest hosts. A gateway that starts asks the settings' seeds before it lists the store. A watch waits a second. Tests: TestPullsConverge, TestHubsAreAgreed.

--- a/internal/adapter/serverconn/pool.go
+++ b/internal/adapter/serverconn/pool.go
@@ -25,7 +25,7 @@
 	idleDefault = 4 * time.Second
 	// idleShare is the part of the server's own idle timeout after which a
 	// connection is no longer used, so that requests do not cross its close.
-	idleShare = 0.7
+	idleShare = 0.85
 	// maxIdle bounds the idle connections to one server.
 	maxIdle = 16
 	// bufferSize is the size of a connection's read buffer, in bytes.
--- a/internal/core/mirror/hubs.go
+++ b/internal/core/mirror/hubs.go
@@ -12,12 +12,14 @@
 	Host    string
 	Region  string
 	Address string
+	// Capacity is the host's processor share, in any unit.
+	Capacity uint32
 }
 
 // Order returns the gateways that another may pull records from, best first:
 // the hub of each region, that of its own region before the others, then the
-// rest. The hub of a region is the member with the highest hash; all gateways
-// that know the same members agree on it. Failed members come last.
+// rest. The hub of a region is the member with the highest hash among the
+// largest hosts; all gateways that know the same members agree on it. Failed members come last.
 func Order(members []Member, self, region string, failed func(host string) bool) []Member {
 	ranked := rank(members, failed)
 	var hubs, rest []Member
@@ -54,6 +56,9 @@
 			}
 			return -1
 		}
+		if c := cmp.Compare(b.Capacity, a.Capacity); c != 0 {
+			return c
+		}
 		if c := cmp.Compare(xxhash.Sum64String(b.Host), xxhash.Sum64String(a.Host)); c != 0 {
 			return c
 		}
--- a/internal/core/mirror/mirror.go
+++ b/internal/core/mirror/mirror.go
@@ -24,20 +24,22 @@
 // way between gateways.
 const tombstoneLife = time.Minute
 
+// item is a record with the revision of its last change that is news to others.
 type item struct {
 	Record
-	change uint64
+	news uint64
 }
 
 // Mirror is a copy of the store. It is not safe for concurrent use.
 type Mirror struct {
 	// Same reports whether two values of a key differ in nothing that others
 	// need to hear of.
-	Same    func(key string, a, b []byte) bool
-	items   map[string]*item
-	change  uint64
-	synced  time.Time
-	highest uint64
+	Same     func(key string, a, b []byte) bool
+	items    map[string]*item
+	complete uint64
+	// forgotten is the highest revision of a removal that was forgotten.
+	forgotten uint64
+	synced    time.Time
 }
 
 // New returns an empty mirror.
@@ -57,7 +59,6 @@
 }
 
 func (m *Mirror) apply(r Record) bool {
-	m.highest = max(m.highest, r.Revision)
 	old := m.items[r.Key]
 	if old != nil && r.Revision <= old.Revision {
 		return false
@@ -66,33 +67,34 @@
 		old.Record = r
 		return false
 	}
-	m.change++
-	m.items[r.Key] = &item{Record: r, change: m.change}
+	m.items[r.Key] = &item{Record: r, news: r.Revision}
 	return true
 }
 
 // Replace takes in a whole listing of a prefix, complete up to a revision: what
-// it lacks was removed, unless it was written after that. It returns the
-// records that changed.
+// it lacks was removed, unless it was written at that revision or after it: what
+// happened since then is still to come. It returns the records that changed.
 func (m *Mirror) Replace(prefix string, records []Record, revision uint64, now time.Time) []Record {
 	listed := make(map[string]bool, len(records))
 	for _, r := range records {
 		listed[r.Key] = true
 	}
 	for key, it := range m.items {
-		if !it.Deleted && strings.HasPrefix(key, prefix) && !listed[key] && it.Revision <= revision {
+		if !it.Deleted && strings.HasPrefix(key, prefix) && !listed[key] && it.Revision < revision {
 			records = append(records, Record{Key: key, Deleted: true, Revision: revision, Read: now})
 		}
 	}
-	for i, r := range records {
-		// A removal at the revision of the key's own last write still counts.
-		if it := m.items[r.Key]; r.Deleted && it != nil && it.Revision == r.Revision {
-			records[i].Revision++
-		}
-	}
-	return m.Apply(records)
+	out := m.Apply(records)
+	m.Complete(revision)
+	return out
 }
 
+// Complete notes that every record up to a revision is in the mirror.
+func (m *Mirror) Complete(revision uint64) { m.complete = max(m.complete, revision) }
+
+// Revision returns the revision up to which the mirror has every record.
+func (m *Mirror) Revision() uint64 { return m.complete }
+
 // Confirm notes that the mirror equalled the store at a time.
 func (m *Mirror) Confirm(at time.Time) {
 	if at.After(m.synced) {
@@ -103,21 +105,16 @@
 // Synced returns when the mirror last equalled the store; zero for never.
 func (m *Mirror) Synced() time.Time { return m.synced }
 
-// Revision returns the highest revision seen.
-func (m *Mirror) Revision() uint64 { return m.highest }
-
-// Change returns the number of the newest change.
-func (m *Mirror) Change() uint64 { return m.change }
-
-// Since returns the records with changes after a number.
-func (m *Mirror) Since(change uint64) []Record {
-	var out []Record
+// Since returns the records that changed after a revision, or all that exist
+// when the mirror no longer knows what was removed since.
+func (m *Mirror) Since(revision uint64) (records []Record, snapshot bool) {
+	snapshot = revision < m.forgotten
 	for _, it := range m.items {
-		if it.change > change {
-			out = append(out, it.Record)
+		if it.news > revision && !snapshot || snapshot && !it.Deleted {
+			records = append(records, it.Record)
 		}
 	}
-	return out
+	return records, snapshot
 }
 
 // Get returns the record of a key that exists.
@@ -142,6 +139,7 @@
 func (m *Mirror) Expire(now time.Time) {
 	for key, it := range m.items {
 		if it.Deleted && now.Sub(it.Read) > tombstoneLife {
+			m.forgotten = max(m.forgotten, it.Revision)
 			delete(m.items, key)
 		}
 	}
--- a/internal/core/mirror/mirror_test.go
+++ b/internal/core/mirror/mirror_test.go
@@ -87,6 +87,8 @@
 			}
 		}
 		m.Replace("", listing, uint64(listed), time.Unix(0, 0))
+		// The watch goes on from the listing.
+		m.Apply(h[listed:])
 		if got, want := fmt.Sprint(contents(m)), fmt.Sprint(final(h)); got != want {
 			t.Fatalf("got %s, want %s (seen %d, listed %d of %v)", got, want, seen, listed, h)
 		}
@@ -98,26 +100,71 @@
 func TestHeartbeatsAreNoNews(t *testing.T) {
 	m := New(func(_ string, a, b []byte) bool { return a[0] == b[0] })
 	m.Apply([]Record{{Key: "s", Value: []byte("a1"), Revision: 1}})
-	change := m.Change()
-	if got := m.Apply([]Record{{Key: "s", Value: []byte("a2"), Revision: 2}}); len(got) > 0 || m.Change() != change {
+	if got := m.Apply([]Record{{Key: "s", Value: []byte("a2"), Revision: 2}}); len(got) > 0 || len(since(m, 1)) > 0 {
 		t.Error("a heartbeat counted as a change")
 	}
 	if r, _ := m.Get("s"); string(r.Value) != "a2" {
 		t.Errorf("kept %s", r.Value)
 	}
-	if got := m.Apply([]Record{{Key: "s", Value: []byte("b1"), Revision: 3}}); len(got) != 1 || len(m.Since(change)) != 1 {
+	if got := m.Apply([]Record{{Key: "s", Value: []byte("b1"), Revision: 3}}); len(got) != 1 || len(since(m, 1)) != 1 {
 		t.Error("a change did not count")
 	}
 }
 
+func since(m *Mirror, revision uint64) []Record {
+	records, _ := m.Since(revision)
+	return records
+}
+
+// TestPullsConverge checks that gateways that pull from each other at any time
+// and from any source end with the store's state, whatever removals the sources
+// have forgotten.
+func TestPullsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := history(t)
+		now := time.Unix(0, 0)
+		mirrors := []*Mirror{New(never), New(never), New(never)}
+		pull := func(to, from *Mirror) {
+			records, snapshot := from.Since(to.Revision())
+			if from.Revision() < to.Revision() {
+				snapshot = false
+			}
+			if snapshot {
+				to.Replace("", records, from.Revision(), now)
+				return
+			}
+			to.Apply(records)
+			to.Complete(from.Revision())
+		}
+		for _, r := range h {
+			r.Read = now
+			mirrors[0].Apply([]Record{r})
+			mirrors[0].Complete(r.Revision)
+			for range rapid.IntRange(0, 2).Draw(t, "pulls") {
+				pull(mirrors[rapid.IntRange(1, 2).Draw(t, "to")], mirrors[rapid.IntRange(0, 2).Draw(t, "from")])
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "seconds")) * time.Second)
+			mirrors[rapid.IntRange(0, 2).Draw(t, "forgets")].Expire(now)
+		}
+		pull(mirrors[1], mirrors[0])
+		pull(mirrors[2], mirrors[1])
+		for i, m := range mirrors {
+			if got, want := fmt.Sprint(contents(m)), fmt.Sprint(final(h)); got != want {
+				t.Fatalf("mirror %d: got %s, want %s", i, got, want)
+			}
+		}
+	})
+}
+
 // TestHubsAreAgreed checks that every gateway pulls from the hub of its region
 // first, that hubs know that they are, and that a hub that fails is replaced.
 func TestHubsAreAgreed(t *testing.T) {
 	var members []Member
 	for i := range 12 {
-		members = append(members, Member{Host: fmt.Sprintf("h%d", i), Region: fmt.Sprintf("r%d", i%3)})
+		members = append(members, Member{Host: fmt.Sprintf("h%d", i), Region: fmt.Sprintf("r%d", i%3), Capacity: uint32(1 + i%2)})
 	}
 	none := func(string) bool { return false }
+	large := func(host string) bool { return host[len(host)-1]%2 == 1 }
 	hubs := map[string]string{}
 	for _, m := range members {
 		if IsHub(members, m.Host, m.Region, none) {
@@ -125,6 +172,9 @@
 				t.Fatalf("two hubs in %s", m.Region)
 			}
 			hubs[m.Region] = m.Host
+			if !large(m.Host) {
+				t.Errorf("%s is a hub, though its region has larger hosts", m.Host)
+			}
 		}
 	}
 	for _, m := range members {
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -77,11 +77,14 @@
 // View returns the newest view.
 func (k *Keeper) View() *view { return k.view.Load() }
 
-// Apply takes in records of the store or of a peer.
-func (k *Keeper) Apply(records []mirror.Record, source string, now time.Time) {
+// Apply takes in changes of the store, which are complete up to a revision.
+func (k *Keeper) Apply(records []mirror.Record, revision uint64, source string, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.noteGap(now)
+	k.mirror.Confirm(now)
 	k.take(k.mirror.Apply(records), source, now)
+	k.mirror.Complete(revision)
 }
 
 // Replace takes in a listing of the whole store.
@@ -89,16 +92,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.noteGap(now)
-	k.take(k.mirror.Replace("", records, revision, now), source, now)
 	k.mirror.Confirm(now)
-}
-
-// Confirm notes that the mirror equalled the store at a time.
-func (k *Keeper) Confirm(at, now time.Time) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.noteGap(now)
-	k.mirror.Confirm(at)
+	k.take(k.mirror.Replace("", records, revision, now), source, now)
 }
 
 // noteGap starts the grace of lapsed records when an outage ends.
@@ -109,6 +104,13 @@
 	}
 }
 
+// Have returns the revision up to which the mirror has every record.
+func (k *Keeper) Have() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.mirror.Revision()
+}
+
 // Synced returns when the mirror last equalled the store.
 func (k *Keeper) Synced() time.Time {
 	k.mu.Lock()
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -5,50 +5,54 @@
 	"time"
 
 	"cassiatray/internal/core/mirror"
+	"cassiatray/internal/sleep"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
-// maxPullWait bounds how long a pull is kept waiting for news.
-const maxPullWait = 10 * time.Second
+const (
+	// maxPullWait bounds how long a pull is kept waiting for news.
+	maxPullWait = 10 * time.Second
+	// gather is how long news waits for more of it before waiting pulls are
+	// answered, so that a burst of changes is one page.
+	gather = 50 * time.Millisecond
+)
 
 // Page answers a pull: at once when there is news for the puller, else when
 // there is, or when its wait is over.
-func (k *Keeper) Page(ctx context.Context, epoch uint64, req *peerv1.MirrorPull) *peerv1.MirrorPage {
+func (k *Keeper) Page(ctx context.Context, req *peerv1.MirrorPull) *peerv1.MirrorPage {
 	k.Hear(req.Self, true, time.Now())
-	wait := min(maxPullWait, time.Duration(req.WaitMicros)*time.Microsecond)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	since := req.Since
-	if req.Epoch != epoch {
-		since = 0
-	}
+	ctx, cancel := context.WithTimeout(ctx, min(maxPullWait, time.Duration(req.WaitMicros)*time.Microsecond))
+	defer cancel()
 	for {
-		page, changed := k.page(epoch, since, time.Now())
-		if len(page.Records) > 0 || req.Epoch != epoch {
+		page, changed := k.page(req.Have, time.Now())
+		if len(page.Records) > 0 || req.WaitMicros <= 0 {
 			return page
 		}
 		select {
 		case <-changed:
-		case <-timer.C:
-			page, _ := k.page(epoch, since, time.Now())
-			return page
+			sleep.For(ctx, gather)
 		case <-ctx.Done():
+			page, _ := k.page(req.Have, time.Now())
 			return page
 		}
 	}
 }
 
-func (k *Keeper) page(epoch, since uint64, now time.Time) (*peerv1.MirrorPage, chan struct{}) {
+func (k *Keeper) page(have uint64, now time.Time) (*peerv1.MirrorPage, chan struct{}) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	page := &peerv1.MirrorPage{Epoch: epoch, Next: k.mirror.Change(), AgeMicros: -1}
+	page := &peerv1.MirrorPage{Complete: k.mirror.Revision(), AgeMicros: -1}
 	if at := k.mirror.Synced(); !at.IsZero() {
 		page.AgeMicros = now.Sub(at).Microseconds()
 	}
-	for _, r := range k.mirror.Since(since) {
-		page.Records = append(page.Records, &peerv1.StoreRecord{
-			Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted, AgeMicros: now.Sub(r.Read).Microseconds(),
-		})
+	if have <= page.Complete {
+		var records []mirror.Record
+		records, page.Snapshot = k.mirror.Since(have)
+		for _, r := range records {
+			page.Records = append(page.Records, &peerv1.StoreRecord{
+				Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted, AgeMicros: now.Sub(r.Read).Microseconds(),
+			})
+		}
 	}
 	for _, h := range k.heard {
 		if s := k.stored[h.member.Host]; h.direct && now.Sub(h.at) < heardLife && (s == nil || s.Incarnation < h.member.Incarnation) {
@@ -67,10 +71,18 @@
 			Read: now.Add(-time.Duration(r.AgeMicros) * time.Microsecond),
 		})
 	}
+	k.mu.Lock()
 	if page.AgeMicros >= 0 {
-		k.Confirm(now.Add(-time.Duration(page.AgeMicros)*time.Microsecond), now)
+		k.noteGap(now)
+		k.mirror.Confirm(now.Add(-time.Duration(page.AgeMicros) * time.Microsecond))
+	}
+	if page.Snapshot {
+		k.take(k.mirror.Replace("", records, page.Complete, now), source, now)
+	} else {
+		k.take(k.mirror.Apply(records), source, now)
+		k.mirror.Complete(page.Complete)
 	}
-	k.Apply(records, source, now)
+	k.mu.Unlock()
 	for _, m := range page.Heard {
 		if m.GetHost() != k.cfg.Host {
 			k.Hear(m, false, now)
--- a/internal/daemon/gateway/sync.go
+++ b/internal/daemon/gateway/sync.go
@@ -23,20 +23,25 @@
 const (
 	// watchWait is how long the store may keep a watch waiting; it bounds the
 	// age of what a quiet watch confirms.
-	watchWait = 700 * time.Millisecond
+	watchWait = time.Second
 	// watchPause is the least time between two watches. What happens meanwhile
 	// comes with the next, so it bounds the calls a second.
-	watchPause = 600 * time.Millisecond
+	watchPause = 250 * time.Millisecond
+	// staleSource is the age from which on a source counts as failed. A hub's
+	// watch confirms its mirror every watchWait.
+	staleSource = 1700 * time.Millisecond
 	// staleAfter is the age of the mirror from which on a gateway that is no
-	// hub turns to the store itself. It leaves time to act within the shortest
-	// bound, that on drains.
-	staleAfter = 1700 * time.Millisecond
-	// pullWait and spareWait are how long the first and the second source may
-	// keep a pull waiting.
-	pullWait  = 800 * time.Millisecond
-	spareWait = 2500 * time.Millisecond
+	// hub turns to the store itself: the oldest page of a fresh source, and a
+	// pull. It leaves time to act within the shortest bound, that on drains.
+	staleAfter = 2100 * time.Millisecond
+	// pullWait is how long the first source may keep a pull waiting, and
+	// spareEvery how often the second is asked.
+	pullWait   = 800 * time.Millisecond
+	spareEvery = time.Second
 	// pullSlack is added to a pull's wait before its source counts as failed.
 	pullSlack = 700 * time.Millisecond
+	// seekPause is the pause between two sources while none is fresh.
+	seekPause = 100 * time.Millisecond
 	// failedFor is how long a source that failed is tried last.
 	failedFor = 2 * time.Second
 	// retryBase and retryMax bound the pause after a failed call of the store.
@@ -50,6 +55,9 @@
 	tickEvery = 200 * time.Millisecond
 	// sources is how many gateways each pulls from.
 	sources = 2
+	// seedWait is how long a gateway that starts leaves the first listing of
+	// the store to the gateways that the settings name, and asks those.
+	seedWait = 1500 * time.Millisecond
 )
 
 // Syncer keeps the mirror up to date: hubs from the store, others from hubs,
@@ -64,10 +72,10 @@
 	log      *logrus.Entry
 	metrics  *Metrics
 	state    atomic.Int32
+	started  time.Time
 
 	mu     sync.Mutex
 	failed map[string]time.Time
-	busy   map[string]bool
 	lease  port.LeaseID
 }
 
@@ -75,7 +83,7 @@
 func NewSyncer(cfg *Settings, id peer.Identity, k *Keeper, store port.Registry, schema port.Schema, pool port.PeerCaller, log *logrus.Entry, m *Metrics) *Syncer {
 	s := &Syncer{
 		cfg: cfg, identity: id, keeper: k, store: store, schema: schema, pool: pool, log: log, metrics: m,
-		failed: map[string]time.Time{}, busy: map[string]bool{},
+		failed: map[string]time.Time{}, started: time.Now(),
 	}
 	s.state.Store(int32(peerv1.HostState_HOST_STATE_STARTING))
 	return s
@@ -125,7 +133,7 @@
 func (s *Syncer) known() []mirror.Member {
 	var out []mirror.Member
 	for _, m := range s.keeper.View().members {
-		out = append(out, mirror.Member{Host: m.Host, Region: m.Region, Address: m.PeerAddress})
+		out = append(out, mirror.Member{Host: m.Host, Region: m.Region, Address: m.PeerAddress, Capacity: m.Capacity})
 	}
 	if len(out) > 0 {
 		return out
@@ -141,10 +149,23 @@
 	return out
 }
 
+// isSeed reports whether the settings name this host to those that start.
+func (s *Syncer) isSeed() bool {
+	for _, seed := range s.cfg.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil && host == s.cfg.Peer.Addr().String() {
+			return true
+		}
+	}
+	return false
+}
+
 // watching reports whether this gateway is to watch the store.
 func (s *Syncer) watching() bool {
-	return time.Since(s.keeper.Synced()) > staleAfter ||
-		mirror.IsHub(s.known(), s.cfg.Host, s.cfg.Region, s.isFailed)
+	synced := s.keeper.Synced()
+	if synced.IsZero() {
+		return s.isSeed() || len(s.cfg.Seeds) == 0 || time.Since(s.started) > seedWait
+	}
+	return time.Since(synced) > staleAfter || mirror.IsHub(s.known(), s.cfg.Host, s.cfg.Region, s.isFailed)
 }
 
 // watch keeps the mirror equal to the store while this gateway is to.
@@ -214,75 +235,53 @@
 	for _, c := range ch.List {
 		records = append(records, mirror.Record{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, Read: now})
 	}
-	s.keeper.Confirm(now, now)
-	s.keeper.Apply(records, "store", now)
+	s.keeper.Apply(records, ch.Revision, "store", now)
 	return ch.Revision, nil
 }
 
-// follow pulls from one source after another. Rank tells the loops apart: each
-// takes the best source that no other loop uses.
+// follow pulls from the source at a rank in the order of sources: waiting for
+// news from the first, and now and then from the second.
 func (s *Syncer) follow(ctx context.Context, rank int) {
-	wait := pullWait
-	if rank > 0 {
-		wait = spareWait
-	}
-	var last string
-	var epoch, since uint64
 	for ctx.Err() == nil {
-		m, ok := s.claim()
-		if !ok {
-			sleep.For(ctx, 100*time.Millisecond)
+		order := mirror.Order(s.known(), s.cfg.Host, s.cfg.Region, s.isFailed)
+		if rank >= len(order) {
+			sleep.For(ctx, seekPause)
 			continue
 		}
-		if m.Host != last {
-			last, epoch, since = m.Host, 0, 0
+		m := order[rank]
+		wait := pullWait
+		if rank > 0 || time.Since(s.keeper.Synced()) > staleSource {
+			wait = 0
+		}
+		page, err := s.pull(ctx, m, wait)
+		if ctx.Err() != nil {
+			return
 		}
-		page, err := s.pull(ctx, m, epoch, since, wait)
-		s.release(m)
 		if err != nil {
-			if ctx.Err() == nil {
-				s.fail(m.Host)
-				s.log.WithError(err).WithField("peer", m.Host).Warn("Source lost.")
-				sleep.For(ctx, 50*time.Millisecond)
-			}
+			s.fail(m.Host)
+			s.log.WithError(err).WithField("peer", m.Host).Warn("Source lost.")
+			sleep.For(ctx, seekPause)
 			continue
 		}
-		now := time.Now()
-		s.keeper.TakePage(page, m.Host, now)
-		epoch, since = page.Epoch, page.Next
-		if page.AgeMicros < 0 || time.Duration(page.AgeMicros)*time.Microsecond > staleAfter {
-			// The source lost the store too; another may still have it.
+		s.keeper.TakePage(page, m.Host, time.Now())
+		switch {
+		case page.AgeMicros < 0 || time.Duration(page.AgeMicros)*time.Microsecond > staleSource:
+			// The source lost the store, too; another may still have it.
 			s.fail(m.Host)
-			sleep.For(ctx, 100*time.Millisecond)
-		}
-	}
-}
-
-// claim returns the best source that is free.
-func (s *Syncer) claim() (mirror.Member, bool) {
-	order := mirror.Order(s.known(), s.cfg.Host, s.cfg.Region, s.isFailed)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, m := range order {
-		if !s.busy[m.Host] {
-			s.busy[m.Host] = true
-			return m, true
+			sleep.For(ctx, seekPause)
+		case rank > 0:
+			sleep.For(ctx, spareEvery)
+		case wait == 0:
+			sleep.For(ctx, seekPause)
 		}
 	}
-	return mirror.Member{}, false
-}
-
-func (s *Syncer) release(m mirror.Member) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.busy, m.Host)
 }
 
-func (s *Syncer) pull(ctx context.Context, m mirror.Member, epoch, since uint64, wait time.Duration) (*peerv1.MirrorPage, error) {
+func (s *Syncer) pull(ctx context.Context, m mirror.Member, wait time.Duration) (*peerv1.MirrorPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+pullSlack)
 	defer cancel()
 	reply, err := s.pool.Call(ctx, m.Address, &peerv1.Request{Body: &peerv1.Request_MirrorPull{MirrorPull: &peerv1.MirrorPull{
-		Epoch: epoch, Since: since, WaitMicros: wait.Microseconds(), Self: s.self(),
+		Have: s.keeper.Have(), WaitMicros: wait.Microseconds(), Self: s.self(),
 	}}})
 	if err != nil {
 		return nil, err
