--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 # test is everything that CI runs.
 test: check build
 	CASSIATRAY_BIN=$(CURDIR)/$(BIN) RAPID_SEED=$(SEED) go test -race -count=1 ./...
+	RAPID_SEED=$(SEED) go test -count=1 ./internal/daemon/gateway ./platform/...
 
 # explore runs the property tests longer and with new seeds.
 explore: build
--- a/cmd/cassiatray-gateway/main.go
+++ b/cmd/cassiatray-gateway/main.go
@@ -35,7 +35,7 @@
 		Log:          func() settings.Log { return cfg.Log },
 		LogTo:        out,
 		LogPerSecond: logPerSecond,
-		Options:      fx.Options(fx.Supply(cfg), fx.Provide(newStore, newSchema, newDialect, newHandlers), gateway.Module),
+		Options:      fx.Options(fx.Supply(cfg), fx.Provide(newStore, newSchema, newDialect, newHandlers, newReload), gateway.Module),
 	})
 	out.Close(logFlush)
 	os.Exit(status)
@@ -53,3 +53,10 @@
 		Ready:     func(n *gateway.Node) http.Handler { return platform.ReadyHandler(n) },
 	}
 }
+
+func newReload(file program.SettingsFile) gateway.Reload {
+	return func() (*gateway.Settings, error) {
+		cfg := new(gateway.Settings)
+		return cfg, settings.Load(string(file), cfg)
+	}
+}
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -229,7 +229,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	old, known := k.heard[m.Host]
-	if known && old.member.Incarnation > m.Incarnation {
+	if known && newer(old.member, m) {
 		return
 	}
 	if known && !direct && old.direct && now.Sub(old.at) < heardLife {
@@ -257,7 +257,7 @@
 	for host, h := range k.heard {
 		if now.Sub(h.at) >= heardLife {
 			delete(k.heard, host)
-			changed = changed || k.stored[host] == nil
+			changed = changed || k.stored[host] == nil || newer(h.member, k.stored[host])
 		}
 	}
 	k.mirror.Expire(now)
--- a/internal/daemon/gateway/locate.go
+++ b/internal/daemon/gateway/locate.go
@@ -30,7 +30,7 @@
 	if len(near) == 0 {
 		near = addresses(members, func(*peerv1.GatewayMember) bool { return true })
 	}
-	return near[:min(len(near), maxAddresses)], min(hold, time.Duration(n.cfg.Bounds.HoldMax))
+	return near[:min(len(near), maxAddresses)], min(hold, time.Duration(n.bounds.Load().HoldMax))
 }
 
 func addresses(members []*peerv1.GatewayMember, keep func(*peerv1.GatewayMember) bool) []string {
--- a/internal/daemon/gateway/module.go
+++ b/internal/daemon/gateway/module.go
@@ -47,7 +47,8 @@
 const poolSweep = time.Second
 
 // Module wires a gateway. It needs *Settings, *logrus.Logger,
-// *prometheus.Registry, port.Registry, port.Schema, port.Dialect and Handlers.
+// *prometheus.Registry, port.Registry, port.Schema, port.Dialect, Handlers
+// and Reload.
 var Module = fx.Module("gateway",
 	fx.Provide(newIdentity, newMeter, newPool, newKeeper, newSyncer, newForwarder, newNode, NewMetrics, newRegisterer, newPeerServer),
 	fx.Invoke(start),
@@ -128,7 +129,7 @@
 	return l, nil
 }
 
-func start(lc fx.Lifecycle, cfg *Settings, n *Node, k *Keeper, s *Syncer, f *serverconn.Pool, srv *peer.Server, h Handlers, reg *prometheus.Registry, log *logrus.Logger) {
+func start(lc fx.Lifecycle, cfg *Settings, n *Node, k *Keeper, s *Syncer, f *serverconn.Pool, srv *peer.Server, h Handlers, reload Reload, reg *prometheus.Registry, log *logrus.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	quiet := logging.Discard()
@@ -158,7 +159,7 @@
 					f.Expire(func(address string) bool { return in[address] })
 				}
 			})
-			wg.Go(func() { n.reloadOnHangup(ctx) })
+			wg.Go(func() { n.reloadOnHangup(ctx, reload) })
 			return nil
 		},
 		OnStop: func(stop context.Context) error {
@@ -170,18 +171,32 @@
 	})
 }
 
-// reloadOnHangup notes SIGHUP. Addresses and names of a running process do not
-// change; a new settings file is in force with the next start.
-func (n *Node) reloadOnHangup(ctx context.Context) {
+// Reload reads and checks the settings file again.
+type Reload func() (*Settings, error)
+
+// reloadOnHangup takes over the bounds of a changed settings file. What a
+// running process cannot change, its name and addresses, waits for the next
+// start; settings that are wrong change nothing.
+func (n *Node) reloadOnHangup(ctx context.Context, reload Reload) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
 	for {
 		select {
 		case <-hup:
-			n.log.Info("Hangup: settings are kept until the next start.")
+			n.reload(reload)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
+
+func (n *Node) reload(reload Reload) {
+	cfg, err := reload()
+	if err != nil {
+		n.log.WithError(err).Error("Settings refused; the last ones stay.")
+		return
+	}
+	n.bounds.Store(&cfg.Bounds)
+	n.log.Info("Settings reloaded.")
+}
--- /dev/null
+++ b/internal/daemon/gateway/node_test.go
@@ -0,0 +1,457 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cassiatray/internal/adapter/peer"
+	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/mirror"
+	"cassiatray/internal/core/routing"
+	"cassiatray/internal/port"
+)
+
+// plainDialect reads headers with plain names.
+type plainDialect struct{}
+
+func (plainDialect) Caller(h http.Header) port.CallerMeta {
+	left, _ := time.ParseDuration(h.Get("Left"))
+	return port.CallerMeta{ID: h.Get("Id"), Object: h.Get("Object"), Left: left}
+}
+
+func (plainDialect) Forward(h http.Header, left time.Duration, instance string) {
+	h.Set("Left", left.String())
+	h.Set("Instance", instance)
+}
+
+func (plainDialect) Server(int, http.Header) port.ServerMeta { return port.ServerMeta{} }
+
+// sending is one request that reached the fake servers.
+type sending struct {
+	server string
+	req    *port.ForwardRequest
+	at     time.Time
+}
+
+// fakeServers implements port.Forwarder and port.Prober.
+type fakeServers struct {
+	mu   sync.Mutex
+	sent []sending
+	// answer makes the answer of the nth sending, from 1.
+	answer func(ctx context.Context, n int, address string) (*port.ForwardAnswer, error)
+	probe  func(address string) (port.ServerMeta, int, error)
+}
+
+func (f *fakeServers) Forward(ctx context.Context, address string, req *port.ForwardRequest) (*port.ForwardAnswer, error) {
+	f.mu.Lock()
+	f.sent = append(f.sent, sending{address, req, time.Now()})
+	n := len(f.sent)
+	f.mu.Unlock()
+	return f.answer(ctx, n, address)
+}
+
+func (f *fakeServers) Probe(_ context.Context, address, _ string) (port.ServerMeta, int, error) {
+	if f.probe == nil {
+		return port.ServerMeta{}, 200, nil
+	}
+	return f.probe(address)
+}
+
+func (f *fakeServers) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.sent)
+}
+
+func ok() *port.ForwardAnswer {
+	return &port.ForwardAnswer{Status: 200, Header: http.Header{"Stamp": {"s"}}, Body: []byte("body")}
+}
+
+func status(code int) *port.ForwardAnswer {
+	return &port.ForwardAnswer{Status: code, Header: http.Header{"Stamp": {"s"}}, Body: []byte("failed")}
+}
+
+func notRun() *port.ForwardAnswer {
+	return &port.ForwardAnswer{Status: 503, Header: http.Header{}, Meta: port.ServerMeta{NotRun: true}}
+}
+
+func broken(sent bool) error {
+	return &port.BackendError{Code: port.BackendBroken, Sent: sent, Err: io.ErrUnexpectedEOF}
+}
+
+// bench is one node with fake servers.
+type bench struct {
+	node    *Node
+	keeper  *Keeper
+	servers *fakeServers
+}
+
+// routes of the tests: /get/ may be repeated, /post/ may not.
+func testRoutes() []routing.Route {
+	parts := []routing.Part{{Service: "s", Weight: 1}}
+	return []routing.Route{
+		{Name: "get", Host: "h", Prefix: "/get/", Idempotent: true, MaxAttempts: 2, Sticky: true, Timeout: 1200 * time.Millisecond, Target: 600 * time.Millisecond, Priority: 2, Parts: parts},
+		{Name: "post", Host: "h", Prefix: "/post/", MaxAttempts: 2, Sticky: true, Timeout: 1500 * time.Millisecond, Target: 800 * time.Millisecond, Priority: 1, Parts: parts},
+		{Name: "home", Host: "h", Prefix: "/home/", Idempotent: true, MaxAttempts: 3, Homes: []string{"b"}, Parts: parts},
+	}
+}
+
+func newBench(answer func(ctx context.Context, n int, address string) (*port.ForwardAnswer, error)) *bench {
+	cfg := testSettings("g", "a1", 1)
+	k := NewKeeper(cfg, plainSchema{}, quiet())
+	m := NewMetrics(prometheus.NewRegistry())
+	servers := &fakeServers{answer: answer}
+	n := NewNode(cfg, k, plainDialect{}, servers, servers, quiet(), m)
+	n.syncer = NewSyncer(cfg, peer.Identity{Host: "g", Incarnation: 1}, k, nil, plainSchema{}, nil, quiet(), m)
+	b := &bench{node: n, keeper: k, servers: servers}
+	now := time.Now()
+	records := []mirror.Record{{Key: "config", Revision: 1, Read: now, Value: encode(plainConfig{
+		Version: 1, Services: []routing.Service{{Name: "s", ColdRate: 6}}, Routes: testRoutes(), Limits: routing.Limits{BodyBytes: 1 << 20, HeaderBytes: 4 << 10},
+	})}}
+	for i, d := range testDomains {
+		records = append(records, b.server(fleet.Record{ID: "i-" + d.Domain, Domain: d.Domain}, uint64(i+2)))
+	}
+	k.Apply(records, 10, "store", now)
+	return b
+}
+
+func (b *bench) server(r fleet.Record, revision uint64) mirror.Record {
+	if r.Slots == 0 {
+		r.Slots = 4
+	}
+	r.Service, r.Address = "s", r.ID
+	return mirror.Record{Key: "server/" + r.ID, Revision: revision, Read: time.Now(), Value: encode(r)}
+}
+
+func (b *bench) do(method, path string, headers ...string) *httptest.ResponseRecorder {
+	return b.doContext(context.Background(), method, path, headers...)
+}
+
+func (b *bench) doContext(ctx context.Context, method, path string, headers ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(""))
+	r.Host = "h"
+	r.Header.Set("Id", "1")
+	r.Header.Set("Left", "4s")
+	r.Header.Set("Object", "o")
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	b.node.ServeHTTP(w, r)
+	return w
+}
+
+func TestForwardsUnchanged(t *testing.T) {
+	b := newBench(func(context.Context, int, string) (*port.ForwardAnswer, error) { return ok(), nil })
+	w := b.do("GET", "/get/a%2Fb?x=1&y", "Connection", "X-Hop", "X-Hop", "1", "X-End", "2", "Id", "77")
+	if w.Code != 200 || w.Body.String() != "body" || w.Header().Get("Stamp") != "s" {
+		t.Fatalf("answer %d %q %v", w.Code, w.Body, w.Header())
+	}
+	s := b.servers.sent[0]
+	if s.req.URI != "/get/a%2Fb?x=1&y" || s.req.ID != "77" || s.req.Header.Get("X-End") != "2" {
+		t.Errorf("forwarded %+v", s.req)
+	}
+	if s.req.Header.Get("X-Hop") != "" || s.req.Header.Get("Connection") != "" {
+		t.Errorf("passed on %v", s.req.Header)
+	}
+	if s.req.Header.Get("Instance") != s.server {
+		t.Errorf("meant for %q, sent to %q", s.req.Header.Get("Instance"), s.server)
+	}
+	if left, _ := time.ParseDuration(s.req.Header.Get("Left")); left <= 0 || left > 1200*time.Millisecond {
+		t.Errorf("server got %v of a route's 1.2 s", left)
+	}
+}
+
+// TestOutcomes checks what callers are told after each course of a request, and
+// how often it was sent.
+func TestOutcomes(t *testing.T) {
+	type result struct {
+		answer *port.ForwardAnswer
+		err    error
+	}
+	ran, lost, unsent, refused := result{answer: ok()}, result{err: broken(true)}, result{err: broken(false)}, result{answer: notRun()}
+	failed := result{answer: status(500)}
+	for _, x := range []struct {
+		name, method, path string
+		course             []result
+		status, sent       int
+	}{
+		{"answered", "POST", "/post/1", []result{ran}, 200, 1},
+		{"not idempotent, lost", "POST", "/post/1", []result{lost, ran}, 502, 1},
+		{"not idempotent, not sent", "POST", "/post/1", []result{unsent, ran}, 200, 2},
+		{"not idempotent, refused", "POST", "/post/1", []result{refused, ran}, 200, 2},
+		{"not idempotent, refused by all", "POST", "/post/1", []result{refused, refused, refused, refused}, 503, 4},
+		{"not idempotent, refused then lost", "POST", "/post/1", []result{refused, lost}, 502, 2},
+		{"not idempotent, server failed", "POST", "/post/1", []result{failed}, 500, 1},
+		{"idempotent, lost", "GET", "/get/1", []result{lost, ran}, 200, 2},
+		{"idempotent, lost twice", "GET", "/get/1", []result{lost, lost, ran}, 502, 2},
+		{"idempotent, lost then refused", "GET", "/get/1", []result{lost, refused, refused, refused}, 502, 4},
+		{"idempotent, server failed", "GET", "/get/1", []result{failed, ran}, 200, 2},
+		{"idempotent, server failed then refused", "GET", "/get/1", []result{failed, refused, refused, refused}, 500, 4},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			b := newBench(func(_ context.Context, n int, _ string) (*port.ForwardAnswer, error) {
+				r := x.course[min(n, len(x.course))-1]
+				return r.answer, r.err
+			})
+			w := b.do(x.method, x.path)
+			if w.Code != x.status || b.servers.count() != x.sent {
+				t.Errorf("status %d after %d sendings, want %d after %d", w.Code, b.servers.count(), x.status, x.sent)
+			}
+			if (w.Header().Get("Retry-After") != "") != (x.status == 503) {
+				t.Errorf("status %d with Retry-After %q", w.Code, w.Header().Get("Retry-After"))
+			}
+			seen := map[string]bool{}
+			for _, s := range b.servers.sent {
+				if seen[s.server] {
+					t.Errorf("sent twice to %s", s.server)
+				}
+				seen[s.server] = true
+			}
+		})
+	}
+}
+
+// TestTimeoutOfRoute plays a server that does not answer: the caller gets an
+// answer soon after the route's time.
+func TestTimeoutOfRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(func(ctx context.Context, _ int, _ string) (*port.ForwardAnswer, error) {
+			<-ctx.Done()
+			return nil, &port.BackendError{Code: port.BackendTimeout, Sent: true, Err: ctx.Err()}
+		})
+		for path, limit := range map[string]time.Duration{"/get/1": 1200 * time.Millisecond, "/post/1": 1500 * time.Millisecond} {
+			start := time.Now()
+			w := b.do("POST", path)
+			// Operators allow a quarter of a second.
+			if took := time.Since(start); took > limit+250*time.Millisecond || w.Code != 504 {
+				t.Errorf("%s: %d after %v", path, w.Code, took)
+			}
+		}
+	})
+}
+
+// TestCallerLeaves checks that work that may be repeated ends with its caller,
+// and that other work does not.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for path, cancelled := range map[string]bool{"/get/1": true, "/post/1": false} {
+			ended := make(chan bool, 1)
+			b := newBench(func(ctx context.Context, _ int, _ string) (*port.ForwardAnswer, error) {
+				select {
+				case <-ctx.Done():
+					ended <- true
+					return nil, &port.BackendError{Code: port.BackendCanceled, Sent: true, Err: ctx.Err()}
+				case <-time.After(time.Second):
+					ended <- false
+					return ok(), nil
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			b.doContext(ctx, "POST", path)
+			cancel()
+			if got := <-ended; got != cancelled {
+				t.Errorf("%s: cancelled %t", path, got)
+			}
+			if n := b.servers.count(); n != 1 {
+				t.Errorf("%s: %d sendings", path, n)
+			}
+		}
+	})
+}
+
+// TestUnknownRoute checks that a route is only denied on a fresh view.
+func TestUnknownRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(nil)
+		if w := b.do("GET", "/none/"); w.Code != 404 {
+			t.Errorf("fresh: %d", w.Code)
+		}
+		time.Sleep(5 * time.Second)
+		if w := b.do("GET", "/none/"); w.Code != 503 {
+			t.Errorf("old: %d", w.Code)
+		}
+	})
+	empty := NewNode(testSettings("g", "a1", 1), NewKeeper(testSettings("g", "a1", 1), plainSchema{}, quiet()), plainDialect{}, nil, nil, quiet(), NewMetrics(prometheus.NewRegistry()))
+	w := httptest.NewRecorder()
+	empty.ServeHTTP(w, httptest.NewRequest("GET", "/get/", nil))
+	if w.Code != 503 {
+		t.Errorf("without a configuration: %d", w.Code)
+	}
+}
+
+func TestLimitsOfRequests(t *testing.T) {
+	b := newBench(func(context.Context, int, string) (*port.ForwardAnswer, error) { return ok(), nil })
+	if w := b.do("GET", "/get/", "X-Long", strings.Repeat("x", 5<<10)); w.Code != 431 {
+		t.Errorf("long headers: %d", w.Code)
+	}
+	r := httptest.NewRequest("POST", "/post/", strings.NewReader(strings.Repeat("x", 2<<20)))
+	r.Host = "h"
+	w := httptest.NewRecorder()
+	b.node.ServeHTTP(w, r)
+	if w.Code != 413 || b.servers.count() != 0 {
+		t.Errorf("long body: %d after %d sendings", w.Code, b.servers.count())
+	}
+}
+
+// TestHomes checks that a route with homes is served nowhere else, also when
+// the servers there are gone.
+func TestHomes(t *testing.T) {
+	b := newBench(func(context.Context, int, string) (*port.ForwardAnswer, error) { return nil, broken(true) })
+	for i := range 40 {
+		b.do("GET", "/home/", "Object", fmt.Sprint(i))
+	}
+	for _, s := range b.servers.sent {
+		if !strings.HasPrefix(s.server, "i-b") {
+			t.Fatalf("sent to %s", s.server)
+		}
+	}
+	if b.servers.count() == 0 {
+		t.Fatal("nothing sent")
+	}
+}
+
+// TestDrainedWhileRetrying plays a server that leaves between two attempts of a
+// request: the second goes by what is known then.
+func TestDrainedWhileRetrying(t *testing.T) {
+	var b *bench
+	b = newBench(func(_ context.Context, n int, address string) (*port.ForwardAnswer, error) {
+		if n > 1 {
+			return ok(), nil
+		}
+		var records []mirror.Record
+		for i, d := range testDomains[:5] {
+			records = append(records, b.server(fleet.Record{ID: "i-" + d.Domain, Domain: d.Domain, State: fleet.Draining}, uint64(20+i)))
+		}
+		b.keeper.Apply(records, 30, "store", time.Now())
+		return notRun(), nil
+	})
+	w := b.do("GET", "/get/1")
+	for _, s := range b.servers.sent[1:] {
+		if s.server != "i-c2" {
+			t.Errorf("sent to %s, which leaves", s.server)
+		}
+	}
+	if w.Code == 200 && b.servers.count() != 2 {
+		t.Errorf("%d after %d sendings", w.Code, b.servers.count())
+	}
+}
+
+// TestColdServers plays a herd of callers on a service whose servers are all
+// cold: in no second does a gateway send more than the pace of the servers that
+// it owns, and the others are told at once when to come back.
+func TestColdServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(func(context.Context, int, string) (*port.ForwardAnswer, error) { return ok(), nil })
+		var records []mirror.Record
+		for i, d := range testDomains {
+			records = append(records, b.server(fleet.Record{ID: "i-" + d.Domain, Domain: d.Domain, Cold: 3 * time.Second, Born: 7}, uint64(20+i)))
+		}
+		b.keeper.Apply(records, 30, "store", time.Now())
+		b.keeper.Hear(b.node.syncer.self(), true, time.Now())
+		refused := 0
+		for i := range 1000 {
+			time.Sleep(2 * time.Millisecond)
+			start := time.Now()
+			w := b.do("GET", "/get/", "Object", fmt.Sprint(i))
+			if w.Code == 503 {
+				refused++
+				if time.Since(start) > 50*time.Millisecond {
+					t.Fatalf("refused after %v", time.Since(start))
+				}
+			}
+		}
+		perServer := map[string][]time.Time{}
+		for _, s := range b.servers.sent {
+			perServer[s.server] = append(perServer[s.server], s.at)
+		}
+		for server, at := range perServer {
+			for i := range at {
+				n := 0
+				for _, other := range at[i:] {
+					if other.Sub(at[i]) < time.Second {
+						n++
+					}
+				}
+				if n > 6 {
+					t.Fatalf("%d requests in a second to %s, which bears 6", n, server)
+				}
+			}
+		}
+		if refused == 0 {
+			t.Error("nobody was refused")
+		}
+	})
+}
+
+// TestUnreachableServerIsChecked plays a server that comes back: it gets no
+// request before a check has reached it.
+func TestUnreachableServerIsChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		back := false
+		b := newBench(func(context.Context, int, string) (*port.ForwardAnswer, error) { return ok(), nil })
+		first := ""
+		b.servers.answer = func(_ context.Context, n int, address string) (*port.ForwardAnswer, error) {
+			if n == 1 {
+				first = address
+			}
+			if address == first && !back {
+				return nil, &port.BackendError{Code: port.BackendRefused, Err: io.EOF}
+			}
+			return ok(), nil
+		}
+		b.servers.probe = func(string) (port.ServerMeta, int, error) {
+			if !back {
+				return port.ServerMeta{}, 0, broken(false)
+			}
+			return port.ServerMeta{}, 200, nil
+		}
+		for range 50 {
+			if w := b.do("GET", "/get/1"); w.Code != 200 {
+				t.Fatalf("status %d", w.Code)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		to := func() (n int) {
+			for _, s := range b.servers.sent {
+				if s.server == first {
+					n++
+				}
+			}
+			return n
+		}
+		if n := to(); n != 1 {
+			t.Errorf("%d requests to an unreachable server", n)
+		}
+		back = true
+		for range 60 {
+			b.do("GET", "/get/1")
+			time.Sleep(100 * time.Millisecond)
+		}
+		if n := to(); n < 2 {
+			t.Error("the server is not used again")
+		}
+	})
+}
+
+func TestReload(t *testing.T) {
+	b := newBench(nil)
+	b.node.reload(func() (*Settings, error) { return nil, io.EOF })
+	if b.node.bounds.Load().RetryExtra != 100 {
+		t.Error("wrong settings changed the bounds")
+	}
+	b.node.reload(func() (*Settings, error) { return &Settings{Bounds: Bounds{RetryExtra: 7}}, nil })
+	if b.node.bounds.Load().RetryExtra != 7 {
+		t.Error("the bounds did not change")
+	}
+}
--- a/internal/daemon/gateway/serve.go
+++ b/internal/daemon/gateway/serve.go
@@ -59,7 +59,8 @@
 	inFlight   atomic.Int64
 	stopping   atomic.Bool
 
-	costs costs
+	costs  costs
+	bounds atomic.Pointer[Bounds]
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -68,20 +69,26 @@
 // NewNode returns a node that forwards by the keeper's views.
 func NewNode(cfg *Settings, k *Keeper, d port.Dialect, f port.Forwarder, p port.Prober, log *logrus.Entry, m *Metrics) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Node{
+	n := &Node{
 		cfg: cfg, keeper: k, dialect: d, forward: f, prober: p, log: log, metrics: m,
 		ctx: ctx, cancel: cancel, budgets: map[string]*retry.Window{},
 	}
+	n.bounds.Store(&cfg.Bounds)
+	return n
 }
 
 // exchange is one request of a caller on its way through this gateway.
 type exchange struct {
-	start   time.Time
-	meta    port.CallerMeta
-	view    *view
+	start time.Time
+	meta  port.CallerMeta
+	view  *view
+	// uri is the request target in origin form.
+	uri     string
 	route   *routing.Route
 	service string
 	object  uint64
+	// head is set for requests whose answers have no body.
+	head bool
 	// deadline is when the caller gets an answer at the latest.
 	deadline time.Time
 	body     []byte
@@ -123,8 +130,16 @@
 		n.refuse(w, x, http.StatusServiceUnavailable, "no configuration")
 		return
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	x.route = x.view.config.Match(r.Host, path)
+	if limit := x.view.config.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
+		n.refuse(w, x, http.StatusRequestHeaderFieldsTooLarge, "headers over the limit")
+		return
+	}
+	x.uri = r.RequestURI
+	if !strings.HasPrefix(x.uri, "/") {
+		x.uri = r.URL.RequestURI()
+	}
+	path, _, _ := strings.Cut(x.uri, "?")
+	x.route = x.view.config.Match(strings.ToLower(r.Host), path)
 	if x.route == nil {
 		if time.Since(n.keeper.Synced()) > freshWithin {
 			n.refuse(w, x, http.StatusServiceUnavailable, "no route, but the configuration may be old")
@@ -133,6 +148,7 @@
 		n.refuse(w, x, http.StatusNotFound, "no route")
 		return
 	}
+	x.head = r.Method == http.MethodHead
 	n.admit(x)
 	if status, why := n.readBody(w, r, x); status != 0 {
 		n.refuse(w, x, status, why)
@@ -141,6 +157,17 @@
 	n.serve(w, r, x)
 }
 
+// headerSize returns the size of a request's head as it was sent, in bytes.
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost: \r\n\r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return size
+}
+
 // admit settles a request's service, object and time.
 func (n *Node) admit(x *exchange) {
 	left := x.meta.Left
@@ -172,7 +199,7 @@
 		b = new(retry.Window)
 		n.budgets[service] = b
 	}
-	bounds := n.cfg.Bounds
+	bounds := n.bounds.Load()
 	b.Span, b.Ratio, b.Extra = time.Duration(bounds.RetryWindow), bounds.RetryRatio, bounds.RetryExtra/float64(gateways)
 	return fn(b)
 }
@@ -276,7 +303,7 @@
 	}
 	ctx, cancel := context.WithDeadline(parent, x.deadline.Add(answerGrace))
 	req := &port.ForwardRequest{
-		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: forwardHeader(r.Header), Body: x.body, Rest: x.rest,
+		Method: r.Method, URI: x.uri, Host: r.Host, Header: forwardHeader(r.Header), Body: x.body, Rest: x.rest,
 		Size: r.ContentLength, ID: x.meta.ID,
 	}
 	if x.rest == nil {
@@ -370,7 +397,7 @@
 		// Keeps net/http from guessing one.
 		h["Content-Type"] = nil
 	}
-	if a.Rest == nil {
+	if a.Rest == nil && !x.head {
 		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	} else if size := a.Header.Get("Content-Length"); size != "" {
 		h.Set("Content-Length", size)
--- a/internal/daemon/gateway/stop.go
+++ b/internal/daemon/gateway/stop.go
@@ -26,7 +26,7 @@
 // stop takes the gateway out of the directory, serves callers that do not know
 // yet, and ends once every request in flight has been answered.
 func (n *Node) stop(ctx context.Context, callers *http.Server) error {
-	grace := time.Duration(n.cfg.Bounds.Grace)
+	grace := time.Duration(n.bounds.Load().Grace)
 	end := time.Now().Add(grace - exitReserve)
 	n.stopping.Store(true)
 	n.log.WithField("grace_ms", grace.Milliseconds()).Info("Stopping: out of the directory.")
--- a/internal/daemon/gateway/sync.go
+++ b/internal/daemon/gateway/sync.go
@@ -76,7 +76,8 @@
 
 	mu     sync.Mutex
 	failed map[string]time.Time
-	lease  port.LeaseID
+	// lease holds this gateway's record in the store.
+	lease port.LeaseID
 }
 
 // NewSyncer returns a syncer that has not started.
@@ -325,34 +326,49 @@
 
 // announce renews the lease, or opens one and writes the record under it.
 func (s *Syncer) announce(ctx context.Context) error {
-	if s.lease != "" && s.announced() {
-		err := s.store.RenewLease(ctx, s.lease)
+	lease := s.held()
+	if lease != "" && s.announced() {
+		err := s.store.RenewLease(ctx, lease)
 		s.metrics.call("renew", err)
 		if !port.IsStoreCode(err, port.StoreNotFound) {
 			return err
 		}
-		s.lease = ""
+		lease = ""
 	}
-	if s.lease == "" {
+	if lease == "" {
 		id, err := s.store.GrantLease(ctx, leaseTTL)
 		s.metrics.call("grant", err)
 		if err != nil {
 			return err
 		}
-		s.lease = id
+		lease = id
 	}
 	value, err := proto.Marshal(s.self())
 	if err != nil {
 		return err
 	}
-	err = s.store.Put(ctx, s.schema.MemberKey(s.cfg.Host), value, s.lease)
+	err = s.store.Put(ctx, s.schema.MemberKey(s.cfg.Host), value, lease)
 	s.metrics.call("put", err)
 	if port.IsStoreCode(err, port.StoreNotFound) {
-		s.lease = ""
+		lease = ""
 	}
+	s.hold(lease)
 	return err
 }
 
+// held returns the lease of this gateway's record, or "".
+func (s *Syncer) held() port.LeaseID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease
+}
+
+func (s *Syncer) hold(id port.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease = id
+}
+
 // announced reports whether the mirror lacks nothing of this gateway's record.
 // A record that was removed under a live lease is written again.
 func (s *Syncer) announced() bool {
@@ -366,10 +382,11 @@
 func (s *Syncer) Leave(ctx context.Context) {
 	s.state.Store(int32(peerv1.HostState_HOST_STATE_LEAVING))
 	s.keeper.Hear(s.self(), true, time.Now())
-	if s.lease == "" {
+	lease := s.held()
+	if lease == "" {
 		return
 	}
-	err := s.store.RevokeLease(ctx, s.lease)
+	err := s.store.RevokeLease(ctx, lease)
 	s.metrics.call("revoke", err)
 	if err != nil {
 		s.log.WithError(err).Warn("Cannot revoke the lease; it lapses by itself.")
--- /dev/null
+++ b/internal/daemon/gateway/sync_test.go
@@ -0,0 +1,275 @@
+//go:build !race
+
+// These tests play many gateways on virtual time. Under the race detector its
+// own runtime ends the process now and then (a fault in its depot of stacks,
+// called from synctest.Run), so they run without it; TestGatewaysTogether plays
+// the same code under it in real time.
+
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/mirror"
+)
+
+// drainBound is the shortest bound of the users' sites on work for a leaving
+// server.
+const drainBound = 2500 * time.Millisecond
+
+// play runs fn with a settled world of gateways and servers on virtual time.
+func play(t *testing.T, perDomain int, fn func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.setConfig(1)
+		for _, d := range testDomains {
+			w.setServer(fleet.Record{ID: "i-" + d.Domain, Domain: d.Domain})
+		}
+		w.fill(perDomain)
+		time.Sleep(8 * time.Second)
+		for name, h := range w.hosts {
+			if n := len(h.keeper.View().members); n != len(w.hosts) || !h.uses("i-a1") {
+				t.Errorf("%s knows %d of %d gateways after 8 s", name, n, len(w.hosts))
+			}
+		}
+		fn(w)
+		w.end()
+		synctest.Wait()
+	})
+}
+
+func TestDrainReachesAllGateways(t *testing.T) {
+	play(t, 2, func(w *world) {
+		w.setServer(fleet.Record{ID: "i-a1", Domain: "a1", State: fleet.Draining})
+		w.eventually(drainBound, "i-a1 is left", w.allAvoid("i-a1"))
+	})
+}
+
+// TestStoreTurnsGatewaysAway plays a store that fails some gateways, among them
+// every hub, and serves the others: what changes reaches all within the bounds.
+func TestStoreTurnsGatewaysAway(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("silent=%t", silent), func(t *testing.T) {
+			play(t, 3, func(w *world) {
+				w.store.setSilent(silent)
+				w.store.turnAway(true, append(w.hubs(), "a1-0", "b1-1", "c2-2")...)
+				time.Sleep(5 * time.Second)
+				w.setServer(fleet.Record{ID: "i-a1", Domain: "a1", State: fleet.Draining})
+				w.eventually(drainBound, "i-a1 is left", w.allAvoid("i-a1"))
+				w.setConfig(2)
+				w.eventually(drainBound, "version 2 is in force", func() bool {
+					for _, h := range w.hosts {
+						if h.keeper.View().config.Version != 2 {
+							return false
+						}
+					}
+					return true
+				})
+			})
+		})
+	}
+}
+
+func TestEvacuationAndReturn(t *testing.T) {
+	play(t, 2, func(w *world) {
+		w.store.set("evacuate/a1", []byte("{}"), "")
+		w.eventually(drainBound, "a1 is evacuated", w.allAvoid("i-a1"))
+		w.store.set("evacuate/a1", nil, "")
+		w.eventually(drainBound, "a1 is used again", func() bool {
+			for _, h := range w.hosts {
+				if !h.uses("i-a1") {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
+// TestForgottenHistory plays a store that drops its history while a server
+// leaves and a record goes.
+func TestForgottenHistory(t *testing.T) {
+	play(t, 2, func(w *world) {
+		w.setServer(fleet.Record{ID: "i-a1", Domain: "a1", State: fleet.Draining})
+		w.store.set("server/i-b1", nil, "")
+		w.store.forget()
+		w.eventually(drainBound, "i-a1 is left", w.allAvoid("i-a1"))
+		w.eventually(drainBound, "i-b1 is left", w.allAvoid("i-b1"))
+	})
+}
+
+// TestConfigurationNeverGoesBack feeds an older version at a newer revision.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	play(t, 1, func(w *world) {
+		w.setConfig(9)
+		time.Sleep(2 * time.Second)
+		w.setConfig(5)
+		w.store.set("config", []byte("{broken"), "")
+		w.store.set("config", nil, "")
+		time.Sleep(3 * time.Second)
+		for name, h := range w.hosts {
+			if v := h.keeper.View().config.Version; v != 9 {
+				t.Errorf("%s has version %d", name, v)
+			}
+		}
+	})
+}
+
+// TestRecordsThatLapsedInAnOutage plays a store that is away while the servers'
+// records lapse: those written again soon after are never left, and the one
+// that is not is.
+func TestRecordsThatLapsedInAnOutage(t *testing.T) {
+	play(t, 2, func(w *world) {
+		w.store.turnAway(true)
+		time.Sleep(6 * time.Second)
+		for _, d := range testDomains {
+			w.store.set("server/i-"+d.Domain, nil, "")
+		}
+		w.store.turnAway(false)
+		for i := range 150 {
+			time.Sleep(10 * time.Millisecond)
+			for name, h := range w.hosts {
+				if !h.uses("i-b1") {
+					t.Fatalf("%s left i-b1 %d ms after the outage", name, i*10)
+				}
+			}
+		}
+		for _, d := range testDomains[1:] {
+			w.setServer(fleet.Record{ID: "i-" + d.Domain, Domain: d.Domain})
+		}
+		w.eventually(drainBound+2*time.Second, "i-a1 is left", w.allAvoid("i-a1"))
+		for name, h := range w.hosts {
+			if !h.uses("i-b1") {
+				t.Errorf("%s left i-b1", name)
+			}
+		}
+	})
+}
+
+func (h *host) knows(name string) bool {
+	for _, m := range h.keeper.View().members {
+		if m.Host == name {
+			return true
+		}
+	}
+	return false
+}
+
+// TestDeadGatewayIsNotNamed checks the bound on directory answers that name a
+// gateway that was killed: 4 s and 3 s on the users' sites.
+func TestDeadGatewayIsNotNamed(t *testing.T) {
+	play(t, 2, func(w *world) {
+		victims := append(w.hubs(), "a1-0")
+		for _, v := range victims {
+			if w.hosts[v] != nil {
+				w.kill(v)
+			}
+		}
+		w.eventually(7*time.Second, "the dead are not named", func() bool {
+			for _, h := range w.hosts {
+				for _, v := range victims {
+					if h.knows(v) {
+						return false
+					}
+				}
+			}
+			return true
+		})
+	})
+}
+
+// TestRevokedGatewayIsStillNamed plays a store that turns a gateway away and
+// drops its record, though it lives and its peers hear it.
+func TestRevokedGatewayIsStillNamed(t *testing.T) {
+	play(t, 2, func(w *world) {
+		w.store.turnAway(true, "b2-1")
+		w.store.set("gateway/b2-1", nil, "")
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			missing := 0
+			for _, h := range w.hosts {
+				if !h.knows("b2-1") {
+					missing++
+				}
+			}
+			if missing > len(w.hosts)/4 {
+				t.Fatalf("%d of %d gateways do not name b2-1", missing, len(w.hosts))
+			}
+		}
+	})
+}
+
+// TestStoppingGatewayIsNotNamed checks that a planned stop takes a gateway out
+// at once.
+func TestStoppingGatewayIsNotNamed(t *testing.T) {
+	play(t, 2, func(w *world) {
+		w.hosts["a1-0"].syncer.Leave(t.Context())
+		w.eventually(1500*time.Millisecond, "a1-0 is not named", func() bool {
+			for _, h := range w.hosts {
+				if h.knows("a1-0") {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
+// TestStoreCallsGrowWithRegions checks that calm costs the store about
+// the same for many gateways as for few, but for the renewals of leases, and
+// that a watch of every gateway would not.
+func TestStoreCallsGrowWithRegions(t *testing.T) {
+	// The race detector's runtime ends a process after too many events, so the
+	// time and the number of gateways are moderate.
+	const calm = 20 * time.Second
+	calls := func(perDomain int) (watches int) {
+		play(t, perDomain, func(w *world) {
+			before := w.store.count()
+			time.Sleep(calm)
+			renewals := len(w.hosts) * int(calm/renewEvery)
+			watches = w.store.count() - before - renewals
+		})
+		return watches
+	}
+	few, many := calls(1), calls(3)
+	if many > 2*few {
+		t.Errorf("%d calls in %v beside renewals with 6 gateways, %d with 18", few, calm, many)
+	}
+}
+
+// TestHerdRestart plays all gateways killed at once: the new ones serve within
+// seconds and without a call of the store for each listing page.
+func TestHerdRestart(t *testing.T) {
+	play(t, 2, func(w *world) {
+		for name := range w.hosts {
+			w.kill(name)
+		}
+		w.fill(2)
+		w.eventually(4*time.Second, "all serve again", func() bool {
+			for _, h := range w.hosts {
+				if !h.syncer.Ready() {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
+// TestOldPageChangesNothing feeds a page of a gateway that lags.
+func TestOldPageChangesNothing(t *testing.T) {
+	k := NewKeeper(testSettings("x", "a1", 1), plainSchema{}, quiet())
+	now := time.Now()
+	rec := func(state fleet.State, revision uint64) mirror.Record {
+		return mirror.Record{Key: "server/i", Value: encode(fleet.Record{ID: "i", Service: "s", Domain: "a1", Slots: 1, State: state}), Revision: revision, Read: now}
+	}
+	k.Apply([]mirror.Record{rec(fleet.Draining, 8)}, 8, "store", now)
+	k.Apply([]mirror.Record{rec(fleet.Ready, 5)}, 5, "peer", now)
+	if s := k.servers["i"]; s.rec().State != fleet.Draining {
+		t.Error("a lagging page undid a drain")
+	}
+}
--- a/internal/daemon/gateway/view.go
+++ b/internal/daemon/gateway/view.go
@@ -133,6 +133,12 @@
 	g.ring = placement.NewRing(list)
 }
 
+// newer reports whether a says more recent things of a gateway than b: a process
+// only goes from starting to serving to leaving.
+func newer(a, b *peerv1.GatewayMember) bool {
+	return a.Incarnation > b.Incarnation || a.Incarnation == b.Incarnation && a.State > b.State
+}
+
 // members returns the gateways that serve, sorted by host. The caller holds
 // k.mu.
 func (k *Keeper) members(now time.Time) []*peerv1.GatewayMember {
@@ -143,7 +149,7 @@
 		}
 	}
 	for host, m := range k.stored {
-		if h := all[host]; h == nil || h.Incarnation < m.Incarnation {
+		if h := all[host]; h == nil || newer(m, h) {
 			all[host] = m
 		}
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -45,6 +45,9 @@
 	Version  kong.VersionFlag `help:"Show the version and exit."`
 }
 
+// SettingsFile is the path of the settings file that a daemon was started with.
+type SettingsFile string
+
 // Daemon is what Main runs.
 type Daemon struct {
 	Name string
@@ -85,7 +88,7 @@
 	}
 	app := fx.New(
 		fx.NopLogger, fx.StartTimeout(startTimeout), fx.StopTimeout(stopTimeout),
-		fx.Supply(log, newRegistry()), d.Options,
+		fx.Supply(log, newRegistry(), SettingsFile(cli.Settings)), d.Options,
 	)
 	return run(app, logging.Part(log, "main"))
 }
