A lost answer does not make its server unreachable; repeat where it was

Ruled out: servers that crashed: they refuse the next connection, which proves that nothing was sent, so that request goes on at no risk. Change: a connection that breaks after sending counts against a server only four times in a row; one that leaves bytes unacknowledged still does at once. A request that may be repeated is repeated once where its answer was lost: the object is warm there.

--- a/internal/core/fleet/health.go
+++ b/internal/core/fleet/health.go
@@ -18,10 +18,12 @@
 type Health struct {
 	// down is set while the server counts as unreachable: it gets no requests
 	// before a check has reached it.
-	down      bool
-	checking  bool
-	checkAt   time.Time
-	failures  int
+	down     bool
+	checking bool
+	checkAt  time.Time
+	failures int
+	// broken counts the exchanges in a row that broke without an answer.
+	broken    int
 	coldUntil time.Time
 	shedUntil time.Time
 }
@@ -36,11 +38,22 @@
 	return changed
 }
 
+// brokenLimit is how many exchanges in a row must break for the server to count
+// as unreachable.
+const brokenLimit = 4
+
+// Broken notes an exchange that broke after it was sent. It reports whether
+// that changed the belief.
+func (h *Health) Broken(now time.Time) bool {
+	h.broken++
+	return h.broken >= brokenLimit && h.Unreachable(now)
+}
+
 // Reached notes an answer of the server. It reports whether that changed the
 // belief.
 func (h *Health) Reached() bool {
 	changed := h.down
-	h.down, h.checking, h.failures = false, false, 0
+	h.down, h.checking, h.failures, h.broken = false, false, 0, 0
 	return changed
 }
 
--- a/internal/daemon/gateway/serve.go
+++ b/internal/daemon/gateway/serve.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -93,7 +94,10 @@
 	deadline time.Time
 	body     []byte
 	rest     io.Reader
+	// tried are the servers that are not tried again, lostAt those that lost an
+	// answer once.
 	tried    map[*server]bool
+	lostAt   map[*server]bool
 	attempts []attempt
 	// mayHaveRun is set once a server may have begun the request.
 	mayHaveRun bool
@@ -125,7 +129,7 @@
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{start: time.Now(), meta: n.dialect.Caller(r.Header), view: n.keeper.View(), tried: map[*server]bool{}}
+	x := &exchange{start: time.Now(), meta: n.dialect.Caller(r.Header), view: n.keeper.View(), tried: map[*server]bool{}, lostAt: map[*server]bool{}}
 	if x.view.config == nil {
 		n.refuse(w, x, http.StatusServiceUnavailable, "no configuration")
 		return
@@ -255,8 +259,8 @@
 			n.fail(w, x, "retry budget spent")
 			return
 		}
-		x.tried[c.server] = true
 		a, err := n.send(r, x, c, left)
+		x.note(c.server, err)
 		if err == nil && !a.Meta.NotRun {
 			runs++
 			if !n.again(x, a, runs) {
@@ -286,6 +290,17 @@
 	}
 }
 
+// note keeps a request from a server that failed it. A server whose answer was
+// lost on the way gets one more chance: it has what the request needs at hand.
+func (x *exchange) note(s *server, err error) {
+	var be *port.BackendError
+	if errors.As(err, &be) && be.Code == port.BackendBroken && be.Sent && !x.lostAt[s] {
+		x.lostAt[s] = true
+		return
+	}
+	x.tried[s] = true
+}
+
 // again reports whether an answer is a failure that another server may better.
 func (n *Node) again(x *exchange, a *port.ForwardAnswer, runs int) bool {
 	return a.Status >= http.StatusInternalServerError && x.route.Idempotent && x.rest == nil && a.Rest == nil && runs < x.route.MaxAttempts
@@ -359,9 +374,13 @@
 	if !errors.As(err, &be) {
 		return
 	}
+	now := time.Now()
 	switch be.Code {
 	case port.BackendConnect, port.BackendRefused, port.BackendBroken:
-		if s.change(func(h *fleet.Health) bool { return h.Unreachable(time.Now()) }) {
+		// A connection that breaks says little: an answer may be lost now and
+		// then, and a server that is gone refuses the next connection.
+		gone := !be.Sent || errors.Is(err, syscall.ETIMEDOUT)
+		if s.change(func(h *fleet.Health) bool { return gone && h.Unreachable(now) || !gone && h.Broken(now) }) {
 			rec := s.rec()
 			n.log.WithFields(logrus.Fields{"server": rec.ID, "address": rec.Address}).WithError(err).Warn("Server unreachable.")
 		}
