--- a/internal/adapter/serverconn/exchange.go
+++ b/internal/adapter/serverconn/exchange.go
@@ -61,6 +61,9 @@
 	}
 	early := err != nil
 	resp, foreign, err := p.answer(c, r)
+	if err != nil && c.waited > 0 && errors.Is(err, syscall.ECONNRESET) && c.r.Buffered() == 0 {
+		p.distrust(c.waited)
+	}
 	if err != nil {
 		return nil, brokenError(ctx, address, true, err)
 	}
--- a/internal/adapter/serverconn/pool.go
+++ b/internal/adapter/serverconn/pool.go
@@ -16,16 +16,21 @@
 
 // Limits of connections to backend servers.
 const (
-	// connectTimeout bounds the opening of a connection. Servers answer within
-	// two round trips between regions, about 140 ms.
-	connectTimeout = 700 * time.Millisecond
-	// unackedTimeout is how long a server may leave bytes unacknowledged.
-	unackedTimeout = 900 * time.Millisecond
+	// connectTimeout bounds the opening of a connection: two round trips
+	// between regions, about 140 ms, and one lost packet.
+	connectTimeout = 500 * time.Millisecond
+	// unackedTimeout is how long a server may leave bytes unacknowledged: as
+	// above. A server without power is noticed by that alone.
+	unackedTimeout = 500 * time.Millisecond
 	// idleDefault is how long a connection is kept when the server does not say.
 	idleDefault = 4 * time.Second
 	// idleShare is the part of the server's own idle timeout after which a
 	// connection is no longer used, so that requests do not cross its close.
 	idleShare = 0.85
+	// distrustFor is how long idle connections are trusted less after one was
+	// found reset, and distrustLeast the least idle time that is then trusted.
+	distrustFor   = 10 * time.Second
+	distrustLeast = 20 * time.Millisecond
 	// maxIdle bounds the idle connections to one server.
 	maxIdle = 16
 	// bufferSize is the size of a connection's read buffer, in bytes.
@@ -37,6 +42,10 @@
 	net.Conn
 	r     *bufio.Reader
 	until time.Time
+	// since is when the connection became idle last; zero for a new one.
+	since time.Time
+	// waited is how long it was idle before the request that uses it.
+	waited time.Duration
 }
 
 // Pool implements port.Forwarder.
@@ -47,6 +56,10 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// trusted is the longest idle time after which connections are used until
+	// distrustEnd: servers may forget idle connections without a word.
+	trusted     time.Duration
+	distrustEnd time.Time
 }
 
 // New returns a pool that reads answers by a dialect.
@@ -62,7 +75,8 @@
 		if c == nil {
 			break
 		}
-		if p.now().Before(c.until) && tcp.Peek(c.Conn) == tcp.Quiet {
+		c.waited = p.now().Sub(c.since)
+		if p.now().Before(c.until) && p.trusts(c.waited) && tcp.Peek(c.Conn) == tcp.Quiet {
 			return c, false, nil
 		}
 		c.Close()
@@ -88,7 +102,8 @@
 }
 
 func (p *Pool) put(address string, c *conn, keep time.Duration) {
-	c.until = p.now().Add(keep)
+	c.since, c.waited = p.now(), 0
+	c.until = c.since.Add(keep)
 	c.SetDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -99,6 +114,24 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
+// trusts reports whether a connection that was idle for a time may be used.
+func (p *Pool) trusts(waited time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return waited <= p.trusted || p.now().After(p.distrustEnd)
+}
+
+// distrust notes that a connection was found reset after it had been idle.
+func (p *Pool) distrust(waited time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	if now.After(p.distrustEnd) || waited/2 < p.trusted {
+		p.trusted = max(distrustLeast, waited/2)
+	}
+	p.distrustEnd = now.Add(distrustFor)
+}
+
 // Expire closes idle connections that are past their time, and those to
 // addresses that are no longer in use.
 func (p *Pool) Expire(inUse func(address string) bool) {
--- a/internal/core/fleet/health.go
+++ b/internal/core/fleet/health.go
@@ -18,7 +18,10 @@
 type Health struct {
 	// down is set while the server counts as unreachable: it gets no requests
 	// before a check has reached it.
-	down     bool
+	down bool
+	// doubted is set while only another gateway has found it unreachable.
+	doubted  bool
+	reached  time.Time
 	checking bool
 	checkAt  time.Time
 	failures int
@@ -32,7 +35,7 @@
 // a request on it. It reports whether that changed the belief.
 func (h *Health) Unreachable(now time.Time) bool {
 	changed := !h.down
-	h.down, h.checking = true, false
+	h.down, h.doubted, h.checking = true, false, false
 	h.checkAt = now.Add(min(downMax, downBase<<min(h.failures, 5)))
 	h.failures++
 	return changed
@@ -49,10 +52,25 @@
 	return h.broken >= brokenLimit && h.Unreachable(now)
 }
 
+// Doubt notes that another gateway could not reach the server at a time. Unless
+// this one has reached it since, the server is to be checked at once.
+func (h *Health) Doubt(now, at time.Time) bool {
+	if h.down || h.reached.After(at) {
+		return false
+	}
+	h.down, h.doubted, h.checking, h.checkAt = true, true, false, now
+	return true
+}
+
+// Doubted reports whether only another gateway has found the server
+// unreachable.
+func (h *Health) Doubted() bool { return h.down && h.doubted }
+
 // Reached notes an answer of the server. It reports whether that changed the
 // belief.
-func (h *Health) Reached() bool {
+func (h *Health) Reached(now time.Time) bool {
 	changed := h.down
+	h.reached, h.doubted = now, false
 	h.down, h.checking, h.failures, h.broken = false, false, 0, 0
 	return changed
 }
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -57,6 +57,9 @@
 	// graceUntil is when lapsed records stop counting; lapsed are those kept.
 	graceUntil time.Time
 	lapsed     map[string]mirror.Record
+	// reports are what gateways met at servers; number counts this one's.
+	reports fleet.Reports
+	number  uint64
 }
 
 // NewKeeper returns a keeper that knows nothing.
@@ -137,8 +140,7 @@
 			k.takeMember(name, r, fields, now)
 		}
 	}
-	close(k.changed)
-	k.changed = make(chan struct{})
+	k.wake()
 	k.publish(now)
 }
 
--- a/internal/daemon/gateway/module.go
+++ b/internal/daemon/gateway/module.go
@@ -89,12 +89,13 @@
 }
 
 func newPeerServer(id peer.Identity, k *Keeper) *peer.Server {
-	return peer.NewServer(id, &exchanges{keeper: k})
+	return peer.NewServer(id, &exchanges{keeper: k, epoch: id.Incarnation})
 }
 
 // exchanges implements peer.Handler.
 type exchanges struct {
 	keeper *Keeper
+	epoch  uint64
 }
 
 // Serve implements peer.Handler.
@@ -103,7 +104,7 @@
 	if pull == nil {
 		return nil, &port.PeerError{Code: port.PeerRefused, Reason: "not for gateways"}
 	}
-	return &peerv1.Reply{Body: &peerv1.Reply_MirrorPage{MirrorPage: e.keeper.Page(ctx, pull)}}, nil
+	return &peerv1.Reply{Body: &peerv1.Reply_MirrorPage{MirrorPage: e.keeper.Page(ctx, e.epoch, pull)}}, nil
 }
 
 // ServeFollow implements peer.Handler.
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -51,17 +51,20 @@
 	}
 	service := n.costs.service(x.route)
 	limit := overload.MaxWait(x.route.Target, x.deadline.Sub(now), service, v.levels[x.route])
-	var best choice
+	var best, doubted choice
 	why := verdictUnknown
 	found := 0
 	for rank, i := range g.rank(x.object) {
 		s := g.servers[i]
 		c, reason := n.consider(v, x, s, service, now)
+		c.rank = rank
 		if reason != verdictNone {
 			why = reason
+			if doubted.server == nil && c.server != nil {
+				doubted = c
+			}
 			continue
 		}
-		c.rank = rank
 		found++
 		if best.server == nil || c.wait+spillCost(x, service) < best.wait {
 			best = c
@@ -70,6 +73,10 @@
 			break
 		}
 	}
+	if best.server == nil {
+		// What one gateway cannot reach, another may.
+		best = doubted
+	}
 	switch {
 	case best.server == nil:
 		return choice{}, why
@@ -90,7 +97,8 @@
 	return service
 }
 
-// consider returns a server's load, or why it cannot be used.
+// consider returns a server's load, or why it cannot be used. With a server that
+// only others have found unreachable it returns both.
 func (n *Node) consider(v *view, x *exchange, s *server, service time.Duration, now time.Time) (choice, verdict) {
 	switch {
 	case !x.route.AllowsRegion(s.region):
@@ -99,6 +107,9 @@
 		return choice{}, verdictTried
 	case s.down():
 		n.check(v, s, now)
+		if s.change((*fleet.Health).Doubted) {
+			return choice{server: s}, verdictDown
+		}
 		return choice{}, verdictDown
 	}
 	c := choice{server: s, requests: s.requests(now, service), cold: s.coldLeft(now)}
@@ -160,7 +171,7 @@
 		if meta.Cold > 0 {
 			h.Cold(now.Add(meta.Cold))
 		}
-		return h.Reached()
+		return h.Reached(now)
 	})
 	if alive {
 		log.WithField("cold_ms", meta.Cold.Milliseconds()).Info("Server reached again.")
@@ -182,6 +193,6 @@
 		if meta.OtherInstance {
 			return h.Unreachable(now)
 		}
-		return h.Reached()
+		return h.Reached(now)
 	})
 }
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -19,29 +19,35 @@
 
 // Page answers a pull: at once when there is news for the puller, else when
 // there is, or when its wait is over.
-func (k *Keeper) Page(ctx context.Context, req *peerv1.MirrorPull) *peerv1.MirrorPage {
+func (k *Keeper) Page(ctx context.Context, epoch uint64, req *peerv1.MirrorPull) *peerv1.MirrorPage {
 	k.Hear(req.Self, true, time.Now())
+	k.takeReports(req.Reports, time.Now())
+	if req.ReportsEpoch != epoch {
+		req.ReportsFrom = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, min(maxPullWait, time.Duration(req.WaitMicros)*time.Microsecond))
 	defer cancel()
 	for {
-		page, changed := k.page(req.Have, time.Now())
-		if len(page.Records) > 0 || req.WaitMicros <= 0 {
+		page, changed := k.page(epoch, req, time.Now())
+		if len(page.Records) > 0 || len(page.Reports) > 0 || req.WaitMicros <= 0 {
 			return page
 		}
 		select {
 		case <-changed:
 			sleep.For(ctx, gather)
 		case <-ctx.Done():
-			page, _ := k.page(req.Have, time.Now())
+			page, _ := k.page(epoch, req, time.Now())
 			return page
 		}
 	}
 }
 
-func (k *Keeper) page(have uint64, now time.Time) (*peerv1.MirrorPage, chan struct{}) {
+func (k *Keeper) page(epoch uint64, req *peerv1.MirrorPull, now time.Time) (*peerv1.MirrorPage, chan struct{}) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	page := &peerv1.MirrorPage{Complete: k.mirror.Revision(), AgeMicros: -1}
+	page := &peerv1.MirrorPage{Complete: k.mirror.Revision(), AgeMicros: -1, ReportsEpoch: epoch}
+	page.Reports, page.ReportsNext = k.reportsSince(req.ReportsFrom, now)
+	have := req.Have
 	if at := k.mirror.Synced(); !at.IsZero() {
 		page.AgeMicros = now.Sub(at).Microseconds()
 	}
@@ -83,6 +89,7 @@
 		k.mirror.Complete(page.Complete)
 	}
 	k.mu.Unlock()
+	k.takeReports(page.Reports, now)
 	for _, m := range page.Heard {
 		if m.GetHost() != k.cfg.Host {
 			k.Hear(m, false, now)
--- a/internal/daemon/gateway/serve.go
+++ b/internal/daemon/gateway/serve.go
@@ -85,6 +85,7 @@
 	view  *view
 	// uri is the request target in origin form.
 	uri     string
+	method  string
 	route   *routing.Route
 	service string
 	object  uint64
@@ -240,6 +241,12 @@
 // serve sends the request to one server after another until one has answered.
 func (n *Node) serve(w http.ResponseWriter, r *http.Request, x *exchange) {
 	runs := 0
+	x.method = r.Method
+	print := func() string { return x.fingerprint(r.Method) }
+	if x.rest == nil && n.keeper.refused(print) {
+		n.refuse(w, x, http.StatusServiceUnavailable, "crashes servers")
+		return
+	}
 	for {
 		now := time.Now()
 		left := x.deadline.Sub(now)
@@ -263,6 +270,7 @@
 		x.note(c.server, err)
 		if err == nil && !a.Meta.NotRun {
 			runs++
+			n.keeper.ran(print, now)
 			if !n.again(x, a, runs) {
 				n.deliver(w, x, a)
 				return
@@ -278,6 +286,9 @@
 				n.finish(x, 0, "caller left")
 				return
 			}
+			if !x.route.Idempotent && be.Code == port.BackendBroken {
+				n.inquire(x, c.server)
+			}
 			if !x.route.Idempotent || runs >= x.route.MaxAttempts || x.rest != nil || be.Code == port.BackendTimeout {
 				n.fail(w, x, "server failed: "+string(be.Code))
 				return
@@ -338,7 +349,7 @@
 	at := attempt{Server: rec.ID, Rank: c.rank, Requests: c.requests, WaitMS: c.wait.Milliseconds(), ColdMS: c.cold.Milliseconds(), MS: took.Milliseconds()}
 	if err != nil {
 		at.Error = err.Error()
-		n.noteFailure(s, err)
+		n.noteFailure(x, s, err)
 	} else {
 		at.Status, at.New = a.Status, a.Opened
 		s.learn(a.Meta, int(mine), time.Now())
@@ -369,7 +380,7 @@
 }
 
 // noteFailure changes the belief about a server after a failed exchange.
-func (n *Node) noteFailure(s *server, err error) {
+func (n *Node) noteFailure(x *exchange, s *server, err error) {
 	var be *port.BackendError
 	if !errors.As(err, &be) {
 		return
@@ -382,11 +393,43 @@
 		gone := !be.Sent || errors.Is(err, syscall.ETIMEDOUT)
 		if s.change(func(h *fleet.Health) bool { return gone && h.Unreachable(now) || !gone && h.Broken(now) }) {
 			rec := s.rec()
+			if gone {
+				n.keeper.Report(rec.ID, x.crash(s, be), now)
+			}
 			n.log.WithFields(logrus.Fields{"server": rec.ID, "address": rec.Address}).WithError(err).Warn("Server unreachable.")
 		}
 	}
 }
 
+// crash returns the fingerprint of the request when the server that lost its
+// answer now refuses connections: it crashed.
+func (x *exchange) crash(s *server, be *port.BackendError) string {
+	if x.lostAt[s] && be.Code == port.BackendRefused {
+		return x.fingerprint(x.method)
+	}
+	return ""
+}
+
+// inquire finds out whether a server that lost the answer to a request that may
+// not be repeated crashed under it. Others are repeated there, which tells.
+func (n *Node) inquire(x *exchange, s *server) {
+	print, rec := x.fingerprint(x.method), s.rec()
+	path := x.view.config.Services[rec.Service].HealthPath
+	n.background.Go(func() {
+		ctx, cancel := context.WithTimeout(n.ctx, checkTimeout)
+		defer cancel()
+		n.metrics.checks.Inc()
+		_, _, err := n.prober.Probe(ctx, rec.Address, path)
+		var be *port.BackendError
+		if !errors.As(err, &be) || be.Code != port.BackendRefused {
+			return
+		}
+		now := time.Now()
+		s.change(func(h *fleet.Health) bool { return h.Unreachable(now) })
+		n.keeper.Report(rec.ID, print, now)
+	})
+}
+
 // hopHeaders concern one connection and are not passed on.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
--- a/internal/daemon/gateway/sync.go
+++ b/internal/daemon/gateway/sync.go
@@ -243,6 +243,7 @@
 // follow pulls from the source at a rank in the order of sources: waiting for
 // news from the first, and now and then from the second.
 func (s *Syncer) follow(ctx context.Context, rank int) {
+	var with exchanged
 	for ctx.Err() == nil {
 		order := mirror.Order(s.known(), s.cfg.Host, s.cfg.Region, s.isFailed)
 		if rank >= len(order) {
@@ -254,7 +255,10 @@
 		if rank > 0 || time.Since(s.keeper.Synced()) > staleSource {
 			wait = 0
 		}
-		page, err := s.pull(ctx, m, wait)
+		if with.host != m.Host {
+			with = exchanged{host: m.Host}
+		}
+		page, err := s.pull(ctx, m, wait, &with)
 		if ctx.Err() != nil {
 			return
 		}
@@ -278,11 +282,21 @@
 	}
 }
 
-func (s *Syncer) pull(ctx context.Context, m mirror.Member, wait time.Duration) (*peerv1.MirrorPage, error) {
+// exchanged is how far reports have been exchanged with a source.
+type exchanged struct {
+	host string
+	// told is the sequence up to which the source has this gateway's reports;
+	// from and epoch are the source's own.
+	told, from, epoch uint64
+}
+
+func (s *Syncer) pull(ctx context.Context, m mirror.Member, wait time.Duration, with *exchanged) (*peerv1.MirrorPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+pullSlack)
 	defer cancel()
+	reports, told := s.keeper.ownReports(with.told, time.Now())
 	reply, err := s.pool.Call(ctx, m.Address, &peerv1.Request{Body: &peerv1.Request_MirrorPull{MirrorPull: &peerv1.MirrorPull{
 		Have: s.keeper.Have(), WaitMicros: wait.Microseconds(), Self: s.self(),
+		Reports: reports, ReportsFrom: with.from, ReportsEpoch: with.epoch,
 	}}})
 	if err != nil {
 		return nil, err
@@ -291,6 +305,7 @@
 	if page == nil {
 		return nil, &port.PeerError{Code: port.PeerMismatch, Address: m.Address, Sent: true}
 	}
+	with.told, with.from, with.epoch = told, page.ReportsNext, page.ReportsEpoch
 	return page, nil
 }
 
@@ -386,9 +401,14 @@
 	if lease == "" {
 		return
 	}
-	err := s.store.RevokeLease(ctx, lease)
-	s.metrics.call("revoke", err)
+	// The record says that this gateway leaves, and lapses with its lease: a
+	// record that is only removed may have been taken away from a live one.
+	value, err := proto.Marshal(s.self())
+	if err == nil {
+		err = s.store.Put(ctx, s.schema.MemberKey(s.cfg.Host), value, lease)
+		s.metrics.call("put", err)
+	}
 	if err != nil {
-		s.log.WithError(err).Warn("Cannot revoke the lease; it lapses by itself.")
+		s.log.WithError(err).Warn("Cannot say in the store that this gateway leaves; peers hear it.")
 	}
 }
