--- /dev/null
+++ b/internal/daemon/gateway/settings_test.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"cassiatray/internal/core/document"
+	"cassiatray/internal/settings"
+)
+
+const goodSettings = `host: "edge-a-1"
+domain: "a1"
+region: "a"
+domains:
+  - {domain: "a1", region: "a"}
+  - {domain: "b1", region: "b"}
+caller: "10.0.0.1:80"
+ready: "10.0.0.1:81"
+directory: "10.0.0.1:82"
+peer: "10.0.0.1:83"
+operator: "10.0.0.1:84"
+seeds: ["10.0.0.2:9", "10.0.0.3:9"]
+store: "10.0.1.1:90"
+capacity: 0.224
+memory: "206MiB"
+bounds:
+  grace: "6s"
+  retryExtra: 139
+  holdMax: "5s"
+log:
+  format: json
+`
+
+func load(t *testing.T, text string) (*Settings, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg := new(Settings)
+	return cfg, settings.Load(file, cfg)
+}
+
+func TestSettings(t *testing.T) {
+	cfg, err := load(t, goodSettings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cfg.regionOf("b1") != "b" || cfg.Bounds.RetryExtra != 139 || time.Duration(cfg.Bounds.RetryWindow) != defaultRetryWindow {
+		t.Errorf("settings %+v", cfg)
+	}
+}
+
+// TestWrongSettings checks that every fault is named with its key, all at once.
+func TestWrongSettings(t *testing.T) {
+	for key, edit := range map[string][2]string{
+		"host":              {`"edge-a-1"`, `""`},
+		"caller":            {`"10.0.0.1:80"`, `"here"`},
+		"ready":             {`"10.0.0.1:81"`, `"10.0.0.1:80"`},
+		"domains":           {`region: "a"}`, `region: "c"}`},
+		"capacity":          {"0.224", "0"},
+		"bounds.retryRatio": {"retryExtra: 139", "retryExtra: -1"},
+		"bounds.grace":      {`"6s"`, `"6"`},
+		"log.format":        {"json", "xml"},
+		"wrong":             {"capacity:", "wrong: 1\ncapacity:"},
+	} {
+		_, err := load(t, strings.Replace(goodSettings, edit[0], edit[1], 1))
+		var invalid *document.InvalidError
+		if !errors.As(err, &invalid) {
+			t.Errorf("%s: error %v", key, err)
+			continue
+		}
+		found := false
+		for _, p := range invalid.Problems {
+			found = found || p.Key == key && p.Line > 0
+		}
+		if !found {
+			t.Errorf("%s is not named: %v", key, err)
+		}
+	}
+}
--- a/internal/docs/keys_test.go
+++ b/internal/docs/keys_test.go
@@ -10,6 +10,7 @@
 
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/daemon/entry"
+	"cassiatray/internal/daemon/gateway"
 	"cassiatray/internal/daemon/steer"
 	"cassiatray/internal/standin"
 )
@@ -68,6 +69,7 @@
 		{"document.md", "", reflect.TypeFor[document.Document]()},
 		{"settings.md", "cassiatray-entry", reflect.TypeFor[entry.Settings]()},
 		{"settings.md", "cassiatray-steer", reflect.TypeFor[steer.Settings]()},
+		{"settings.md", "cassiatray-gateway", reflect.TypeFor[gateway.Settings]()},
 		{"settings.md", "cassiatray-standin", reflect.TypeFor[standin.Settings]()},
 	} {
 		text := part(t, c.page, c.heading)
