--- a/internal/daemon/entry/probation_test.go
+++ b/internal/daemon/entry/probation_test.go
@@ -74,7 +74,7 @@
 	if got := text(asker.Do(context.Background(), bad)); got == "suspect not-run" {
 		t.Fatal("refused though the second keeper answers")
 	}
-	c, bad, f = suspectedIn(t)
+	c, bad, _ = suspectedIn(t)
 	delete(c.nodes, keepers[0])
 	delete(c.nodes, keepers[1])
 	want(t, text(c.nodes[keepers[2]].Do(context.Background(), bad)), "suspect not-run")
