Exchange reports with steady sources only; seek slowly when the store is away for all

Bound: the users' 16 kB/s a daemon.

Also: reports of unreachable servers no longer push out what crashed servers, which is kept for ten minutes (TestLostDomainKeepsCrashes); a source that started anew is told again.

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -20,7 +20,7 @@
 			rep := Report{Origin: fmt.Sprint(i), Number: uint64(n + 1), Server: fmt.Sprint("s", n%4), At: now, Request: "r"}
 			hosts[i].Add(now, rep)
 			to := rapid.IntRange(0, 2).Draw(t, "to")
-			list, _ := hosts[i].Since(0)
+			list, _ := hosts[i].Since(now, 0)
 			for _, r := range list {
 				hosts[to].Add(now, r)
 			}
@@ -28,7 +28,7 @@
 		// Everyone hears everyone, twice.
 		for range 2 {
 			for i := range hosts {
-				list, _ := hosts[i].Since(0)
+				list, _ := hosts[i].Since(now, 0)
 				for j := range hosts {
 					for _, r := range list {
 						hosts[j].Add(now, r)
@@ -37,7 +37,7 @@
 			}
 		}
 		for i := range hosts {
-			list, _ := hosts[i].Since(0)
+			list, _ := hosts[i].Since(now, 0)
 			seen := map[string]bool{}
 			for _, r := range list {
 				name := r.Origin + "/" + fmt.Sprint(r.Number)
@@ -78,15 +78,36 @@
 	for n := range 3 * maxReports {
 		r.Add(now, Report{Origin: "g", Number: uint64(n + 1), At: now})
 	}
-	list, next := r.Since(0)
+	list, next := r.Since(now, 0)
 	if len(list) > maxReports || next != 3*maxReports {
 		t.Errorf("%d kept, next %d", len(list), next)
 	}
-	if list, _ := r.Since(next - 2); len(list) != 2 {
+	if list, _ := r.Since(now, next-2); len(list) != 2 {
 		t.Errorf("%d since the last but two", len(list))
 	}
 }
 
+// TestLostDomainKeepsCrashes checks that reports of unreachable servers do not
+// push out what is held against a request, and are not told for long.
+func TestLostDomainKeepsCrashes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var r Reports
+	for n := range crashLimit {
+		r.Add(now, Report{Origin: "a", Number: uint64(n + 1), Server: fmt.Sprint(n), At: now, Request: "bad"})
+	}
+	for n := range 4 * maxReports {
+		r.Add(now, Report{Origin: "b", Number: uint64(n + 1), Server: fmt.Sprint(n), At: now})
+	}
+	later := now.Add(2 * time.Minute)
+	r.Add(later, Report{Origin: "b", Number: 1e6, Server: "s", At: later})
+	if !r.Refused("bad") {
+		t.Error("what crashed servers is forgotten")
+	}
+	if list, _ := r.Since(later, 0); len(list) != crashLimit+1 {
+		t.Errorf("%d reports are told two minutes later", len(list))
+	}
+}
+
 // TestDoubt checks what another gateway's report changes.
 func TestDoubt(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/core/fleet/reports.go
+++ b/internal/core/fleet/reports.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
 
 // Report is what one gateway met at a server: that it could not be reached, or
 // that it crashed while it ran a request.
@@ -17,21 +22,31 @@
 
 // Limits of reports.
 const (
-	// reportLife is how long reports are kept. A request that crashes servers
-	// comes again within seconds.
-	reportLife = time.Minute
-	// maxReports bounds the reports kept.
-	maxReports = 1024
+	// unreachableLife is how long it is told that a server could not be reached:
+	// a few times the way through the hubs. Who hears of it later would check
+	// the server for news that is old.
+	unreachableLife = 5 * time.Second
+	// crashLife is how long a crash is held against a request.
+	crashLife = 10 * time.Minute
+	// maxReports bounds the reports of each kind that are kept, so that a lost
+	// domain does not push out what crashed servers.
+	maxReports = 512
 	// crashLimit is how many servers a request may crash before it is refused.
 	crashLimit = 3
 )
 
+// kept is a report with its place among all that were taken in.
+type kept struct {
+	Report
+	sequence uint64
+}
+
 // Reports is the reports of all gateways as far as this one has heard of them.
 // It is not safe for concurrent use.
 type Reports struct {
-	list []Report
-	// first is the sequence of list[0] among all that were taken in.
-	first uint64
+	unreachable, crashes []kept
+	// last is the sequence of the newest report.
+	last  uint64
 	known map[string]uint64
 	// cleared holds when each request last ran to its end.
 	cleared map[string]time.Time
@@ -46,22 +61,46 @@
 		return false
 	}
 	r.known[rep.Origin] = rep.Number
-	for len(r.list) > 0 && (len(r.list) >= maxReports || now.Sub(r.list[0].At) > reportLife) {
-		r.list = r.list[1:]
-		r.first++
+	r.last++
+	maps.DeleteFunc(r.cleared, func(_ string, at time.Time) bool { return now.Sub(at) > crashLife })
+	list, life := &r.unreachable, unreachableLife
+	if rep.Request != "" {
+		list, life = &r.crashes, crashLife
 	}
-	r.list = append(r.list, rep)
+	*list = append(bounded(*list, now, life), kept{rep, r.last})
 	return true
 }
 
-// Since returns the reports after a sequence, and the sequence of the last.
-func (r *Reports) Since(sequence uint64) ([]Report, uint64) {
-	end := r.first + uint64(len(r.list))
-	if sequence >= end {
-		return nil, end
+// bounded drops reports that are over their life, and the oldest one when there
+// are too many.
+func bounded(list []kept, now time.Time, life time.Duration) []kept {
+	list = slices.DeleteFunc(list, func(k kept) bool { return now.Sub(k.At) > life })
+	if len(list) >= maxReports {
+		list = slices.Delete(list, 0, 1)
+	}
+	return list
+}
+
+// Since returns the reports after a sequence that are still worth telling, and
+// the sequence of the last.
+func (r *Reports) Since(now time.Time, sequence uint64) ([]Report, uint64) {
+	var out []kept
+	for _, k := range r.unreachable {
+		if k.sequence > sequence && now.Sub(k.At) <= unreachableLife {
+			out = append(out, k)
+		}
 	}
-	from := max(sequence, r.first) - r.first
-	return r.list[from:], end
+	for _, k := range r.crashes {
+		if k.sequence > sequence && now.Sub(k.At) <= crashLife {
+			out = append(out, k)
+		}
+	}
+	slices.SortFunc(out, func(a, b kept) int { return cmp.Compare(a.sequence, b.sequence) })
+	list := make([]Report, len(out))
+	for i, k := range out {
+		list[i] = k.Report
+	}
+	return list, r.last
 }
 
 // Ran notes that a request ran to its end: what was held against it is void.
@@ -75,9 +114,9 @@
 // its end.
 func (r *Reports) Crashes(request string) int {
 	servers := map[string]bool{}
-	for _, rep := range r.list {
-		if rep.Request != "" && rep.Request == request && rep.At.After(r.cleared[request]) {
-			servers[rep.Server] = true
+	for _, k := range r.crashes {
+		if k.Request == request && k.At.After(r.cleared[request]) {
+			servers[k.Server] = true
 		}
 	}
 	return len(servers)
@@ -88,11 +127,4 @@
 func (r *Reports) Refused(request string) bool { return r.Crashes(request) >= crashLimit }
 
 // Empty reports whether nothing is held against any request.
-func (r *Reports) Empty() bool {
-	for _, rep := range r.list {
-		if rep.Request != "" {
-			return false
-		}
-	}
-	return true
-}
+func (r *Reports) Empty() bool { return len(r.crashes) == 0 }
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"cassiatray/internal/core/mirror"
@@ -13,37 +15,46 @@
 // follow pulls from the source at a rank in the order of sources: waiting for
 // news from the first, and now and then from the second.
 func (s *Syncer) follow(ctx context.Context, rank int) {
-	var with exchanged
+	reports := map[string]*exchanged{}
+	// stale counts the sources in a row that were lost or had lost the store.
+	stale := 0
 	for ctx.Err() == nil {
 		order := mirror.Order(s.known(), s.cfg.Host, s.cfg.Region, s.isFailed)
 		if rank >= len(order) {
 			sleep.For(ctx, seekPause)
 			continue
 		}
-		m := order[rank]
+		m, steady := order[rank], mirror.Order(s.known(), s.cfg.Host, s.cfg.Region, neverFailed)
+		if stale >= seekQuickly && stale%2 == 0 {
+			// Meanwhile reports still go through the usual source.
+			m = steady[rank]
+		}
+		with := exchangedWith(reports, m.Host, steady[:min(sources, len(steady))])
 		wait := pullWait
 		if rank > 0 || time.Since(s.keeper.Synced()) > staleSource {
 			wait = 0
 		}
-		if with.host != m.Host {
-			with = exchanged{host: m.Host}
-		}
-		page, err := s.pull(ctx, m, wait, &with)
+		page, err := s.pull(ctx, m, wait, with)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
+			stale++
 			s.fail(m.Host)
 			s.log.WithError(err).WithField("peer", m.Host).Warn("Source lost.")
 			sleep.For(ctx, seekPause)
 			continue
 		}
 		s.keeper.TakePage(page, m.Host, time.Now())
-		switch {
-		case page.AgeMicros < 0 || time.Duration(page.AgeMicros)*time.Microsecond > staleSource:
+		if page.AgeMicros < 0 || time.Duration(page.AgeMicros)*time.Microsecond > staleSource {
 			// The source lost the store, too; another may still have it.
 			s.fail(m.Host)
-			sleep.For(ctx, seekPause)
+			sleep.For(ctx, seekAfter(stale, len(order)))
+			stale++
+			continue
+		}
+		stale = 0
+		switch {
 		case rank > 0:
 			sleep.For(ctx, spareEvery)
 		case wait == 0:
@@ -52,22 +63,50 @@
 	}
 }
 
+// seekAfter is the pause after a number of sources in a row that have lost the
+// store. Once those that are likely to have it were asked, it is away for all
+// of them, and asking often brings nothing but load.
+func seekAfter(stale, sources int) time.Duration {
+	if stale < min(sources, seekQuickly) {
+		return seekPause
+	}
+	return seekSlowly
+}
+
 // exchanged is how far reports have been exchanged with a source.
 type exchanged struct {
-	host string
 	// told is the sequence up to which the source has this gateway's reports;
 	// from and epoch are the source's own.
 	told, from, epoch uint64
 }
 
+// neverFailed gives the order of sources as it is when all can be reached.
+func neverFailed(string) bool { return false }
+
+// exchangedWith returns how far reports have been exchanged with a source, or nil
+// for one that none are exchanged with: every gateway would send all it knows to
+// each source that it only looks for the store at.
+func exchangedWith(with map[string]*exchanged, host string, steady []mirror.Member) *exchanged {
+	is := func(host string) bool {
+		return slices.ContainsFunc(steady, func(m mirror.Member) bool { return m.Host == host })
+	}
+	maps.DeleteFunc(with, func(h string, _ *exchanged) bool { return !is(h) })
+	if with[host] == nil && is(host) {
+		with[host] = new(exchanged)
+	}
+	return with[host]
+}
+
 func (s *Syncer) pull(ctx context.Context, m mirror.Member, wait time.Duration, with *exchanged) (*peerv1.MirrorPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+pullSlack)
 	defer cancel()
-	reports, told := s.keeper.ownReports(with.told, time.Now())
-	reply, err := s.pool.Call(ctx, m.Address, &peerv1.Request{Body: &peerv1.Request_MirrorPull{MirrorPull: &peerv1.MirrorPull{
-		Have: s.keeper.Have(), WaitMicros: wait.Microseconds(), Self: s.self(),
-		Reports: reports, ReportsFrom: with.from, ReportsEpoch: with.epoch,
-	}}})
+	pull := &peerv1.MirrorPull{Have: s.keeper.Have(), WaitMicros: wait.Microseconds(), Self: s.self(), NoReports: with == nil}
+	var told uint64
+	if with != nil {
+		pull.ReportsFrom, pull.ReportsEpoch = with.from, with.epoch
+		pull.Reports, told = s.keeper.ownReports(with.told, time.Now())
+	}
+	reply, err := s.pool.Call(ctx, m.Address, &peerv1.Request{Body: &peerv1.Request_MirrorPull{MirrorPull: pull}})
 	if err != nil {
 		return nil, err
 	}
@@ -75,6 +114,13 @@
 	if page == nil {
 		return nil, &port.PeerError{Code: port.PeerMismatch, Address: m.Address, Sent: true}
 	}
+	if with == nil {
+		return page, nil
+	}
+	if with.epoch != 0 && with.epoch != page.ReportsEpoch {
+		// The source started anew and knows none of what it was told.
+		told = 0
+	}
 	with.told, with.from, with.epoch = told, page.ReportsNext, page.ReportsEpoch
 	return page, nil
 }
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -46,7 +46,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	page := &peerv1.MirrorPage{Complete: k.mirror.Revision(), AgeMicros: -1, ReportsEpoch: epoch}
-	page.Reports, page.ReportsNext = k.reportsSince(req.ReportsFrom, now)
+	if !req.NoReports {
+		page.Reports, page.ReportsNext = k.reportsSince(req.ReportsFrom, now)
+	}
 	have := req.Have
 	if at := k.mirror.Synced(); !at.IsZero() {
 		page.AgeMicros = now.Sub(at).Microseconds()
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -71,7 +71,7 @@
 
 // reportsSince returns the reports after a sequence. The caller holds k.mu.
 func (k *Keeper) reportsSince(sequence uint64, now time.Time) ([]*peerv1.ServerReport, uint64) {
-	list, next := k.reports.Since(sequence)
+	list, next := k.reports.Since(now, sequence)
 	var out []*peerv1.ServerReport
 	for _, r := range list {
 		out = append(out, &peerv1.ServerReport{
--- a/internal/daemon/gateway/sync.go
+++ b/internal/daemon/gateway/sync.go
@@ -41,6 +41,11 @@
 	pullSlack = 700 * time.Millisecond
 	// seekPause is the pause between two sources while none is fresh.
 	seekPause = 100 * time.Millisecond
+	// seekQuickly is how many sources in a row are asked at that pause: the
+	// hubs of a few regions. After them the pause is seekSlowly, about the age
+	// at which a gateway turns to the store itself.
+	seekQuickly = 6
+	seekSlowly  = time.Second
 	// failedFor is how long a source that failed is tried last.
 	failedFor = 2 * time.Second
 	// retryBase and retryMax bound the pause after a failed call of the store.
--- a/internal/daemon/gateway/sync_test.go
+++ b/internal/daemon/gateway/sync_test.go
@@ -74,6 +74,35 @@
 	}
 }
 
+// TestOutageOfTheStoreCostsFewBytes plays an outage in which servers crash, so
+// that every gateway has much to tell: what gateways exchange stays within the
+// users' bound for control.
+func TestOutageOfTheStoreCostsFewBytes(t *testing.T) {
+	// controlBytes is what a daemon may spend on control, in bytes a second.
+	const controlBytes = 16_000
+	play(t, 4, func(w *world) {
+		for i := range 60 {
+			w.setServer(fleet.Record{ID: fmt.Sprint("i-", i), Domain: testDomains[i%len(testDomains)].Domain})
+		}
+		time.Sleep(2 * time.Second)
+		w.store.turnAway(true, "")
+		time.Sleep(3 * time.Second)
+		for _, h := range w.hosts {
+			for i := range 10 {
+				h.keeper.Report(fmt.Sprint("i-", i), "", time.Now())
+			}
+		}
+		const span = 8 * time.Second
+		bytes, pulls := w.traffic(span)
+		each := bytes / len(w.hosts) / int(span/time.Second)
+		t.Logf("%d bytes/s and %.1f pulls/s a gateway", each, float64(pulls)/float64(len(w.hosts))/span.Seconds())
+		// Both ends of a pull spend its bytes.
+		if 2*each > controlBytes {
+			t.Errorf("%d bytes/s a gateway", each)
+		}
+	})
+}
+
 func TestEvacuationAndReturn(t *testing.T) {
 	play(t, 2, func(w *world) {
 		w.store.set("evacuate/a1", []byte("{}"), "")
--- a/internal/daemon/gateway/world_test.go
+++ b/internal/daemon/gateway/world_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"cassiatray/internal/adapter/peer"
 	"cassiatray/internal/core/document"
@@ -35,6 +36,8 @@
 	hosts map[string]*host
 	mu    sync.Mutex
 	cut   map[string]bool
+	// bytes counts what pulls and their answers took, pulls how many there were.
+	bytes, pulls int
 }
 
 var testDomains = []DomainRegion{{"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"b2", "b"}, {"c1", "c"}, {"c2", "c"}}
@@ -123,8 +126,15 @@
 	if to == nil || cut {
 		return nil, &port.PeerError{Code: port.PeerConnect, Address: address}
 	}
+	// What is sent does not change afterwards.
+	req = proto.CloneOf(req)
 	page := to.keeper.Page(ctx, to.syncer.identity.Incarnation, req.GetMirrorPull())
-	return &peerv1.Reply{Body: &peerv1.Reply_MirrorPage{MirrorPage: page}}, nil
+	reply := &peerv1.Reply{Body: &peerv1.Reply_MirrorPage{MirrorPage: page}}
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	p.w.pulls++
+	p.w.bytes += proto.Size(req) + proto.Size(reply)
+	return reply, nil
 }
 
 func (p *peers) Follow(context.Context, string, *peerv1.Request, func(*peerv1.Reply) error) error {
@@ -151,6 +161,17 @@
 	}), "")
 }
 
+// traffic returns the bytes and pulls between gateways in a span.
+func (w *world) traffic(span time.Duration) (bytes, pulls int) {
+	w.mu.Lock()
+	bytes, pulls = w.bytes, w.pulls
+	w.mu.Unlock()
+	time.Sleep(span)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bytes - bytes, w.pulls - pulls
+}
+
 // uses reports whether a gateway would send work to a server.
 func (h *host) uses(server string) bool {
 	g := h.keeper.View().services["s"]
