Lay out watch and pull times by the bounds; seeds watch for the first configuration

Causes: (1) the times of watches and pulls were constants laid out for a drain bound of 2.5 s, and the bounds in the settings were read but not used, so a deployment with a shorter bound would have broken it. (2) On an empty store no gateway is a hub, so the first configuration was seen only when the seeds' listing was 2.1 s old. (3) A success without a server's signature was passed on. (4) The memory limit was read and not used.

Seeds watch until there is a configuration. An unsigned success is a mismatch. The heap is kept below three quarters of the memory limit. The settings heartbeat and bounds.regionShift, which nothing used, are gone.

--- a/internal/adapter/serverconn/exchange.go
+++ b/internal/adapter/serverconn/exchange.go
@@ -34,6 +34,11 @@
 	return fmt.Sprintf("answer to request %q while waiting for %q", e.Got, e.Want)
 }
 
+// UnsignedError is a success that no server vouches for.
+type UnsignedError struct{ ID string }
+
+func (e *UnsignedError) Error() string { return fmt.Sprintf("unsigned success for request %q", e.ID) }
+
 // Forward implements port.Forwarder.
 func (p *Pool) Forward(ctx context.Context, address string, r *port.ForwardRequest) (*port.ForwardAnswer, error) {
 	c, opened, err := p.take(ctx, address, r.Fresh)
@@ -68,6 +73,9 @@
 		return nil, brokenError(ctx, address, true, err)
 	}
 	a := &port.ForwardAnswer{Status: resp.StatusCode, Header: resp.Header, Meta: p.dialect.Server(resp.StatusCode, resp.Header), Closing: resp.Close}
+	if !a.Meta.Signed && resp.StatusCode < http.StatusMultipleChoices {
+		return nil, brokenError(ctx, address, true, &UnsignedError{ID: r.ID})
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeLimit))
 	if err != nil {
 		return nil, shortError(ctx, address, err)
@@ -207,8 +215,9 @@
 	code := port.BackendBroken
 	var timeout net.Error
 	var foreign *ForeignError
+	var unsigned *UnsignedError
 	switch {
-	case errors.As(err, &foreign):
+	case errors.As(err, &foreign), errors.As(err, &unsigned):
 		code = port.BackendMismatch
 	case errors.Is(ctx.Err(), context.Canceled):
 		code = port.BackendCanceled
--- a/internal/adapter/serverconn/exchange_test.go
+++ b/internal/adapter/serverconn/exchange_test.go
@@ -21,7 +21,7 @@
 func (dialect) Caller(http.Header) port.CallerMeta         { return port.CallerMeta{} }
 func (dialect) Forward(http.Header, time.Duration, string) {}
 func (dialect) Server(status int, h http.Header) port.ServerMeta {
-	return port.ServerMeta{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
+	return port.ServerMeta{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Unsigned") == ""}
 }
 
 // server answers each request on a connection with the text that script returns
@@ -182,6 +182,23 @@
 }
 
 // TestUnframedAnswer checks a body that ends with its connection.
+// TestUnsignedSuccess plays a success that no server vouches for: it is no
+// answer. A failure without a signature is passed on as the server's own.
+func TestUnsignedSuccess(t *testing.T) {
+	s := serve(t, func(n int) string {
+		return map[int]string{1: "HTTP/1.1 200 OK", 2: "HTTP/1.1 500 Oops"}[n] + "\r\nId: 1\r\nUnsigned: 1\r\nContent-Length: 2\r\n\r\nok"
+	})
+	p := New(dialect{})
+	_, err := forward(p, s.address, "1")
+	var be *port.BackendError
+	if !errors.As(err, &be) || be.Code != port.BackendMismatch || !be.Sent {
+		t.Errorf("error %v", err)
+	}
+	if a, err := forward(p, s.address, "1"); err != nil || a.Status != 500 {
+		t.Errorf("answer %v, error %v", a, err)
+	}
+}
+
 func TestUnframedAnswer(t *testing.T) {
 	s := serve(t, func(int) string { return "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\nto the end" })
 	a, err := forward(New(dialect{}), s.address, "1")
--- a/internal/daemon/gateway/announce.go
+++ b/internal/daemon/gateway/announce.go
@@ -101,7 +101,7 @@
 	s.keeper.mu.Lock()
 	defer s.keeper.mu.Unlock()
 	m := s.keeper.stored[s.cfg.Host]
-	return m != nil && m.Incarnation == s.identity.Incarnation || time.Since(s.keeper.mirror.Synced()) > staleAfter
+	return m != nil && m.Incarnation == s.identity.Incarnation || time.Since(s.keeper.mirror.Synced()) > s.times.Load().staleAfter
 }
 
 // Leave takes this gateway out of the directory everywhere.
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -30,8 +30,9 @@
 			m = steady[rank]
 		}
 		with := exchangedWith(reports, m.Host, steady[:min(sources, len(steady))])
-		wait := pullWait
-		if rank > 0 || time.Since(s.keeper.Synced()) > staleSource {
+		times := s.times.Load()
+		wait := times.pullWait
+		if rank > 0 || time.Since(s.keeper.Synced()) > times.staleSource {
 			wait = 0
 		}
 		page, err := s.pull(ctx, m, wait, with)
@@ -46,17 +47,17 @@
 			continue
 		}
 		s.keeper.TakePage(page, m.Host, time.Now())
-		if page.AgeMicros < 0 || time.Duration(page.AgeMicros)*time.Microsecond > staleSource {
+		if page.AgeMicros < 0 || time.Duration(page.AgeMicros)*time.Microsecond > times.staleSource {
 			// The source lost the store, too; another may still have it.
 			s.fail(m.Host)
-			sleep.For(ctx, seekAfter(stale, len(order)))
+			sleep.For(ctx, times.seekAfter(stale, len(order)))
 			stale++
 			continue
 		}
 		stale = 0
 		switch {
 		case rank > 0:
-			sleep.For(ctx, spareEvery)
+			sleep.For(ctx, times.spareEvery)
 		case wait == 0:
 			sleep.For(ctx, seekPause)
 		}
@@ -66,11 +67,11 @@
 // seekAfter is the pause after a number of sources in a row that have lost the
 // store. Once those that are likely to have it were asked, it is away for all
 // of them, and asking often brings nothing but load.
-func seekAfter(stale, sources int) time.Duration {
+func (t *timing) seekAfter(stale, sources int) time.Duration {
 	if stale < min(sources, seekQuickly) {
 		return seekPause
 	}
-	return seekSlowly
+	return t.seekSlowly
 }
 
 // exchanged is how far reports have been exchanged with a source.
@@ -98,7 +99,7 @@
 }
 
 func (s *Syncer) pull(ctx context.Context, m mirror.Member, wait time.Duration, with *exchanged) (*peerv1.MirrorPage, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+pullSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait+s.times.Load().pullSlack)
 	defer cancel()
 	pull := &peerv1.MirrorPull{Have: s.keeper.Have(), WaitMicros: wait.Microseconds(), Self: s.self(), NoReports: with == nil}
 	var told uint64
--- a/internal/daemon/gateway/module.go
+++ b/internal/daemon/gateway/module.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -37,6 +38,11 @@
 	idleTimeout   = 60 * time.Second
 )
 
+// heapShare is the part of the memory limit that the heap may take before the
+// collector works harder; the rest is for stacks, buffers and what the kernel
+// holds of unread bytes.
+const heapShare = 0.75
+
 // Limits of connections between gateways.
 const (
 	peerConnect = 700 * time.Millisecond
@@ -131,6 +137,9 @@
 }
 
 func start(lc fx.Lifecycle, cfg *Settings, n *Node, k *Keeper, s *Syncer, f *serverconn.Pool, srv *peer.Server, h Handlers, reload Reload, reg *prometheus.Registry, log *logrus.Logger) {
+	if cfg.Memory > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(cfg.Memory)))
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	quiet := logging.Discard()
@@ -199,5 +208,6 @@
 		return
 	}
 	n.bounds.Store(&cfg.Bounds)
+	n.syncer.SetBounds(&cfg.Bounds)
 	n.log.Info("Settings reloaded.")
 }
--- a/internal/daemon/gateway/settings.go
+++ b/internal/daemon/gateway/settings.go
@@ -30,10 +30,8 @@
 	Capacity float64 `yaml:"capacity"`
 	// Memory is the process's memory limit; zero for none.
 	Memory document.Size `yaml:"memory"`
-	// Heartbeat is how often backend servers write their records.
-	Heartbeat document.Duration `yaml:"heartbeat"`
-	Bounds    Bounds            `yaml:"bounds"`
-	Log       settings.Log      `yaml:"log"`
+	Bounds Bounds        `yaml:"bounds"`
+	Log    settings.Log  `yaml:"log"`
 }
 
 // DomainRegion places a failure domain in a region.
@@ -58,7 +56,8 @@
 	Drain document.Duration `yaml:"drain"`
 	// Grace is how long the process may take to stop.
 	Grace document.Duration `yaml:"grace"`
-	// ConfigApply is how soon a configuration must be in force.
+	// ConfigApply is how soon a configuration must be in force; zero for no
+	// sooner than drains.
 	ConfigApply document.Duration `yaml:"configApply"`
 	// RetryRatio, RetryWindow and RetryExtra bound the repeats to a service by
 	// all gateways: in every window at most the ratio of its requests, and
@@ -68,9 +67,6 @@
 	RetryExtra  float64           `yaml:"retryExtra"`
 	// HoldMax is how long callers may hold an answer of the directory.
 	HoldMax document.Duration `yaml:"holdMax"`
-	// RegionShift is the largest share of a region's requests that may change
-	// the region that serves them within two seconds.
-	RegionShift float64 `yaml:"regionShift"`
 }
 
 // Defaults of bounds that the settings leave out: the least of what the users'
@@ -81,7 +77,6 @@
 	defaultRetryRatio  = 0.2
 	defaultRetryWindow = 10 * time.Second
 	defaultHoldMax     = 5 * time.Second
-	defaultHeartbeat   = 1500 * time.Millisecond
 )
 
 // Check implements settings.Checker. It fills in defaults.
@@ -116,7 +111,6 @@
 			*d = document.Duration(v)
 		}
 	}
-	fill(&s.Heartbeat, defaultHeartbeat)
 	fill(&s.Bounds.Drain, defaultDrain)
 	fill(&s.Bounds.Grace, defaultGrace)
 	fill(&s.Bounds.RetryWindow, defaultRetryWindow)
--- a/internal/daemon/gateway/sync.go
+++ b/internal/daemon/gateway/sync.go
@@ -20,32 +20,14 @@
 
 // Times of the exchange with the store and with peers.
 const (
-	// watchWait is how long the store may keep a watch waiting; it bounds the
-	// age of what a quiet watch confirms.
-	watchWait = time.Second
 	// watchPause is the least time between two watches. What happens meanwhile
 	// comes with the next, so it bounds the calls a second.
 	watchPause = 250 * time.Millisecond
-	// staleSource is the age from which on a source counts as failed. A hub's
-	// watch confirms its mirror every watchWait.
-	staleSource = 1700 * time.Millisecond
-	// staleAfter is the age of the mirror from which on a gateway that is no
-	// hub turns to the store itself: the oldest page of a fresh source, and a
-	// pull. It leaves time to act within the shortest bound, that on drains.
-	staleAfter = 2100 * time.Millisecond
-	// pullWait is how long the first source may keep a pull waiting, and
-	// spareEvery how often the second is asked.
-	pullWait   = 800 * time.Millisecond
-	spareEvery = time.Second
-	// pullSlack is added to a pull's wait before its source counts as failed.
-	pullSlack = 700 * time.Millisecond
 	// seekPause is the pause between two sources while none is fresh.
 	seekPause = 100 * time.Millisecond
 	// seekQuickly is how many sources in a row are asked at that pause: the
-	// hubs of a few regions. After them the pause is seekSlowly, about the age
-	// at which a gateway turns to the store itself.
+	// hubs of a few regions. After them the pause is longer.
 	seekQuickly = 6
-	seekSlowly  = time.Second
 	// failedFor is how long a source that failed is tried last.
 	failedFor = 2 * time.Second
 	// retryBase and retryMax bound the pause after a failed call of the store.
@@ -77,6 +59,7 @@
 	metrics  *Metrics
 	state    atomic.Int32
 	started  time.Time
+	times    atomic.Pointer[timing]
 
 	mu     sync.Mutex
 	failed map[string]time.Time
@@ -91,9 +74,13 @@
 		failed: map[string]time.Time{}, started: time.Now(),
 	}
 	s.state.Store(int32(peerv1.HostState_HOST_STATE_STARTING))
+	s.SetBounds(&cfg.Bounds)
 	return s
 }
 
+// SetBounds takes over the operators' bounds.
+func (s *Syncer) SetBounds(b *Bounds) { s.times.Store(newTiming(b)) }
+
 // Run works until the context ends.
 func (s *Syncer) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -155,13 +142,14 @@
 	return false
 }
 
-// watching reports whether this gateway is to watch the store.
+// watching reports whether this gateway is to watch the store. Before there is a
+// configuration nobody is a hub yet, and the seeds watch for it.
 func (s *Syncer) watching() bool {
 	synced := s.keeper.Synced()
-	if synced.IsZero() {
+	if synced.IsZero() || !s.Ready() && s.isSeed() {
 		return s.isSeed() || len(s.cfg.Seeds) == 0 || time.Since(s.started) > seedWait
 	}
-	return time.Since(synced) > staleAfter || mirror.IsHub(s.known(), s.cfg.Host, s.cfg.Region, s.isFailed)
+	return time.Since(synced) > s.times.Load().staleAfter || mirror.IsHub(s.known(), s.cfg.Host, s.cfg.Region, s.isFailed)
 }
 
 // watch keeps the mirror equal to the store while this gateway is to.
@@ -221,7 +209,7 @@
 		s.keeper.Replace(records, l.Revision, "store", now)
 		return l.Revision, nil
 	}
-	ch, err := s.store.WatchPrefix(ctx, "", revision, watchWait)
+	ch, err := s.store.WatchPrefix(ctx, "", revision, s.times.Load().watchWait)
 	s.metrics.call("watch", err)
 	if err != nil {
 		return revision, err
--- a/internal/daemon/gateway/sync_test.go
+++ b/internal/daemon/gateway/sync_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/fleet"
 	"cassiatray/internal/core/mirror"
 )
@@ -103,6 +104,49 @@
 	})
 }
 
+// TestShortBounds plays a store that turns every hub away just as a server leaves,
+// under a bound that is shorter than that of the users' sites.
+func TestShortBounds(t *testing.T) {
+	const bound = 1200 * time.Millisecond
+	play(t, 3, func(w *world) {
+		for _, h := range w.hosts {
+			h.syncer.SetBounds(&Bounds{Drain: document.Duration(bound)})
+		}
+		time.Sleep(2 * time.Second)
+		w.store.turnAway(true, append(w.hubs(), "a1-0", "b1-1", "c2-2")...)
+		w.setServer(fleet.Record{ID: "i-a1", Domain: "a1", State: fleet.Draining})
+		w.eventually(bound, "i-a1 is left", w.allAvoid("i-a1"))
+	})
+}
+
+// TestFirstConfiguration starts gateways on an empty store: they serve soon after
+// the first configuration comes, whenever that is.
+func TestFirstConfiguration(t *testing.T) {
+	for _, after := range []time.Duration{500 * time.Millisecond, 1800 * time.Millisecond, 5 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t)
+			w.seeds = []string{"10.0.0.1:9", "10.0.0.2:9", "10.0.0.3:9"}
+			w.setServer(fleet.Record{ID: "i-a1", Domain: "a1"})
+			w.fill(4)
+			time.Sleep(after)
+			w.setConfig(1)
+			// A watch that waits, and a pull that waits for news of it.
+			const soon = time.Second
+			took := w.eventually(soon, "all are ready", func() bool {
+				for _, h := range w.hosts {
+					if !h.syncer.Ready() {
+						return false
+					}
+				}
+				return true
+			})
+			t.Logf("configuration after %v: ready %v later, %d store calls a host", after, took, w.store.count()/len(w.hosts))
+			w.end()
+			synctest.Wait()
+		})
+	}
+}
+
 func TestEvacuationAndReturn(t *testing.T) {
 	play(t, 2, func(w *world) {
 		w.store.set("evacuate/a1", []byte("{}"), "")
--- a/internal/daemon/gateway/world_test.go
+++ b/internal/daemon/gateway/world_test.go
@@ -36,6 +36,7 @@
 	hosts map[string]*host
 	mu    sync.Mutex
 	cut   map[string]bool
+	seeds []string
 	// bytes counts what pulls and their answers took, pulls how many there were.
 	bytes, pulls int
 }
@@ -60,6 +61,7 @@
 // add starts a gateway.
 func (w *world) add(name, domain string) *host {
 	cfg := testSettings(name, domain, len(w.hosts)+1)
+	cfg.Seeds = w.seeds
 	log := logging.Discard()
 	k := NewKeeper(cfg, plainSchema{}, log)
 	s := NewSyncer(cfg, peer.Identity{Host: name, Incarnation: uint64(time.Now().UnixNano())}, k,
