Hold crashes against requests whoever notices them; keep doubted cold servers to their pace

Causes: (1) a crash was held against a request only when that very request found the server refusing connections; when another request or gateway noticed first, nothing was. Reports of crashes were also left out while a quarter of the servers were down. (2) a server that only another gateway doubts was tried without asking for its coldness or pace. (3) a cold server without pace left was chosen and the request refused, though its next home was free.

Change: fleet.Losses joins lost answers and refused connections of one life of a server; every broken send is noted there, and the request is held by whoever sees the refusal. A request that ran to its end is cleared at all gateways. Cold servers at their pace are passed over.

Tests seen failing first: TestDoubtedColdServers (300 requests in 0.6 s, now 24 at most), TestCrashingRequestAmongOthers. TestColdServers checked nothing, since its gateway never served and so owned no server; it now wants all servers used (2 of 6 before).

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -66,12 +66,53 @@
 	if !r.Refused("bad") || r.Refused("good") {
 		t.Error("the wrong request is refused")
 	}
-	r.Ran(now.Add(time.Second), "bad")
+	r.Add(now, Report{Origin: "h", Number: 1, At: now.Add(time.Second), Request: "bad", Cleared: true})
 	if r.Refused("bad") {
 		t.Error("refused though it ran to its end")
 	}
 }
 
+// TestOneCrashReportedByMany checks that what several gateways say of one crash
+// counts once, and crashes of one server that follow each other do not.
+func TestOneCrashReportedByMany(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var r Reports
+	for n := range 2 * crashLimit {
+		r.Add(now, Report{Origin: fmt.Sprint(n), Number: 1, Server: "s", At: now.Add(time.Duration(n) * sameCrash / 10), Request: "bad"})
+	}
+	if n := r.Crashes("bad"); n != 1 {
+		t.Errorf("%d crashes", n)
+	}
+	r.Add(now, Report{Origin: "a", Number: 1, Server: "s", At: now.Add(3 * sameCrash), Request: "bad"})
+	if n := r.Crashes("bad"); n != 2 {
+		t.Errorf("%d crashes after the server came back", n)
+	}
+}
+
+func TestLosses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var l Losses
+	if l.Lost(now, "a") != nil {
+		t.Error("a lost answer alone is a crash")
+	}
+	if got := l.Refused(now.Add(time.Second)); len(got) != 1 || got[0] != "a" {
+		t.Errorf("crashed under %v", got)
+	}
+	if got := l.Lost(now.Add(time.Second), "b"); len(got) != 1 || got[0] != "b" {
+		t.Errorf("crashed under %v, noticed first by another request", got)
+	}
+	l = Losses{}
+	l.Lost(now, "a")
+	l.Answered()
+	if l.Refused(now.Add(time.Second)) != nil {
+		t.Error("the server answered after the loss")
+	}
+	l.Lost(now.Add(10*time.Second), "a")
+	if l.Refused(now.Add(20*time.Second)) != nil {
+		t.Error("a loss long before")
+	}
+}
+
 func TestReportsAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var r Reports
--- a/internal/core/fleet/reports.go
+++ b/internal/core/fleet/reports.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// Report is what one gateway met at a server: that it could not be reached, or
-// that it crashed while it ran a request.
+// Report is what one gateway met at a server: that it could not be reached, that
+// it crashed while it ran a request, or that such a request ran to its end.
 type Report struct {
 	// Origin and Number name the report.
 	Origin string
@@ -18,6 +18,8 @@
 	// Request is the fingerprint of the request that ran when the server
 	// crashed; empty when it was only unreachable.
 	Request string
+	// Cleared is set when the request ran to its end: it crashes nothing.
+	Cleared bool
 }
 
 // Limits of reports.
@@ -31,8 +33,10 @@
 	// maxReports bounds the reports of each kind that are kept, so that a lost
 	// domain does not push out what crashed servers.
 	maxReports = 512
-	// crashLimit is how many servers a request may crash before it is refused.
+	// crashLimit is how many crashes make a request refused.
 	crashLimit = 3
+	// sameCrash is how near in time reports of one server are of one crash.
+	sameCrash = time.Second
 )
 
 // kept is a report with its place among all that were taken in.
@@ -67,6 +71,9 @@
 	if rep.Request != "" {
 		list, life = &r.crashes, crashLife
 	}
+	if rep.Cleared && rep.At.After(r.cleared[rep.Request]) {
+		r.cleared[rep.Request] = rep.At
+	}
 	*list = append(bounded(*list, now, life), kept{rep, r.last})
 	return true
 }
@@ -103,26 +110,27 @@
 	return list, r.last
 }
 
-// Ran notes that a request ran to its end: what was held against it is void.
-func (r *Reports) Ran(now time.Time, request string) {
-	if r.Crashes(request) > 0 {
-		r.cleared[request] = now
-	}
-}
+// Held reports whether a crash is held against a request.
+func (r *Reports) Held(request string) bool { return r.Crashes(request) > 0 }
 
-// Crashes counts the servers that crashed under a request since it last ran to
-// its end.
+// Crashes counts the crashes of servers under a request since it last ran to its
+// end.
 func (r *Reports) Crashes(request string) int {
-	servers := map[string]bool{}
+	last := map[string]time.Time{}
+	n := 0
 	for _, k := range r.crashes {
-		if k.Request == request && k.At.After(r.cleared[request]) {
-			servers[k.Server] = true
+		if k.Request != request || k.Cleared || !k.At.After(r.cleared[request]) {
+			continue
+		}
+		if at, ok := last[k.Server]; !ok || k.At.Sub(at).Abs() > sameCrash {
+			n++
 		}
+		last[k.Server] = k.At
 	}
-	return len(servers)
+	return n
 }
 
-// Refused reports whether a request has crashed so many servers that it is not
+// Refused reports whether servers crashed so often under a request that it is not
 // to run again.
 func (r *Reports) Refused(request string) bool { return r.Crashes(request) >= crashLimit }
 
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -37,13 +37,17 @@
 
 // Take counts a request if the rate allows one more now.
 func (l *Limiter) Take(now time.Time, rate float64) bool {
-	limit := int(rate * share)
-	for len(l.sent) > 0 && now.Sub(l.sent[0]) > window {
-		l.sent = l.sent[1:]
-	}
-	if len(l.sent) >= limit {
+	if !l.Allows(now, rate) {
 		return false
 	}
 	l.sent = append(l.sent, now)
 	return true
 }
+
+// Allows reports whether the rate allows one more request now.
+func (l *Limiter) Allows(now time.Time, rate float64) bool {
+	for len(l.sent) > 0 && now.Sub(l.sent[0]) > window {
+		l.sent = l.sent[1:]
+	}
+	return len(l.sent) < int(rate*share)
+}
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -98,34 +98,39 @@
 		return
 	}
 	now := time.Now()
-	switch be.Code {
-	case port.BackendConnect, port.BackendRefused, port.BackendBroken:
-		// A connection that breaks says little: an answer may be lost now and
-		// then, and a server that is gone refuses the next connection.
-		gone := !be.Sent || errors.Is(err, syscall.ETIMEDOUT)
-		if s.change(func(h *fleet.Health) bool { return gone && h.Unreachable(now) || !gone && h.Broken(now) }) {
-			rec := s.rec()
-			if gone {
-				n.keeper.Report(rec.ID, x.crash(s, be), now)
-			}
-			n.log.WithFields(logrus.Fields{"server": rec.ID, "address": rec.Address}).WithError(err).Warn("Server unreachable.")
+	var crashed []string
+	switch {
+	case be.Code == port.BackendRefused:
+		crashed = s.refused(now)
+	case be.Code == port.BackendBroken && be.Sent && x.rest == nil:
+		crashed = s.lost(now, x.fingerprint(x.method))
+	case be.Code != port.BackendConnect && be.Code != port.BackendBroken:
+		return
+	}
+	n.noteCrash(s, crashed, now)
+	// A connection that breaks says little: an answer may be lost now and then,
+	// and a server that is gone refuses the next connection.
+	gone := !be.Sent || errors.Is(err, syscall.ETIMEDOUT)
+	if s.change(func(h *fleet.Health) bool { return gone && h.Unreachable(now) || !gone && h.Broken(now) }) {
+		rec := s.rec()
+		if gone {
+			n.keeper.ReportUnreachable(rec.ID, now)
 		}
+		n.log.WithFields(logrus.Fields{"server": rec.ID, "address": rec.Address}).WithError(err).Warn("Server unreachable.")
 	}
 }
 
-// crash returns the fingerprint of the request when the server that lost its
-// answer now refuses connections: it crashed.
-func (x *exchange) crash(s *server, be *port.BackendError) string {
-	if x.lostAt[s] && be.Code == port.BackendRefused {
-		return x.fingerprint(x.method)
+// noteCrash holds the crash of a server against the requests that it ran.
+func (n *Node) noteCrash(s *server, requests []string, now time.Time) {
+	for _, request := range requests {
+		n.keeper.ReportCrash(s.rec().ID, request, now)
 	}
-	return ""
 }
 
-// inquire finds out whether a server that lost the answer to a request that may
-// not be repeated crashed under it. Others are repeated there, which tells.
+// inquire finds out whether a server that lost an answer crashed under the
+// request, when the request itself is not sent there again.
 func (n *Node) inquire(x *exchange, s *server) {
-	print, rec := x.fingerprint(x.method), s.rec()
+	rec := s.rec()
 	path := x.view.config.Services[rec.Service].HealthPath
 	n.background.Go(func() {
 		ctx, cancel := context.WithTimeout(n.ctx, checkTimeout)
@@ -138,7 +143,7 @@
 		}
 		now := time.Now()
 		s.change(func(h *fleet.Health) bool { return h.Unreachable(now) })
-		n.keeper.Report(rec.ID, print, now)
+		n.noteCrash(s, s.refused(now), now)
 	})
 }
 
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -172,10 +172,10 @@
 				n.finish(x, 0, "caller left")
 				return
 			}
-			if !x.route.Idempotent && be.Code == port.BackendBroken {
-				n.inquire(x, c.server)
-			}
 			if !x.route.Idempotent || runs >= x.route.MaxAttempts || x.rest != nil || be.Code == port.BackendTimeout {
+				if be.Code == port.BackendBroken {
+					n.inquire(x, c.server)
+				}
 				n.fail(w, x, "server failed: "+string(be.Code))
 				return
 			}
--- a/internal/daemon/gateway/node_test.go
+++ b/internal/daemon/gateway/node_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 	"cassiatray/internal/core/fleet"
 	"cassiatray/internal/core/mirror"
 	"cassiatray/internal/port"
+	peerv1 "cassiatray/proto/peer/v1"
 )
 
 func TestForwardsUnchanged(t *testing.T) {
@@ -226,6 +228,7 @@
 			records = append(records, b.server(fleet.Record{ID: "i-" + d.Domain, Domain: d.Domain, Cold: 3 * time.Second, Born: 7}, uint64(20+i)))
 		}
 		b.keeper.Apply(records, 30, "store", time.Now())
+		b.node.syncer.state.Store(int32(peerv1.HostState_HOST_STATE_SERVING))
 		b.keeper.Hear(b.node.syncer.self(), true, time.Now())
 		refused := 0
 		for i := range 1000 {
@@ -256,8 +259,100 @@
 				}
 			}
 		}
-		if refused == 0 {
-			t.Error("nobody was refused")
+		if refused == 0 || len(perServer) < len(testDomains) {
+			t.Errorf("%d refused, %d of %d servers used", refused, len(perServer), len(testDomains))
+		}
+	})
+}
+
+// TestDoubtedColdServers plays servers that come back cold and that another gateway
+// found unreachable: what is tried all the same keeps to the pace.
+func TestDoubtedColdServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(func(context.Context, int, string) (*port.ForwardAnswer, error) { return ok(), nil })
+		b.servers.probe = func(string) (port.ServerMeta, int, error) { return port.ServerMeta{}, 0, io.EOF }
+		var records []mirror.Record
+		for i, d := range testDomains {
+			records = append(records, b.server(fleet.Record{ID: "i-" + d.Domain, Domain: d.Domain, Cold: 3 * time.Second, Born: 7}, uint64(20+i)))
+		}
+		b.keeper.Apply(records, 30, "store", time.Now())
+		b.node.syncer.state.Store(int32(peerv1.HostState_HOST_STATE_SERVING))
+		b.keeper.Hear(b.node.syncer.self(), true, time.Now())
+		for range 300 {
+			for _, s := range b.keeper.Servers() {
+				s.change(func(h *fleet.Health) bool {
+					*h = fleet.Health{}
+					h.Cold(time.Now().Add(3 * time.Second))
+					return h.Doubt(time.Now(), time.Now())
+				})
+			}
+			b.do("GET", "/get/", "Object", "o")
+			time.Sleep(2 * time.Millisecond)
+		}
+		if n := b.servers.count(); n == 0 || n > 6*len(testDomains) {
+			t.Errorf("%d requests within 0.6 s to %d cold servers, each of which bears 6 a second", n, len(testDomains))
+		}
+	})
+}
+
+// TestCrashingRequestAmongOthers plays a request that crashes each server that
+// runs it, among others whose connections break at the same moment and which
+// notice the crash first: it is refused after three crashes.
+func TestCrashingRequestAmongOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		down := map[string]time.Time{}
+		crashes := 0
+		b := newBench(nil)
+		b.servers.answer = func(_ context.Context, n int, address string) (*port.ForwardAnswer, error) {
+			mu.Lock()
+			until := down[address]
+			mu.Unlock()
+			if time.Now().Before(until) {
+				return nil, &port.BackendError{Code: port.BackendRefused, Err: io.EOF}
+			}
+			b.servers.mu.Lock()
+			bad := strings.HasSuffix(b.servers.sent[n-1].req.URI, "/bad")
+			b.servers.mu.Unlock()
+			time.Sleep(10 * time.Millisecond)
+			if bad {
+				mu.Lock()
+				down[address] = time.Now().Add(time.Second)
+				crashes++
+				mu.Unlock()
+				// The others notice first.
+				time.Sleep(2 * time.Millisecond)
+				return nil, broken(true)
+			}
+			return ok(), nil
+		}
+		b.servers.probe = func(address string) (port.ServerMeta, int, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if time.Now().Before(down[address]) {
+				return port.ServerMeta{}, 0, &port.BackendError{Code: port.BackendRefused, Err: io.EOF}
+			}
+			return port.ServerMeta{}, 200, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for i := range 30 {
+			wg.Go(func() {
+				for j := 0; ctx.Err() == nil; j++ {
+					b.do("GET", "/get/ok", "Object", fmt.Sprint(i))
+					time.Sleep(time.Millisecond)
+				}
+			})
+		}
+		for range 40 {
+			b.do("GET", "/get/bad", "Object", "o")
+			time.Sleep(300 * time.Millisecond)
+		}
+		cancel()
+		wg.Wait()
+		// The last request before it is refused may be repeated once more.
+		if crashes < 3 || crashes > 3+1 {
+			t.Errorf("%d servers crashed", crashes)
 		}
 	})
 }
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -105,17 +106,21 @@
 		return choice{}, verdictUnknown
 	case x.tried[s]:
 		return choice{}, verdictTried
-	case s.down():
+	}
+	down := s.down()
+	if down {
 		n.check(v, s, now)
-		if s.change((*fleet.Health).Doubted) {
-			return choice{server: s}, verdictDown
+		if !s.change((*fleet.Health).Doubted) {
+			return choice{}, verdictDown
 		}
-		return choice{}, verdictDown
 	}
 	c := choice{server: s, requests: s.requests(now, service), cold: s.coldLeft(now)}
-	if c.cold > 0 && !n.owns(v, s) {
+	if c.cold > 0 && !(n.owns(v, s) && n.hasPace(v, s, now)) {
 		return choice{}, verdictCold
 	}
+	if down {
+		return c, verdictDown
+	}
 	if s.change(func(h *fleet.Health) bool { return h.Shedding(now) }) {
 		// The server's queue was full a moment ago.
 		c.requests = max(c.requests, float64(shedQueue*s.rec().Slots))
@@ -135,6 +140,13 @@
 	return rate <= 0 || s.takePace(now, rate)
 }
 
+// hasPace reports whether a cold server bears one more request now. One that
+// does not is passed over for the next in the object's order.
+func (n *Node) hasPace(v *view, s *server, now time.Time) bool {
+	rate := v.config.Services[s.rec().Service].ColdRate
+	return rate <= 0 || s.hasPace(now, rate)
+}
+
 // owns reports whether this gateway is the one that sends to a cold server.
 func (n *Node) owns(v *view, s *server) bool {
 	return v.config.Services[s.rec().Service].ColdRate <= 0 || pace.Owner(s.rec().ID, v.hosts) == n.cfg.Host
@@ -161,6 +173,10 @@
 	n.metrics.checks.Inc()
 	meta, status, err := n.prober.Probe(ctx, rec.Address, path)
 	now := time.Now()
+	var be *port.BackendError
+	if errors.As(err, &be) && be.Code == port.BackendRefused {
+		n.noteCrash(s, s.refused(now), now)
+	}
 	log := n.log.WithFields(logrus.Fields{"server": rec.ID, "address": rec.Address, "status": status})
 	// A server without a free slot refuses a check, too; it is alive.
 	alive := err == nil && (status == 200 || meta.NotRun) && (meta.Instance == "" || meta.Instance == rec.ID)
@@ -184,6 +200,7 @@
 func (s *server) learn(meta port.ServerMeta, mine int, now time.Time) {
 	s.report(meta.Load, mine, now)
 	s.change(func(h *fleet.Health) bool {
+		s.losses.Answered()
 		if meta.Cold > 0 {
 			h.Cold(now.Add(meta.Cold))
 		}
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -14,9 +14,9 @@
 // reach them takes its own links to be at fault, and tells nobody.
 const ownFaultShare = 0.25
 
-// Report tells the other gateways what this one met at a server: that it could
-// not be reached, or that it crashed while it ran a request.
-func (k *Keeper) Report(server, request string, now time.Time) {
+// ReportUnreachable tells the other gateways that this one could not reach a
+// server.
+func (k *Keeper) ReportUnreachable(server string, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	down := 0
@@ -25,12 +25,28 @@
 			down++
 		}
 	}
-	if float64(down) > max(1, ownFaultShare*float64(len(k.servers))) {
-		return
+	if float64(down) <= max(1, ownFaultShare*float64(len(k.servers))) {
+		k.report(fleet.Report{Server: server, At: now})
 	}
+}
+
+// ReportCrash tells the other gateways that a server crashed under a request. It
+// refused connections, so that the links of this gateway are not at fault.
+func (k *Keeper) ReportCrash(server, request string, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.report(fleet.Report{Server: server, Request: request, At: now})
+	k.log.WithFields(logrus.Fields{"server": server, "source": k.cfg.Host, "crashes": k.reports.Crashes(request)}).
+		Warn("Server crashed under a request.")
+}
+
+// report numbers a report of this gateway and makes it known. The caller holds
+// k.mu.
+func (k *Keeper) report(rep fleet.Report) {
 	// Numbers of a later life of this process are higher.
-	k.number = max(k.number+1, uint64(now.UnixMicro()))
-	k.reports.Add(now, fleet.Report{Origin: k.cfg.Host, Number: k.number, Server: server, At: now, Request: request})
+	k.number = max(k.number+1, uint64(rep.At.UnixMicro()))
+	rep.Origin, rep.Number = k.cfg.Host, k.number
+	k.reports.Add(rep.At, rep)
 	k.wake()
 }
 
@@ -47,13 +63,16 @@
 	news := false
 	for _, r := range list {
 		rep := fleet.Report{
-			Origin: r.Origin, Number: r.Number, Server: r.Server, Request: string(r.Fingerprint),
+			Origin: r.Origin, Number: r.Number, Server: r.Server, Request: string(r.Fingerprint), Cleared: r.Cleared,
 			At: now.Add(-time.Duration(r.AgeMicros) * time.Microsecond),
 		}
 		if r.Origin == k.cfg.Host || !k.reports.Add(now, rep) {
 			continue
 		}
 		news = true
+		if rep.Cleared {
+			continue
+		}
 		s := k.servers[r.Server]
 		if s != nil && s.change(func(h *fleet.Health) bool { return h.Doubt(now, rep.At) }) {
 			k.log.WithFields(logrus.Fields{"server": r.Server, "source": r.Origin, "age_ms": now.Sub(rep.At).Milliseconds()}).
@@ -75,7 +94,7 @@
 	var out []*peerv1.ServerReport
 	for _, r := range list {
 		out = append(out, &peerv1.ServerReport{
-			Origin: r.Origin, Number: r.Number, Server: r.Server, AgeMicros: now.Sub(r.At).Microseconds(), Fingerprint: []byte(r.Request),
+			Origin: r.Origin, Number: r.Number, Server: r.Server, AgeMicros: now.Sub(r.At).Microseconds(), Fingerprint: []byte(r.Request), Cleared: r.Cleared,
 		})
 	}
 	return out, next
@@ -89,7 +108,7 @@
 }
 
 // refused reports whether a request has crashed too many servers to run again.
-// Ran notes that it ran to its end.
+// ran tells everyone when one that crashed servers ran to its end.
 func (k *Keeper) refused(request func() string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -99,8 +118,11 @@
 func (k *Keeper) ran(request func() string, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.reports.Empty() {
-		k.reports.Ran(now, request())
+	if k.reports.Empty() {
+		return
+	}
+	if f := request(); k.reports.Held(f) {
+		k.report(fleet.Report{Request: f, Cleared: true, At: now})
 	}
 }
 
--- a/internal/daemon/gateway/server.go
+++ b/internal/daemon/gateway/server.go
@@ -23,6 +23,7 @@
 	// mu is a leaf: nothing else is locked under it.
 	mu     sync.Mutex
 	health fleet.Health
+	losses fleet.Losses
 	pace   pace.Limiter
 }
 
@@ -85,6 +86,20 @@
 	return fn(&s.health)
 }
 
+// lost notes that the server's connection broke under a request, and refused that
+// it refuses connections. They return the requests that it crashed under.
+func (s *server) lost(now time.Time, request string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.losses.Lost(now, request)
+}
+
+func (s *server) refused(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.losses.Refused(now)
+}
+
 // down reports whether the server counts as unreachable.
 func (s *server) down() bool { return s.change((*fleet.Health).Down) }
 
@@ -95,6 +110,13 @@
 	return max(0, s.health.ColdUntil().Sub(now))
 }
 
+// hasPace reports whether the pace of the cold server allows a request.
+func (s *server) hasPace(now time.Time, rate float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pace.Allows(now, rate)
+}
+
 // takePace counts a request to the cold server if its pace allows it.
 func (s *server) takePace(now time.Time, rate float64) bool {
 	s.mu.Lock()
--- a/internal/daemon/gateway/sync_test.go
+++ b/internal/daemon/gateway/sync_test.go
@@ -90,7 +90,7 @@
 		time.Sleep(3 * time.Second)
 		for _, h := range w.hosts {
 			for i := range 10 {
-				h.keeper.Report(fmt.Sprint("i-", i), "", time.Now())
+				h.keeper.ReportUnreachable(fmt.Sprint("i-", i), time.Now())
 			}
 		}
 		const span = 8 * time.Second
