--- a/internal/daemon/entry/probation_test.go
+++ b/internal/daemon/entry/probation_test.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 	"net/http"
+	"runtime"
 	"testing"
-	"time"
 
 	"cassiatray/internal/core/suspect"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
-// suspected returns a cluster in which a request crashed one server.
+// suspectedIn returns a cluster in which a request crashed one server.
 func suspectedIn(t *testing.T) (*cluster, *port.CallerRequest, suspect.Fingerprint) {
 	c := newCluster(t)
 	bad := &port.CallerRequest{Service: "orders", Method: http.MethodGet, Path: "/stock/bad"}
@@ -35,7 +35,7 @@
 		go func() { done <- text(c.nodes[h].Do(context.Background(), bad)) }()
 	}
 	for c.backend.ran("") == before {
-		time.Sleep(time.Millisecond)
+		runtime.Gosched()
 	}
 	// A run that took no turn would be seen by now: the others ask at once.
 	turnsAsked(c, 3)
@@ -60,7 +60,7 @@
 		if sum >= n {
 			return
 		}
-		time.Sleep(time.Millisecond)
+		runtime.Gosched()
 	}
 }
 
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -2,7 +2,9 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,8 +59,11 @@
 	// graceUntil is when lapsed records stop counting; lapsed are those kept.
 	graceUntil time.Time
 	lapsed     map[string]mirror.Record
-	// reports are what gateways met at servers; number counts this one's.
+	// reports are what gateways met at servers; number counts this one's. Its
+	// origin names one life of the process: a later one has to learn again what
+	// this one told others.
 	reports fleet.Reports
+	origin  string
 	number  uint64
 }
 
@@ -68,6 +73,7 @@
 		cfg: cfg, schema: schema, log: log, changed: make(chan struct{}),
 		servers: map[string]*server{}, stored: map[string]*peerv1.GatewayMember{},
 		heard: map[string]heardMember{}, lapsed: map[string]mirror.Record{},
+		origin: cfg.Host + "/" + strconv.FormatUint(rand.Uint64(), 36),
 	}
 	k.mirror = mirror.New(func(key string, a, b []byte) bool {
 		kind, _ := schema.Kind(key)
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -36,16 +36,15 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.report(fleet.Report{Server: server, Request: request, At: now})
-	k.log.WithFields(logrus.Fields{"server": server, "source": k.cfg.Host, "crashes": k.reports.Crashes(request)}).
+	k.log.WithFields(logrus.Fields{"server": server, "source": k.origin, "crashes": k.reports.Crashes(request)}).
 		Warn("Server crashed under a request.")
 }
 
 // report numbers a report of this gateway and makes it known. The caller holds
 // k.mu.
 func (k *Keeper) report(rep fleet.Report) {
-	// Numbers of a later life of this process are higher.
-	k.number = max(k.number+1, uint64(rep.At.UnixMicro()))
-	rep.Origin, rep.Number = k.cfg.Host, k.number
+	k.number++
+	rep.Origin, rep.Number = k.origin, k.number
 	k.reports.Add(rep.At, rep)
 	k.wake()
 }
@@ -66,7 +65,7 @@
 			Origin: r.Origin, Number: r.Number, Server: r.Server, Request: string(r.Fingerprint), Cleared: r.Cleared,
 			At: now.Add(-time.Duration(r.AgeMicros) * time.Microsecond),
 		}
-		if r.Origin == k.cfg.Host || !k.reports.Add(now, rep) {
+		if !k.reports.Add(now, rep) {
 			continue
 		}
 		news = true
--- a/internal/daemon/gateway/sync_test.go
+++ b/internal/daemon/gateway/sync_test.go
@@ -147,6 +147,25 @@
 	}
 }
 
+// TestRestartedGatewayLearnsItsReports kills the gateway that met all crashes of a
+// request: its next life, which has crashes of its own to tell, refuses the
+// request as well.
+func TestRestartedGatewayLearnsItsReports(t *testing.T) {
+	play(t, 2, func(w *world) {
+		for i := range 3 {
+			w.hosts["a1-0"].keeper.ReportCrash(fmt.Sprint("i-", i), "bad", time.Now())
+		}
+		time.Sleep(3 * time.Second)
+		w.kill("a1-0")
+		time.Sleep(time.Second)
+		h := w.add("a1-0", "a1")
+		h.keeper.ReportCrash("i-9", "other", time.Now())
+		w.eventually(3*time.Second, "the request is refused", func() bool {
+			return h.keeper.refused(func() string { return "bad" })
+		})
+	})
+}
+
 func TestEvacuationAndReturn(t *testing.T) {
 	play(t, 2, func(w *world) {
 		w.store.set("evacuate/a1", []byte("{}"), "")
--- a/internal/measure/steady.go
+++ b/internal/measure/steady.go
@@ -31,7 +31,7 @@
 	{"changes", "document changes at 0.76/s and at 5/s", runChanges},
 }
 
-// Shapes of the measured sites: the brief's places and servers, with work long
+// Shapes of the measured sites: the users' places and servers, with work long
 // enough that slots, not this machine's CPUs, are what is full.
 const (
 	hostsPerDomain = 4
