Log and count the limits that backend servers name

Cause: no line, metric or dump of a gateway had the limit that a server names, so that a limit nobody reads, limited servers that attract requests, and a limit that each gateway takes for its own looked the same.

Ruled out: a change of decisions; nothing reads the limit to choose a server.

Change: ServerMeta.Limit, with a typed error for a header that cannot be read; lines when a limit is named, changed or ended; the limit in the line of each sending, in the dump, and a counter of sendings to limited servers.

--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -23,10 +23,12 @@
 	Requests float64 `json:"requests"`
 	WaitMS   int64   `json:"wait_ms,omitempty"`
 	ColdMS   int64   `json:"cold_ms,omitempty"`
-	Status   int     `json:"status,omitempty"`
-	Error    string  `json:"error,omitempty"`
-	MS       int64   `json:"ms"`
-	New      bool    `json:"new_conn,omitempty"`
+	// Limit is the rate that the server named before the request was sent.
+	Limit  float64 `json:"limit,omitempty"`
+	Status int     `json:"status,omitempty"`
+	Error  string  `json:"error,omitempty"`
+	MS     int64   `json:"ms"`
+	New    bool    `json:"new_conn,omitempty"`
 }
 
 // sendAttempt sends the request to the candidate and records the result.
@@ -57,13 +59,14 @@
 	} else {
 		context.AfterFunc(ctx, cancel)
 	}
-	result := attempt{Server: rec.ID, Rank: c.rank, Requests: c.load, WaitMS: c.wait.Milliseconds(), ColdMS: c.coldFor.Milliseconds(), MS: took.Milliseconds()}
+	result := attempt{Server: rec.ID, Rank: c.rank, Requests: c.load, WaitMS: c.wait.Milliseconds(), ColdMS: c.coldFor.Milliseconds(), Limit: c.limit.Rate, MS: took.Milliseconds()}
 	if err != nil {
 		result.Error = err.Error()
 		n.recordFailure(req, s, err)
 	} else {
 		result.Status, result.New = a.Status, a.Opened
 		s.recordAnswer(a.Meta, ownRequests, time.Now())
+		n.recordLimit(s, a.Meta, time.Now())
 		if req.route.Sticky && a.Status < http.StatusMultipleChoices {
 			s.markWarm(req.objectHash, time.Now())
 		}
@@ -75,7 +78,7 @@
 		}
 	}
 	req.attempts = append(req.attempts, result)
-	n.metrics.attempt(req.service, result, took)
+	n.metrics.attempt(req.service, result, c.limit.Named, took)
 	return a, err
 }
 
--- a/internal/daemon/gateway/dump.go
+++ b/internal/daemon/gateway/dump.go
@@ -24,15 +24,17 @@
 
 // ServerState is what is known of one backend server, and why it is not used.
 type ServerState struct {
-	ID       string  `json:"id"`
-	Service  string  `json:"service"`
-	Address  string  `json:"address"`
-	Domain   string  `json:"domain"`
-	State    string  `json:"state"`
-	Down     bool    `json:"down"`
-	ColdMS   int64   `json:"cold_ms"`
-	InFlight int     `json:"in_flight"`
-	Requests float64 `json:"requests"`
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	State   string `json:"state"`
+	Down    bool   `json:"down"`
+	ColdMS  int64  `json:"cold_ms"`
+	// Limit is the rate that the server names, in requests per second; absent for none.
+	Limit    *float64 `json:"limit,omitempty"`
+	InFlight int      `json:"in_flight"`
+	Requests float64  `json:"requests"`
 }
 
 // Dump implements operatorhttp.Source.
@@ -49,9 +51,13 @@
 	}
 	for _, s := range n.keeper.Servers() {
 		rec := s.rec()
+		var limit *float64
+		if l := s.limit(); l.Named {
+			limit = &l.Rate
+		}
 		out.Servers = append(out.Servers, ServerState{
 			ID: rec.ID, Service: rec.Service, Address: rec.Address, Domain: rec.Domain, State: rec.State.String(),
-			Down: s.isDown(), ColdMS: s.remainingCold(now).Milliseconds(), InFlight: s.inFlight(), Requests: s.estimatedRequests(now, time.Second),
+			Down: s.isDown(), ColdMS: s.remainingCold(now).Milliseconds(), Limit: limit, InFlight: s.inFlight(), Requests: s.estimatedRequests(now, time.Second),
 		})
 	}
 	return out
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -18,6 +18,7 @@
 	calls    *prometheus.CounterVec
 	checks   prometheus.Counter
 	opened   prometheus.Counter
+	limited  *prometheus.CounterVec
 }
 
 // latencyBuckets cover the latencies that routes aim for, in seconds.
@@ -47,8 +48,11 @@
 		opened: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cassiatray_gateway_connections_opened_total", Help: "Connections opened to backend servers.",
 		}),
+		limited: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cassiatray_gateway_limited_attempts_total", Help: "Sendings to backend servers that had named a limit, by service.",
+		}, []string{"service"}),
 	}
-	reg.MustRegister(m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened)
+	reg.MustRegister(m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited)
 	return m
 }
 
@@ -57,13 +61,16 @@
 	m.latency.WithLabelValues(route).Observe(took.Seconds())
 }
 
-func (m *Metrics) attempt(service string, a attempt, took time.Duration) {
+func (m *Metrics) attempt(service string, a attempt, limited bool, took time.Duration) {
 	result := strconv.Itoa(a.Status)
 	if a.Error != "" {
 		result = "error"
 	}
 	m.attempts.WithLabelValues(service, result).Inc()
 	m.server.WithLabelValues(service).Observe(took.Seconds())
+	if limited {
+		m.limited.WithLabelValues(service).Inc()
+	}
 }
 
 func (m *Metrics) call(kind string, err error) {
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -10,6 +10,7 @@
 	"cassiatray/internal/core/fleet"
 	"cassiatray/internal/core/overload"
 	"cassiatray/internal/core/pace"
+	"cassiatray/internal/core/ratelimit"
 	"cassiatray/internal/port"
 )
 
@@ -28,6 +29,8 @@
 	load    float64
 	wait    time.Duration
 	coldFor time.Duration
+	// limit is the rate that the server names for all gateways together.
+	limit ratelimit.Limit
 }
 
 // rejectReason is why a request was not sent to any server. The values appear
@@ -141,7 +144,7 @@
 			return candidate{}, reasonUnreachable
 		}
 	}
-	c := candidate{server: s, load: s.estimatedRequests(now, serviceTime), coldFor: s.remainingCold(now)}
+	c := candidate{server: s, load: s.estimatedRequests(now, serviceTime), coldFor: s.remainingCold(now), limit: s.limit()}
 	if c.coldFor > 0 && !(n.ownsColdServer(v, s) && n.hasColdPermit(v, s, now)) {
 		return candidate{}, reasonCold
 	}
--- a/internal/daemon/gateway/server.go
+++ b/internal/daemon/gateway/server.go
@@ -9,6 +9,7 @@
 
 	"cassiatray/internal/core/fleet"
 	"cassiatray/internal/core/pace"
+	"cassiatray/internal/core/ratelimit"
 	"cassiatray/internal/core/warmth"
 	"cassiatray/internal/port"
 )
@@ -29,6 +30,7 @@
 	runningRequests []runningRequest
 	coldLimiter     pace.Limiter
 	warmObjects     warmth.Set
+	namedLimit      ratelimit.Limit
 }
 
 func newServer(rec fleet.Record, region string) *server {
--- a/internal/port/dialect.go
+++ b/internal/port/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"cassiatray/internal/core/fleet"
@@ -36,8 +37,18 @@
 	Cold time.Duration
 	// Load is nil when the server does not tell it.
 	Load *ServerLoad
+	// Limit is how many requests per second the server takes from all gateways
+	// together; nil if the response names no limit. LimitError is set instead if it
+	// names one that cannot be read.
+	Limit      *float64
+	LimitError error
 }
 
+// HeaderError is a header of a response that cannot be read.
+type HeaderError struct{ Name, Value string }
+
+func (e *HeaderError) Error() string { return "header " + e.Name + ": " + strconv.Quote(e.Value) }
+
 // ServerLoad is a server's own count of its requests.
 type ServerLoad struct{ Running, Waiting, Slots int }
 
