Tests that fail while servers get more than the limits that they name

Change: two tests on virtual time with several gateways, their peers and servers that name limits. They fail on this code and are listed in KNOWN-RED.txt; the test command passes over exactly the tests that are listed there. A test cluster's gateways now have nodes, keep their address when they start again, and can be silent to their peers.

--- a/Makefile
+++ b/Makefile
@@ -23,10 +23,14 @@
 up: build
 	$(BIN)/cassiatray-demo --up
 
-# test is everything that CI runs.
+# KNOWN_RED are the tests that KNOWN-RED.txt names ("1. test: TestName").
+KNOWN_RED := $(shell sed -n 's/^[0-9]*\. test: \([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
+SKIP_RED  := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+
+# test is everything that CI runs, except the tests of faults that are known.
 test: check build
-	CASSIATRAY_BIN=$(CURDIR)/$(BIN) RAPID_SEED=$(SEED) go test -race -count=1 ./...
-	RAPID_SEED=$(SEED) go test -count=1 ./internal/daemon/gateway
+	CASSIATRAY_BIN=$(CURDIR)/$(BIN) RAPID_SEED=$(SEED) go test -race -count=1 $(SKIP_RED) ./...
+	RAPID_SEED=$(SEED) go test -count=1 $(SKIP_RED) ./internal/daemon/gateway
 
 # explore runs the property tests longer and with new seeds.
 explore: build
--- a/internal/daemon/gateway/world_test.go
+++ b/internal/daemon/gateway/world_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -26,9 +29,16 @@
 	cfg    *Settings
 	keeper *Keeper
 	syncer *Syncer
+	node   *Node
 	stop   context.CancelFunc
 }
 
+// forwardProber is the way to backend servers.
+type forwardProber interface {
+	port.Forwarder
+	port.Prober
+}
+
 // testCluster is a set of gateways and a store on virtual time.
 type testCluster struct {
 	t           *testing.T
@@ -36,7 +46,13 @@
 	hosts       map[string]*testHost
 	mu          sync.Mutex
 	partitioned map[string]bool
-	seeds       []string
+	// silent are gateways that do not reply to their peers.
+	silent map[string]bool
+	seeds  []string
+	// numbers holds the number in the address of each gateway that was ever started.
+	numbers map[string]int
+	// forwarder returns a gateway's way to backend servers; nil if it has none.
+	forwarder func(host string) forwardProber
 	// pullBytes counts the bytes of pulls and their replies, pulls the pulls.
 	pullBytes, pulls int
 }
@@ -44,7 +60,7 @@
 var testDomains = []DomainRegion{{"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"b2", "b"}, {"c1", "c"}, {"c2", "c"}}
 
 func newTestCluster(t *testing.T) *testCluster {
-	return &testCluster{t: t, store: newFakeStore(), hosts: map[string]*testHost{}, partitioned: map[string]bool{}}
+	return &testCluster{t: t, store: newFakeStore(), hosts: map[string]*testHost{}, partitioned: map[string]bool{}, silent: map[string]bool{}, numbers: map[string]int{}}
 }
 
 func testSettings(name, domain string, n int) *Settings {
@@ -60,14 +76,24 @@
 
 // add starts a gateway.
 func (w *testCluster) add(name, domain string) *testHost {
-	cfg := testSettings(name, domain, len(w.hosts)+1)
+	if w.numbers[name] == 0 {
+		w.numbers[name] = len(w.numbers) + 1
+	}
+	cfg := testSettings(name, domain, w.numbers[name])
 	cfg.Seeds = w.seeds
 	log := logging.Discard()
 	k := NewKeeper(cfg, plainSchema{}, log)
+	peers, m := &testPeers{w: w, self: name}, NewMetrics(prometheus.NewRegistry())
 	s := NewSyncer(cfg, peer.Identity{Host: name, Incarnation: uint64(time.Now().UnixNano())}, k,
-		&storeClient{fakeStore: w.store, host: name}, plainSchema{}, &testPeers{w: w, self: name}, log, NewMetrics(prometheus.NewRegistry()))
+		&storeClient{fakeStore: w.store, host: name}, plainSchema{}, peers, log, m)
+	var servers forwardProber
+	if w.forwarder != nil {
+		servers = w.forwarder(name)
+	}
+	n := NewNode(cfg, k, plainDialect{}, servers, servers, log, m)
+	n.syncer = s
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &testHost{cfg: cfg, keeper: k, syncer: s, stop: cancel}
+	h := &testHost{cfg: cfg, keeper: k, syncer: s, node: n, stop: cancel}
 	w.mu.Lock()
 	w.hosts[name] = h
 	w.mu.Unlock()
@@ -84,6 +110,14 @@
 	}
 }
 
+// anyHost returns a random gateway.
+func (w *testCluster) anyHost(random *rand.Rand) *testHost {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	names := slices.Sorted(maps.Keys(w.hosts))
+	return w.hosts[names[random.IntN(len(names))]]
+}
+
 func (w *testCluster) kill(name string) {
 	w.mu.Lock()
 	h := w.hosts[name]
@@ -92,6 +126,24 @@
 	h.stop()
 }
 
+// partition cuts gateways off from their peers, or ends that.
+func (w *testCluster) partition(cut bool, names ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range names {
+		w.partitioned[name] = cut
+	}
+}
+
+// setSilent makes gateways leave the calls of their peers without a reply, or ends that.
+func (w *testCluster) setSilent(silent bool, names ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range names {
+		w.silent[name] = silent
+	}
+}
+
 func (w *testCluster) stopAll() {
 	for _, h := range w.hosts {
 		h.stop()
@@ -118,20 +170,29 @@
 func (p *testPeers) Call(ctx context.Context, address string, req *peerv1.Request) (*peerv1.Reply, error) {
 	p.w.mu.Lock()
 	var to *testHost
-	cut := p.w.partitioned[p.self]
+	cut, silent := p.w.partitioned[p.self], false
 	for name, h := range p.w.hosts {
 		if h.cfg.Peer.String() == address {
-			to, cut = h, cut || p.w.partitioned[name]
+			to, cut, silent = h, cut || p.w.partitioned[name], p.w.silent[name]
 		}
 	}
 	p.w.mu.Unlock()
 	if to == nil || cut {
 		return nil, &port.PeerError{Code: port.PeerConnect, Address: address}
 	}
+	if silent {
+		<-ctx.Done()
+		return nil, &port.PeerError{Code: port.PeerTimeout, Address: address, Sent: true, Err: ctx.Err()}
+	}
 	// Cloned, since the caller may change the request later.
 	req = proto.CloneOf(req)
-	page := to.keeper.Page(ctx, to.syncer.identity.Incarnation, req.GetMirrorPull())
-	reply := &peerv1.Reply{Body: &peerv1.Reply_MirrorPage{MirrorPage: page}}
+	reply, err := (&exchanges{keeper: to.keeper, epoch: to.syncer.identity.Incarnation}).Serve(ctx, req)
+	if err != nil {
+		return nil, &port.PeerError{Code: port.PeerRefused, Address: address, Sent: true, Err: err}
+	}
+	if req.GetMirrorPull() == nil {
+		return reply, nil
+	}
 	p.w.mu.Lock()
 	defer p.w.mu.Unlock()
 	p.w.pulls++
