Permits for requests to backend servers that name a limit

What callers and operators saw: an overloaded server named how many requests a second it takes from all gateways together and got up to seven times as many.

Cause: no gateway acted on Server-Limit. It was passed on to callers like any other header. The class: a bound of all gateways together that each gateway ignores, or would keep only for itself.

Change: one gateway, in the server's failure domain, issues permits for it at the named rate; a request is sent there only with one, and otherwise goes to the object's next server at once or is rejected. A deputy issues at a quarter of the rate to gateways that cannot reach the issuer. The latest response with or without a limit counts, whoever got it. Objects are placed by what the limits bear. New exchange PermitAsk; a gateway of an older version refuses it, and its part of a mixed fleet issues nothing.

Why it works: all requests that may reach the server pass one token bucket, and what a second issuer may add in a handover stays within one and a half times the limit.

--- a/internal/core/ratelimit/limit.go
+++ b/internal/core/ratelimit/limit.go
@@ -1,5 +1,7 @@
 // Package ratelimit keeps the request rate that an overloaded backend server names
-// for all gateways together. It is pure: time is an argument.
+// for all gateways together. For each such server one gateway, its issuer, issues
+// permits at that rate, and a gateway sends a request to the server only with a
+// permit. It is pure: time is an argument.
 package ratelimit
 
 import "time"
--- a/internal/daemon/gateway/answer.go
+++ b/internal/daemon/gateway/answer.go
@@ -89,6 +89,9 @@
 		"request": req.caller.ID, "object": req.caller.Object, "route": route, "service": req.service, "status": status, "ms": took.Milliseconds(),
 		"left_ms": req.caller.Left.Milliseconds(), "attempts": req.attempts,
 	}
+	if len(req.permitAsks) > 0 {
+		fields["permit_asks"] = req.permitAsks
+	}
 	if req.fullServer.server != nil {
 		fields["full_server"], fields["full_wait_ms"] = req.fullServer.server.rec().ID, req.fullServer.wait.Milliseconds()
 	}
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -71,7 +71,7 @@
 			s.markWarm(req.objectHash, time.Now())
 		}
 		if c.wait == 0 {
-			n.serviceTimes.record(req.route, a, took)
+			n.serviceTimes.record(req.route, req.service, a, took)
 		}
 		if a.Opened {
 			n.metrics.opened.Inc()
--- a/internal/daemon/gateway/fixtures_test.go
+++ b/internal/daemon/gateway/fixtures_test.go
@@ -109,7 +109,7 @@
 	k := NewKeeper(cfg, plainSchema{}, discardLog())
 	m := NewMetrics(prometheus.NewRegistry())
 	servers := &fakeServers{answer: answer}
-	n := NewNode(cfg, k, plainDialect{}, servers, servers, discardLog(), m)
+	n := NewNode(cfg, k, plainDialect{}, servers, servers, nil, discardLog(), m)
 	n.syncer = NewSyncer(cfg, peer.Identity{Host: "g", Incarnation: 1}, k, nil, plainSchema{}, nil, discardLog(), m)
 	b := &fixture{node: n, keeper: k, servers: servers}
 	now := time.Now()
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -60,13 +60,15 @@
 	// placementChanged is set when the servers that may get work, or what places objects on
 	// them, may have changed since the view was made.
 	placementChanged bool
-	config           *routing.Config
-	configRevision   uint64
-	splits           map[*routing.Route]*lockedSplit
-	levels           map[*routing.Route]int
-	servers          map[string]*server
-	stored           map[string]*peerv1.GatewayMember
-	heard            map[string]heardMember
+	// replacing is set when the next tick is to place the objects anew.
+	replacing      bool
+	config         *routing.Config
+	configRevision uint64
+	splits         map[*routing.Route]*lockedSplit
+	levels         map[*routing.Route]int
+	servers        map[string]*server
+	stored         map[string]*peerv1.GatewayMember
+	heard          map[string]heardMember
 	// graceUntil is when lapsed records stop counting; lapsed are those kept.
 	graceUntil time.Time
 	lapsed     map[string]mirror.Record
@@ -280,6 +282,9 @@
 		}
 	}
 	k.mirror.Expire(now)
+	if k.replacing {
+		k.replacing, k.placementChanged, changed = false, true, true
+	}
 	if changed {
 		k.publish(now)
 	}
@@ -296,6 +301,26 @@
 	return out
 }
 
+// replaceObjects makes the next tick place the objects anew, as the capacities of the
+// servers are then: many servers may begin to name limits at once.
+func (k *Keeper) replaceObjects() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.replacing = true
+}
+
+// server returns the server with an ID and a start time, or nil. A start time of zero
+// matches any.
+func (k *Keeper) server(id string, born int64) *server {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.servers[id]
+	if s == nil || born != 0 && s.rec().Born != 0 && s.rec().Born != born {
+		return nil
+	}
+	return s
+}
+
 // Servers returns all servers that are known, in no order.
 func (k *Keeper) Servers() []*server {
 	k.mu.Lock()
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -19,6 +19,7 @@
 	checks   prometheus.Counter
 	opened   prometheus.Counter
 	limited  *prometheus.CounterVec
+	permits  *prometheus.CounterVec
 }
 
 // latencyBuckets cover the latencies that routes aim for, in seconds.
@@ -51,8 +52,11 @@
 		limited: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cassiatray_gateway_limited_attempts_total", Help: "Sendings to backend servers that had named a limit, by service.",
 		}, []string{"service"}),
+		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cassiatray_gateway_permit_asks_total", Help: "Asks for permits to send to backend servers that name a limit, by result.",
+		}, []string{"result"}),
 	}
-	reg.MustRegister(m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited)
+	reg.MustRegister(m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits)
 	return m
 }
 
--- a/internal/daemon/gateway/module.go
+++ b/internal/daemon/gateway/module.go
@@ -81,29 +81,35 @@
 
 func newForwarder(d port.Dialect) *serverconn.Pool { return serverconn.New(d) }
 
-func newNode(cfg *Settings, k *Keeper, s *Syncer, d port.Dialect, f *serverconn.Pool, log *logrus.Logger, m *Metrics) *Node {
-	n := NewNode(cfg, k, d, f, f, logging.Part(log, "request"), m)
+func newNode(cfg *Settings, k *Keeper, s *Syncer, d port.Dialect, f *serverconn.Pool, pool *peer.Pool, log *logrus.Logger, m *Metrics) *Node {
+	n := NewNode(cfg, k, d, f, f, pool, logging.Part(log, "request"), m)
 	n.syncer = s
 	return n
 }
 
-func newPeerServer(id peer.Identity, k *Keeper) *peer.Server {
-	return peer.NewServer(id, &exchanges{keeper: k, epoch: id.Incarnation})
+func newPeerServer(id peer.Identity, n *Node) *peer.Server {
+	return peer.NewServer(id, &exchanges{node: n, epoch: id.Incarnation})
 }
 
 // exchanges implements peer.Handler.
 type exchanges struct {
-	keeper *Keeper
-	epoch  uint64
+	node  *Node
+	epoch uint64
 }
 
 // Serve implements peer.Handler.
 func (e *exchanges) Serve(ctx context.Context, req *peerv1.Request) (*peerv1.Reply, error) {
-	pull := req.GetMirrorPull()
-	if pull == nil {
-		return nil, &port.PeerError{Code: port.PeerRefused, Reason: "not for gateways"}
+	if pull := req.GetMirrorPull(); pull != nil {
+		return &peerv1.Reply{Body: &peerv1.Reply_MirrorPage{MirrorPage: e.node.keeper.Page(ctx, e.epoch, pull)}}, nil
 	}
-	return &peerv1.Reply{Body: &peerv1.Reply_MirrorPage{MirrorPage: e.keeper.Page(ctx, e.epoch, pull)}}, nil
+	if ask := req.GetPermitAsk(); ask != nil {
+		reply, err := e.node.ServePermit(ask, req.FromHost)
+		if err != nil {
+			return nil, err
+		}
+		return &peerv1.Reply{Body: &peerv1.Reply_PermitReply{PermitReply: reply}}, nil
+	}
+	return nil, &port.PeerError{Code: port.PeerRefused, Reason: "not for gateways"}
 }
 
 // ServeFollow implements peer.Handler.
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -51,6 +51,7 @@
 	inFlight   atomic.Int64
 	stopping   atomic.Bool
 
+	permitPeers  permitPeers
 	serviceTimes serviceTimes
 	bounds       atomic.Pointer[Bounds]
 
@@ -59,11 +60,12 @@
 }
 
 // NewNode returns a Node that routes requests by the views of k.
-func NewNode(cfg *Settings, k *Keeper, d port.Dialect, f port.Forwarder, p port.Prober, log *logrus.Entry, m *Metrics) *Node {
+func NewNode(cfg *Settings, k *Keeper, d port.Dialect, f port.Forwarder, p port.Prober, peers port.PeerCaller, log *logrus.Entry, m *Metrics) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg: cfg, keeper: k, dialect: d, forwarder: f, prober: p, log: log, metrics: m,
 		ctx: ctx, cancel: cancel, retryBudgets: map[string]*retry.Window{},
+		permitPeers: permitPeers{pool: peers, unreachable: map[string]time.Time{}},
 	}
 	n.bounds.Store(&cfg.Bounds)
 	return n
@@ -132,15 +134,14 @@
 		return
 	}
 	for {
-		now := time.Now()
-		left := req.deadline.Sub(now)
-		if left < minTimeLeft {
+		if time.Until(req.deadline) < minTimeLeft {
 			n.writeFailure(w, req, "out of time")
 			return
 		}
 		// The current view may lack servers that were in the request's view.
 		v := n.keeper.View()
-		c, reason := n.pickServer(v, req, now)
+		c, reason := n.pickServer(v, req)
+		now := time.Now()
 		if reason != reasonNone {
 			req.fullServer = c
 			n.writeFailure(w, req, string(reason))
@@ -150,7 +151,7 @@
 			n.writeFailure(w, req, "retry budget spent")
 			return
 		}
-		a, err := n.sendAttempt(r, req, c, left)
+		a, err := n.sendAttempt(r, req, c, req.deadline.Sub(now))
 		req.excludeServer(c.server, a, err)
 		if err == nil && !a.Meta.NotRun {
 			runCount++
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -45,19 +45,35 @@
 	reasonUnreachable rejectReason = "servers unreachable"
 	reasonCold        rejectReason = "servers cold"
 	reasonFull        rejectReason = "servers full"
+	reasonLimited     rejectReason = "servers at their limit"
 )
 
-// pickServer chooses between the preferred servers of the request's object: the
+// pickServer chooses a server for the request. If the server names a limit, pickServer
+// also takes a permit for it; if there is none, it chooses again among the others.
+func (n *Node) pickServer(v *view, req *inflightRequest) (candidate, rejectReason) {
+	for {
+		now := time.Now()
+		best, reason := n.chooseServer(v, req, now)
+		switch {
+		case reason != reasonNone || !best.limit.Named:
+			return best, reason
+		case n.takePermit(v, req, best.server, now):
+			return best, reasonNone
+		}
+	}
+}
+
+// chooseServer chooses between the preferred servers of the request's object: the
 // first preferredServerCount usable ones in rendezvous order. A later one is chosen
 // only if its wait is shorter by more than its spill cost.
-func (n *Node) pickServer(v *view, req *inflightRequest, now time.Time) (candidate, rejectReason) {
+func (n *Node) chooseServer(v *view, req *inflightRequest, now time.Time) (candidate, rejectReason) {
 	g := v.groups[req.service]
 	if g == nil {
 		return candidate{}, reasonNoServer
 	}
 	serviceTime := n.serviceTimes.estimate(req.route)
 	maxWait := overload.MaxWait(req.route.Target, req.deadline.Sub(now), serviceTime, v.urgencyLevels[req.route])
-	var best, reportedDown candidate
+	var best, reportedDown, limited candidate
 	why := reasonNoServer
 	usable := 0
 	for rank, s := range g.ranked(req.objectHash, req.sticky()) {
@@ -65,11 +81,18 @@
 		c.rank = rank
 		if reason != reasonNone {
 			why = reason
-			if reportedDown.server == nil && c.server != nil {
+			switch {
+			case reason == reasonUnreachable && c.server != nil && reportedDown.server == nil:
 				reportedDown = c
+			case reason == reasonLimited && (limited.server == nil || c.wait < limited.wait):
+				limited = c
 			}
 			continue
 		}
+		if c.limit.Named && usable > 0 {
+			// Its permits are for the objects that it is the first server of.
+			continue
+		}
 		usable++
 		if best.server == nil || c.wait+spillCost(req, c, serviceTime, now) < best.wait {
 			best = c
@@ -83,6 +106,8 @@
 		best = reportedDown
 	}
 	switch {
+	case best.server == nil && limited.server != nil:
+		return limited, reasonLimited
 	case best.server == nil:
 		return candidate{}, why
 	case best.wait > maxWait:
@@ -129,7 +154,8 @@
 
 // evaluateServer returns the server as a candidate, or the reason why it cannot
 // be used. It returns both for a server that is unreachable only by other
-// gateways' reports.
+// gateways' reports, and for one that is at its limit, with the time until a permit
+// may be asked for.
 func (n *Node) evaluateServer(v *view, req *inflightRequest, s *server, serviceTime time.Duration, now time.Time) (candidate, rejectReason) {
 	switch {
 	case !req.route.AllowsRegion(s.region):
@@ -137,6 +163,12 @@
 	case req.excluded[s]:
 		return candidate{}, reasonAllTried
 	}
+	limit := s.limit()
+	if limit.Named {
+		if pause := s.permitPause(now); pause > 0 || len(req.permitAsks) >= maxPermitAsks {
+			return candidate{server: s, wait: pause}, reasonLimited
+		}
+	}
 	down := s.isDown()
 	if down {
 		n.checkIfDue(v, s, now)
@@ -144,7 +176,7 @@
 			return candidate{}, reasonUnreachable
 		}
 	}
-	c := candidate{server: s, load: s.estimatedRequests(now, serviceTime), coldFor: s.remainingCold(now), limit: s.limit()}
+	c := candidate{server: s, load: s.estimatedRequests(now, serviceTime), coldFor: s.remainingCold(now), limit: limit}
 	if c.coldFor > 0 && !(n.ownsColdServer(v, s) && n.hasColdPermit(v, s, now)) {
 		return candidate{}, reasonCold
 	}
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -35,6 +35,7 @@
 	excluded     map[*server]bool
 	secondChance map[*server]bool
 	attempts     []attempt
+	permitAsks   []permitAsk
 	// mayHaveRun is set once a server may have started to run the request.
 	mayHaveRun bool
 	// fullServer is the server that was picked but whose wait was too long.
--- a/internal/daemon/gateway/server.go
+++ b/internal/daemon/gateway/server.go
@@ -31,6 +31,13 @@
 	coldLimiter     pace.Limiter
 	warmObjects     warmth.Set
 	namedLimit      ratelimit.Limit
+	// permits are issued from here while this gateway is the issuer or the deputy.
+	permits ratelimit.Bucket
+	// nextPermitAsk is when this gateway may ask for a permit again.
+	nextPermitAsk time.Time
+	// capacityShare is the fraction of the work of its slots that the server takes under
+	// its limit, as the placement of objects takes it; zero for all.
+	capacityShare float64
 }
 
 func newServer(rec fleet.Record, region string) *server {
--- a/internal/daemon/gateway/servicetime.go
+++ b/internal/daemon/gateway/servicetime.go
@@ -18,6 +18,18 @@
 type serviceTimes struct {
 	mu       sync.Mutex
 	trackers map[string]*overload.Tracker
+	// services are the trackers of all routes of each service together.
+	services map[string]*overload.Tracker
+}
+
+// ofService returns how long a request of any route takes at a server of the service.
+func (t *serviceTimes) ofService(service string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if tracker := t.services[service]; tracker != nil {
+		return tracker.Mean(defaultServiceTime)
+	}
+	return defaultServiceTime
 }
 
 // estimate returns how long a request of the route takes at a server, without
@@ -36,17 +48,21 @@
 }
 
 // record adds the time of a successful response, unless the server had a queue.
-func (t *serviceTimes) record(r *routing.Route, a *port.ForwardAnswer, took time.Duration) {
+func (t *serviceTimes) record(r *routing.Route, service string, a *port.ForwardAnswer, took time.Duration) {
 	if a.Status < 200 || a.Status >= 300 || a.Meta.Load != nil && a.Meta.Load.Waiting > 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.trackers == nil {
-		t.trackers = map[string]*overload.Tracker{}
+		t.trackers, t.services = map[string]*overload.Tracker{}, map[string]*overload.Tracker{}
 	}
-	if t.trackers[r.Name] == nil {
-		t.trackers[r.Name] = new(overload.Tracker)
+	add := func(trackers map[string]*overload.Tracker, name string) {
+		if trackers[name] == nil {
+			trackers[name] = new(overload.Tracker)
+		}
+		trackers[name].Add(took)
 	}
-	t.trackers[r.Name].Add(took)
+	add(t.trackers, r.Name)
+	add(t.services, service)
 }
--- a/internal/daemon/gateway/view.go
+++ b/internal/daemon/gateway/view.go
@@ -13,6 +13,7 @@
 	"cassiatray/internal/core/fleet"
 	"cassiatray/internal/core/mirror"
 	"cassiatray/internal/core/placement"
+	"cassiatray/internal/core/ratelimit"
 	"cassiatray/internal/core/routing"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
@@ -30,8 +31,10 @@
 	evacuated map[string]bool
 	// members are the gateways in the serving state.
 	members []*peerv1.GatewayMember
-	// hosts are the sorted host names of members.
-	hosts []string
+	// hosts are the sorted host names of members, and gateways the members as
+	// possible issuers of permits.
+	hosts    []string
+	gateways []ratelimit.Gateway
 	// retryExtraShare is this gateway's part of the retry allowance that all
 	// gateways share.
 	retryExtraShare float64
@@ -118,6 +121,7 @@
 	v.members = k.servingMembers(now)
 	for _, m := range v.members {
 		v.hosts = append(v.hosts, m.Host)
+		v.gateways = append(v.gateways, ratelimit.Gateway{Host: m.Host, Domain: m.Domain, Region: m.Region, Address: m.PeerAddress})
 	}
 	v.retryExtraShare = retryExtraShare(v.members, k.cfg.Host)
 	return v
@@ -182,7 +186,9 @@
 
 // buildRing sorts the servers and builds the rendezvous ring. All gateways of a region
 // place objects alike, since they share their callers. Every failure domain is assumed
-// to send the same number of requests.
+// to send the same number of requests. A server that names a limit gets fewer objects, so
+// that its requests for those are within the limit and the others' objects stay warm at
+// other servers.
 func (g *serverGroup) buildRing(cfg *Settings) {
 	slices.SortFunc(g.servers, func(a, b *server) int { return strings.Compare(a.rec().ID, b.rec().ID) })
 	index := map[string]int{}
@@ -195,13 +201,13 @@
 		zones[index[d.Region]].Callers++
 	}
 	for _, s := range g.servers {
-		zones[index[s.region]].Capacity += float64(s.rec().Slots)
+		zones[index[s.region]].Capacity += s.capacity()
 	}
 	shares := placement.Shares(zones, index[cfg.Region])
 	list := make([]placement.Server, len(g.servers))
 	for i, s := range g.servers {
 		z := index[s.region]
-		list[i] = placement.Server{ID: s.rec().ID, Weight: shares[z] * float64(s.rec().Slots) / zones[z].Capacity}
+		list[i] = placement.Server{ID: s.rec().ID, Weight: shares[z] * s.capacity() / zones[z].Capacity}
 	}
 	g.ring = placement.NewRing(list)
 }
--- a/internal/daemon/gateway/world_test.go
+++ b/internal/daemon/gateway/world_test.go
@@ -90,7 +90,7 @@
 	if w.forwarder != nil {
 		servers = w.forwarder(name)
 	}
-	n := NewNode(cfg, k, plainDialect{}, servers, servers, log, m)
+	n := NewNode(cfg, k, plainDialect{}, servers, servers, peers, log, m)
 	n.syncer = s
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &testHost{cfg: cfg, keeper: k, syncer: s, node: n, stop: cancel}
@@ -186,7 +186,7 @@
 	}
 	// Cloned, since the caller may change the request later.
 	req = proto.CloneOf(req)
-	reply, err := (&exchanges{keeper: to.keeper, epoch: to.syncer.identity.Incarnation}).Serve(ctx, req)
+	reply, err := (&exchanges{node: to.node, epoch: to.syncer.identity.Incarnation}).Serve(ctx, req)
 	if err != nil {
 		return nil, &port.PeerError{Code: port.PeerRefused, Address: address, Sent: true, Err: err}
 	}
