Spill to a busy cold server only for what the cold run costs

Cause: when a server was busy, requests spilled to a server that was cold for their object as soon as that saved one service time. The cold run took the slots of three warm ones and another object's place in the cache, so that once most servers were busy each ran 60 to 79 objects of which it keeps 50, most of them cold, and the cold runs kept all of them busy.

Change: such a spill must save four service times.

--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -120,9 +120,8 @@
 
 // spillCost returns by how much c's wait must be shorter before a request spills
 // to c from a server of better rank. It is low if c is warm for the object, and
-// otherwise one service time, or, if c is lightly loaded, only what still lets the
-// request meet its target. On a server with little room, a cold run would take slots
-// from its other requests.
+// otherwise coldSpillFactor service times, or, if c is lightly loaded, only what still
+// lets the request meet its target.
 func spillCost(req *inflightRequest, c candidate, serviceTime time.Duration, now time.Time) time.Duration {
 	switch {
 	case !req.route.Sticky:
@@ -133,10 +132,14 @@
 		inTime := time.Duration(plannedTargetShare*float64(req.route.Target)) - serviceTime
 		return min(serviceTime, max(inTime, time.Duration(minSpillShare*float64(serviceTime))))
 	}
-	return serviceTime
+	return coldSpillFactor * serviceTime
 }
 
 const (
+	// coldSpillFactor is the spill cost to a busy server that is cold for the object, in
+	// service times: the cold run takes the slots of three warm ones and the place of
+	// another object, whose next run is cold in turn.
+	coldSpillFactor = 4
 	// lightLoadShare is the ratio of requests to slots up to which a server
 	// counts as lightly loaded.
 	lightLoadShare = 0.35
