Spill to cold servers as before while they have a free slot

What callers would have seen: requests that stay with a server that has stopped responding, although the next one has a free slot.

Change: the higher cost applies to cold servers without a free slot only, which is what the overload needs. Also: names of what is stale when servers name limits.

--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -60,8 +60,9 @@
 	// placementChanged is set when the servers that may get work, or what places objects on
 	// them, may have changed since the view was made.
 	placementChanged bool
-	// replacing is set when the next tick is to place the objects anew.
-	replacing      bool
+	// placementStale is set when the capacities of servers have changed since the view was
+	// made; the next tick makes a new one.
+	placementStale bool
 	config         *routing.Config
 	configRevision uint64
 	splits         map[*routing.Route]*lockedSplit
@@ -282,8 +283,8 @@
 		}
 	}
 	k.mirror.Expire(now)
-	if k.replacing {
-		k.replacing, k.placementChanged, changed = false, true, true
+	if k.placementStale {
+		k.placementStale, k.placementChanged, changed = false, true, true
 	}
 	if changed {
 		k.publish(now)
@@ -301,12 +302,12 @@
 	return out
 }
 
-// replaceObjects makes the next tick place the objects anew, as the capacities of the
-// servers are then: many servers may begin to name limits at once.
-func (k *Keeper) replaceObjects() {
+// refreshPlacement makes the next tick place objects by the capacities that servers have
+// then: many servers may begin to name limits at once.
+func (k *Keeper) refreshPlacement() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.replacing = true
+	k.placementStale = true
 }
 
 // server returns the server with an ID and a start time, or nil. A start time of zero
--- a/internal/daemon/gateway/limit.go
+++ b/internal/daemon/gateway/limit.go
@@ -80,7 +80,7 @@
 func (n *Node) updateLimit(s *server, l ratelimit.Limit, source string) bool {
 	before, after := s.updateLimit(l)
 	if s.updateCapacity(n.serviceTimes.ofService(s.rec().Service)) {
-		n.keeper.replaceObjects()
+		n.keeper.refreshPlacement()
 	}
 	if before.SameAs(after) {
 		return false
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		if c.limit.Named && usable > 0 {
-			// Its permits are for the objects that it is the first server of.
+			// Its permits are kept for the objects whose first usable server it is.
 			continue
 		}
 		usable++
@@ -120,8 +120,9 @@
 
 // spillCost returns by how much c's wait must be shorter before a request spills
 // to c from a server of better rank. It is low if c is warm for the object, and
-// otherwise coldSpillFactor service times, or, if c is lightly loaded, only what still
-// lets the request meet its target.
+// otherwise one service time, or, if c is lightly loaded, only what still lets the
+// request meet its target. It is high if c has no free slot: the cold run would delay
+// its other requests.
 func spillCost(req *inflightRequest, c candidate, serviceTime time.Duration, now time.Time) time.Duration {
 	switch {
 	case !req.route.Sticky:
@@ -132,14 +133,17 @@
 		inTime := time.Duration(plannedTargetShare*float64(req.route.Target)) - serviceTime
 		return min(serviceTime, max(inTime, time.Duration(minSpillShare*float64(serviceTime))))
 	}
-	return coldSpillFactor * serviceTime
+	if c.wait > 0 {
+		return fullColdSpillFactor * serviceTime
+	}
+	return serviceTime
 }
 
 const (
-	// coldSpillFactor is the spill cost to a busy server that is cold for the object, in
-	// service times: the cold run takes the slots of three warm ones and the place of
-	// another object, whose next run is cold in turn.
-	coldSpillFactor = 4
+	// fullColdSpillFactor is the spill cost to a server without a free slot that is cold
+	// for the object, in service times: the cold run takes the slots of three warm ones
+	// and the place of another object, whose next run is cold in turn.
+	fullColdSpillFactor = 4
 	// lightLoadShare is the ratio of requests to slots up to which a server
 	// counts as lightly loaded.
 	lightLoadShare = 0.35
