--- a/internal/daemon/gateway/fakestore_test.go
+++ b/internal/daemon/gateway/fakestore_test.go
@@ -154,8 +154,12 @@
 	if err := c.begin(ctx); err != nil {
 		return port.Changes{}, err
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	var over <-chan time.Time
+	if wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		over = timer.C
+	}
 	for {
 		c.mu.Lock()
 		changed, away, compacted := c.changed, c.away[""] || c.away[c.host], after < c.first
@@ -171,12 +175,12 @@
 			return port.Changes{}, &port.StoreError{Code: port.StoreUnavailable, Op: "watch"}
 		case compacted:
 			return port.Changes{}, &port.StoreError{Code: port.StoreCompacted, Op: "watch"}
-		case len(out.List) > 0:
+		case len(out.List) > 0 || wait <= 0:
 			return out, nil
 		}
 		select {
 		case <-changed:
-		case <-timer.C:
+		case <-over:
 			return out, nil
 		case <-ctx.Done():
 			return port.Changes{}, &port.StoreError{Code: port.StoreUnavailable, Op: "watch", Err: ctx.Err()}
