Count requests to a cold server across its restart

Cause: gateways learn from a health check that a restarted server is cold, and send at the pace of its owner. When the store's record of the new start came, the state of the server was made anew with an empty count, so that the owner sent its share twice within a second.

Ruled out: that the senders did not know that the server was cold.

Change: the count goes over to the state of the new start.

Figures: TestColdRateLimitOutlivesServerRestart failed before with 16 requests within a second at servers whose limit is 6, and passes.

Conclusion: a restart gives no second share.

--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -5,6 +5,7 @@
 package pace
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,6 +36,9 @@
 // It is not safe for concurrent use.
 type Limiter struct{ sent []time.Time }
 
+// Clone returns a copy that counts the same requests.
+func (l *Limiter) Clone() Limiter { return Limiter{sent: slices.Clone(l.sent)} }
+
 // Take counts a request and returns true if the rate allows one more now.
 func (l *Limiter) Take(now time.Time, rate float64) bool {
 	if !l.Allows(now, rate) {
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -214,10 +214,13 @@
 		return
 	}
 	s := old
-	if old != nil && old.rec().SameLife(rec) {
-		s.record.Store(&rec)
-	} else {
+	switch {
+	case old == nil:
 		s = newServer(rec, k.cfg.regionOf(rec.Domain))
+	case old.rec().SameLife(rec):
+		s.record.Store(&rec)
+	default:
+		s = old.successor(rec, k.cfg.regionOf(rec.Domain))
 	}
 	if rec.Cold > 0 {
 		until := r.Read.Add(rec.Cold)
--- a/internal/daemon/gateway/server.go
+++ b/internal/daemon/gateway/server.go
@@ -46,6 +46,16 @@
 	return s
 }
 
+// successor returns the state of a later incarnation of the server. Requests that were
+// sent to it as a cold server before its new record was known still count.
+func (s *server) successor(rec fleet.Record, region string) *server {
+	next := newServer(rec, region)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next.coldLimiter = s.coldLimiter.Clone()
+	return next
+}
+
 func (s *server) rec() *fleet.Record { return s.record.Load() }
 
 // loadReport is the load that a server reported with a response.
--- a/internal/daemon/gateway/servers_test.go
+++ b/internal/daemon/gateway/servers_test.go
@@ -94,6 +94,42 @@
 	})
 }
 
+// TestColdRateLimitOutlivesServerRestart checks that the requests to a cold server still
+// count when its record shows another start: gateways learned from a health check that it
+// was cold, and each new record allowed a second share of the rate within the same second.
+func TestColdRateLimitOutlivesServerRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(func(context.Context, int, string) (*port.ForwardAnswer, error) { return okAnswer(), nil })
+		f.node.syncer.state.Store(int32(peerv1.HostState_HOST_STATE_SERVING))
+		f.keeper.Hear(f.node.syncer.self(), true, time.Now())
+		const restarts = 4
+		for n := range restarts {
+			var records []mirror.Record
+			for i, d := range testDomains {
+				r := fleet.Record{ID: "i-" + d.Domain, Domain: d.Domain, Cold: 3 * time.Second, Born: int64(7 + n)}
+				records = append(records, f.serverRecord(r, uint64(20+10*n+i)))
+			}
+			f.keeper.Apply(records, uint64(30+10*n), "store", time.Now())
+			for range 60 {
+				f.do("GET", "/get/", "Object", "o")
+				time.Sleep(time.Millisecond)
+			}
+		}
+		perServer := map[string]int{}
+		for _, s := range f.servers.sent {
+			perServer[s.server]++
+		}
+		for server, n := range perServer {
+			if n > 6 {
+				t.Errorf("%d requests within a second to %s, the limit is 6", n, server)
+			}
+		}
+		if len(perServer) == 0 {
+			t.Error("no request was sent")
+		}
+	})
+}
+
 // TestCrashingRequestIsRejectedUnderLoad checks that a request that crashes every server
 // running it is rejected after three crashes, even if other requests on the same servers
 // observe each crash first.
