Find other gateways after a start in an outage of the store

Cause: a gateway asks the hosts in its settings only while it knows no gateway, and from when it serves it knows itself. Gateways that list the store before any of them has its record there, and then lose the store, never found each other. Two groups that had each found one of the two named hosts stayed apart as well, and word of a gateway that the store lacks went one hop only. Each owned every cold server; each would have issued the permits of every server that names a limit.

On virtual time nine of twelve gateways own the same server.

Change: until its record is in the store a gateway also asks the named hosts that it does not know; MirrorPage carries the age of the last word from each gateway that the store lacks, so that it can be passed on and still ends; such gateways count for 10 s in an outage; in the first 3 s a gateway without a record owns no cold server and issues permits at the rate of a deputy.

Conclusion: the owner of a server is one again within 3 s of such a start. Not bounded: the bytes of such word in large fleets, some 100 bytes for each gateway and pull while the store holds no records of them.

--- a/internal/daemon/gateway/announce.go
+++ b/internal/daemon/gateway/announce.go
@@ -104,10 +104,27 @@
 	return m != nil && m.Incarnation == s.identity.Incarnation || time.Since(s.keeper.mirror.Synced()) > s.times.Load().staleAfter
 }
 
+// introductionTime is how long after its start a gateway whose record is not in the store
+// may lack others that it has to share with: a few pulls from the seeds.
+const introductionTime = 3 * time.Second
+
+// introduced reports whether this gateway and the others know each other, as far as the
+// store or the seeds can tell. Before that it owns nothing of which there is one owner.
+func (k *Keeper) introduced(now time.Time) bool {
+	return now.Sub(k.born) > introductionTime || k.stores(k.cfg.Host)
+}
+
+// stores reports whether the store holds a gateway's record, as far as is known.
+func (k *Keeper) stores(host string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.stored[host] != nil
+}
+
 // Leave takes this gateway out of the directory everywhere.
 func (s *Syncer) Leave(ctx context.Context) {
 	s.state.Store(int32(peerv1.HostState_HOST_STATE_LEAVING))
-	s.keeper.Hear(s.self(), true, time.Now())
+	s.keeper.Hear(s.self(), time.Now(), time.Now())
 	lease := s.held()
 	if lease == "" {
 		return
--- a/internal/daemon/gateway/fixtures_test.go
+++ b/internal/daemon/gateway/fixtures_test.go
@@ -111,6 +111,8 @@
 	servers := &fakeServers{answer: answer}
 	n := NewNode(cfg, k, plainDialect{}, servers, servers, nil, discardLog(), m)
 	n.syncer = NewSyncer(cfg, peer.Identity{Host: "g", Incarnation: 1}, k, nil, plainSchema{}, nil, discardLog(), m)
+	// The gateway has run for a while.
+	k.born = k.born.Add(-2 * introductionTime)
 	b := &fixture{node: n, keeper: k, servers: servers}
 	now := time.Now()
 	records := []mirror.Record{{Key: "config", Revision: 1, Read: now, Value: encode(plainConfig{
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -20,8 +20,11 @@
 )
 
 const (
-	// heardLife is how long a gateway counts as alive after it was heard from.
-	heardLife = 3 * time.Second
+	// heardLife is how long a gateway counts as alive after it was heard from, and
+	// heardLifeInOutage how long while the store is out of reach: pulls are fewer then, and
+	// word of a gateway takes a few of them.
+	heardLife         = 3 * time.Second
+	heardLifeInOutage = 10 * time.Second
 	// outageGap is how long the store must have been out of reach for records
 	// that lapsed meanwhile to get lapseGrace.
 	outageGap = 3 * time.Second
@@ -30,12 +33,11 @@
 	lapseGrace = 2200 * time.Millisecond
 )
 
-// heardMember is a gateway that was heard from.
+// heardMember is a gateway that was heard from, itself or through others, and when it was
+// heard from itself.
 type heardMember struct {
 	member *peerv1.GatewayMember
 	at     time.Time
-	// direct is set when the gateway itself was heard.
-	direct bool
 }
 
 // Keeper holds the mirror of the store and makes views of it.
@@ -246,22 +248,28 @@
 	k.log.WithFields(fields).WithField("incarnation", m.Incarnation).Info("Gateway known.")
 }
 
-// Hear notes that a gateway was heard from, itself or through another.
-func (k *Keeper) Hear(m *peerv1.GatewayMember, direct bool, now time.Time) {
+// heardLife returns how long a gateway counts as alive after it was heard from. The caller
+// holds k.mu.
+func (k *Keeper) heardLife(now time.Time) time.Duration {
+	if now.Sub(k.mirror.Synced()) > outageGap {
+		return heardLifeInOutage
+	}
+	return heardLife
+}
+
+// Hear notes that a gateway was heard from at a time, by this one or by another.
+func (k *Keeper) Hear(m *peerv1.GatewayMember, at, now time.Time) {
 	if m == nil || m.Host == "" {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	old, known := k.heard[m.Host]
-	if known && supersedes(old.member, m) {
-		return
-	}
-	if known && !direct && old.direct && now.Sub(old.at) < heardLife {
+	if known && (supersedes(old.member, m) || !supersedes(m, old.member) && !at.After(old.at)) || now.Sub(at) >= k.heardLife(now) {
 		return
 	}
-	k.heard[m.Host] = heardMember{member: m, at: now, direct: direct}
-	if !known || old.member.State != m.State || old.member.Incarnation != m.Incarnation || now.Sub(old.at) >= heardLife {
+	k.heard[m.Host] = heardMember{member: m, at: at}
+	if !known || supersedes(m, old.member) || now.Sub(old.at) >= k.heardLife(now) {
 		k.publish(now)
 	}
 }
@@ -280,7 +288,7 @@
 		changed, k.placementChanged = true, true
 	}
 	for host, h := range k.heard {
-		if now.Sub(h.at) >= heardLife {
+		if now.Sub(h.at) >= k.heardLife(now) {
 			delete(k.heard, host)
 			changed = changed || k.stored[host] == nil || supersedes(h.member, k.stored[host])
 		}
--- a/internal/daemon/gateway/limit_test.go
+++ b/internal/daemon/gateway/limit_test.go
@@ -83,7 +83,7 @@
 		rejected, begun := 0, time.Now()
 		for i := range 1000 {
 			f.keeper.Apply(nil, 0, "store", time.Now())
-			f.keeper.Hear(f.node.syncer.self(), true, time.Now())
+			f.keeper.Hear(f.node.syncer.self(), time.Now(), time.Now())
 			start := time.Now()
 			w := f.do("GET", "/get/", "Object", fmt.Sprint(i))
 			if w.Code == http.StatusServiceUnavailable {
@@ -140,7 +140,7 @@
 	for i, host := range []string{"x", "y", "z"} {
 		f.keeper.Hear(&peerv1.GatewayMember{
 			Host: host, Domain: "a1", Region: "a", Incarnation: uint64(i + 1), State: peerv1.HostState_HOST_STATE_SERVING,
-		}, true, now)
+		}, now, now)
 	}
 	var unknown *UnknownIssuerError
 	for _, ask := range []*peerv1.PermitAsk{{Server: "i-a1"}, {Server: "i-none"}, {Server: "i-a1", Born: 5, TellOnly: true}} {
--- a/internal/daemon/gateway/permit.go
+++ b/internal/daemon/gateway/permit.go
@@ -154,8 +154,8 @@
 func (n *Node) askIssuers(v *view, s *server, left time.Duration) (permitResult, time.Duration) {
 	ask := s.permitAsk()
 	issuer, deputy := ratelimit.Issuers(s.location(), v.gateways)
-	if issuer == nil {
-		// No gateway is known yet, not even this one.
+	if issuer == nil || !n.keeper.introduced(time.Now()) {
+		// There may be an issuer that is not known yet.
 		granted, wait := s.issue(time.Now(), ratelimit.RoleDeputy)
 		return resultOf(granted, s.limit()), wait
 	}
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -220,7 +220,10 @@
 // ownsColdServer reports whether this gateway may send requests to a cold server:
 // if the service limits their rate, only one gateway per server may.
 func (n *Node) ownsColdServer(v *view, s *server) bool {
-	return v.config.Services[s.rec().Service].ColdRate <= 0 || pace.Owner(s.rec().ID, v.hosts) == n.cfg.Host
+	if v.config.Services[s.rec().Service].ColdRate <= 0 {
+		return true
+	}
+	return pace.Owner(s.rec().ID, v.hosts) == n.cfg.Host && n.keeper.introduced(time.Now())
 }
 
 // checkTimeout is the timeout of a health check.
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -20,8 +20,9 @@
 // Page answers a pull: at once when there is news for the puller, else when
 // there is, or when its wait is over.
 func (k *Keeper) Page(ctx context.Context, epoch uint64, req *peerv1.MirrorPull) *peerv1.MirrorPage {
-	k.Hear(req.Self, true, time.Now())
-	k.takeReports(req.Reports, time.Now())
+	now := time.Now()
+	k.Hear(req.Self, now, now)
+	k.takeReports(req.Reports, now)
 	if req.ReportsEpoch != epoch {
 		req.ReportsFrom = 0
 	}
@@ -63,8 +64,9 @@
 		}
 	}
 	for _, h := range k.heard {
-		if s := k.stored[h.member.Host]; h.direct && now.Sub(h.at) < heardLife && (s == nil || s.Incarnation < h.member.Incarnation) {
+		if s := k.stored[h.member.Host]; now.Sub(h.at) < k.heardLife(now) && (s == nil || s.Incarnation < h.member.Incarnation) {
 			page.Heard = append(page.Heard, h.member)
+			page.HeardAgeMicros = append(page.HeardAgeMicros, now.Sub(h.at).Microseconds())
 		}
 	}
 	return page, k.changed
@@ -92,9 +94,14 @@
 	}
 	k.mu.Unlock()
 	k.takeReports(page.Reports, now)
-	for _, m := range page.Heard {
-		if m.GetHost() != k.cfg.Host {
-			k.Hear(m, false, now)
+	for i, m := range page.Heard {
+		if m.GetHost() == k.cfg.Host {
+			continue
 		}
+		at := now
+		if i < len(page.HeardAgeMicros) {
+			at = now.Add(-max(0, time.Duration(page.HeardAgeMicros[i])*time.Microsecond))
+		}
+		k.Hear(m, at, now)
 	}
 }
--- a/internal/daemon/gateway/servers_test.go
+++ b/internal/daemon/gateway/servers_test.go
@@ -28,7 +28,7 @@
 		}
 		f.keeper.Apply(records, 30, "store", time.Now())
 		f.node.syncer.state.Store(int32(peerv1.HostState_HOST_STATE_SERVING))
-		f.keeper.Hear(f.node.syncer.self(), true, time.Now())
+		f.keeper.Hear(f.node.syncer.self(), time.Now(), time.Now())
 		refused := 0
 		for i := range 1000 {
 			time.Sleep(2 * time.Millisecond)
@@ -76,7 +76,7 @@
 		}
 		f.keeper.Apply(records, 30, "store", time.Now())
 		f.node.syncer.state.Store(int32(peerv1.HostState_HOST_STATE_SERVING))
-		f.keeper.Hear(f.node.syncer.self(), true, time.Now())
+		f.keeper.Hear(f.node.syncer.self(), time.Now(), time.Now())
 		for range 300 {
 			for _, s := range f.keeper.Servers() {
 				s.withHealth(func(h *fleet.Health) bool {
@@ -101,7 +101,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(func(context.Context, int, string) (*port.ForwardAnswer, error) { return okAnswer(), nil })
 		f.node.syncer.state.Store(int32(peerv1.HostState_HOST_STATE_SERVING))
-		f.keeper.Hear(f.node.syncer.self(), true, time.Now())
+		f.keeper.Hear(f.node.syncer.self(), time.Now(), time.Now())
 		const restarts = 4
 		for n := range restarts {
 			var records []mirror.Record
--- a/internal/daemon/gateway/sync.go
+++ b/internal/daemon/gateway/sync.go
@@ -102,7 +102,7 @@
 	wg.Go(func() {
 		for sleep.For(ctx, tickEvery) {
 			s.keeper.Alive(time.Now())
-			s.keeper.Hear(s.self(), true, time.Now())
+			s.keeper.Hear(s.self(), time.Now(), time.Now())
 			s.keeper.Tick(time.Now())
 		}
 	})
@@ -126,23 +126,24 @@
 	s.failed[host] = time.Now()
 }
 
-// known returns the other gateways and this one. Before any is known, hosts
-// named by the settings may run some.
+// known returns the gateways that may be pulled from, and this one. Until its record is in
+// the store, hosts that the settings name may run gateways that are not known yet.
 func (s *Syncer) known(members []*peerv1.GatewayMember) []mirror.Member {
 	var out []mirror.Member
+	addresses := map[string]bool{s.cfg.Peer.String(): true}
 	for _, m := range members {
 		out = append(out, mirror.Member{Host: m.Host, Region: m.Region, Address: m.PeerAddress, Capacity: m.Capacity})
+		addresses[m.PeerAddress] = true
 	}
-	if len(out) > 0 {
+	if len(addresses) > 1 && s.keeper.stores(s.cfg.Host) {
 		return out
 	}
 	port := strconv.Itoa(int(s.cfg.Peer.Port()))
 	for _, seed := range s.cfg.Seeds {
 		host, _, err := net.SplitHostPort(seed)
-		if err != nil || host == s.cfg.Peer.Addr().String() {
-			continue
+		if address := net.JoinHostPort(host, port); err == nil && !addresses[address] {
+			out = append(out, mirror.Member{Host: seed, Address: address})
 		}
-		out = append(out, mirror.Member{Host: seed, Address: net.JoinHostPort(host, port)})
 	}
 	return out
 }
--- a/internal/daemon/gateway/view.go
+++ b/internal/daemon/gateway/view.go
@@ -223,7 +223,7 @@
 func (k *Keeper) servingMembers(now time.Time) []*peerv1.GatewayMember {
 	all := map[string]*peerv1.GatewayMember{}
 	for _, h := range k.heard {
-		if now.Sub(h.at) < heardLife {
+		if now.Sub(h.at) < k.heardLife(now) {
 			all[h.member.Host] = h.member
 		}
 	}
