Check servers that close all their connections before sending on

Cause: while the store is away, a restart shows in refused connections and health checks only. A server that is back before any gateway sends to it refuses nobody; its kept connections were found closed and replaced without a word, and its restart also ended the limit that it had named, so that requests rushed in.

Change: a gateway that finds all its kept connections closed within the idle timeout that the server had stated sends nothing (BackendRestarted), and checks the server's health first; meanwhile requests go to the next server. Only for services that limit requests to cold servers.

Conclusion: such a restart is seen by every gateway that had a connection. One without kept connections still sends its first requests as to a warm server.

--- a/internal/adapter/serverconn/exchange.go
+++ b/internal/adapter/serverconn/exchange.go
@@ -41,7 +41,7 @@
 
 // Forward implements port.Forwarder.
 func (p *Pool) Forward(ctx context.Context, address string, r *port.ForwardRequest) (*port.ForwardAnswer, error) {
-	c, opened, err := p.take(ctx, address, r.Fresh)
+	c, opened, err := p.take(ctx, address, r.Fresh, r.SameProcess)
 	if err != nil {
 		return nil, connectError(ctx, address, err)
 	}
@@ -90,7 +90,8 @@
 		c.Close()
 		return a, nil
 	}
-	p.put(address, c, keepFor(resp.Header))
+	keep, promised := keepFor(resp.Header)
+	p.put(address, c, keep, promised)
 	return a, nil
 }
 
@@ -185,23 +186,27 @@
 	}
 }
 
-// keepFor returns how long a connection may be used after an answer.
-func keepFor(h http.Header) time.Duration {
+// keepFor returns how long a connection may be used after an answer, and whether the
+// server states an idle timeout.
+func keepFor(h http.Header) (time.Duration, bool) {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
-			return time.Duration(float64(seconds) * idleShare * float64(time.Second))
+			return time.Duration(float64(seconds) * idleShare * float64(time.Second)), true
 		}
 	}
-	return idleDefault
+	return idleDefault, false
 }
 
 func connectError(ctx context.Context, address string, err error) error {
 	code := port.BackendConnect
+	var closed *ClosedError
 	switch {
+	case errors.As(err, &closed):
+		code = port.BackendRestarted
 	case errors.Is(err, syscall.ECONNREFUSED):
 		code = port.BackendRefused
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/internal/adapter/serverconn/exchange_test.go
+++ b/internal/adapter/serverconn/exchange_test.go
@@ -303,15 +303,79 @@
 }
 
 func TestKeepFor(t *testing.T) {
-	for text, want := range map[string]time.Duration{
-		"": idleDefault, "timeout=10": 8500 * time.Millisecond, "max=5, timeout=2": 1700 * time.Millisecond, "timeout=x": idleDefault,
+	for text, want := range map[string]struct {
+		keep   time.Duration
+		stated bool
+	}{
+		"": {idleDefault, false}, "timeout=10": {8500 * time.Millisecond, true}, "max=5, timeout=2": {1700 * time.Millisecond, true}, "timeout=x": {idleDefault, false},
 	} {
-		if got := keepFor(http.Header{"Keep-Alive": {text}}); got != want {
-			t.Errorf("%q: %v, want %v", text, got, want)
+		if keep, stated := keepFor(http.Header{"Keep-Alive": {text}}); keep != want.keep || stated != want.stated {
+			t.Errorf("%q: %v, %t, want %v", text, keep, stated, want)
 		}
 	}
 }
 
+// TestRestartedServerIsReported checks that a request that asks for the same process is not
+// sent over a new connection after the server has closed the kept one within the idle
+// timeout that it stated: a restarted server got requests as if nothing had happened.
+func TestRestartedServerIsReported(t *testing.T) {
+	const stated = "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok"
+	for _, x := range []struct {
+		name     string
+		answer   string
+		same     bool
+		reported bool
+	}{
+		{"stated idle timeout", stated, true, true},
+		{"no stated idle timeout", whole, true, false},
+		{"any process will do", stated, false, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			accepted := make(chan net.Conn, 4)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+							io.WriteString(c, x.answer)
+							accepted <- c
+						}
+					}()
+				}
+			}()
+			p, address := New(dialect{}), l.Addr().String()
+			if _, err := forward(p, address, "1"); err != nil {
+				t.Fatal(err)
+			}
+			(<-accepted).Close()
+			waitClosed(t, p, address)
+			send := func() error {
+				_, err := p.Forward(t.Context(), address, &port.ForwardRequest{Method: "GET", URI: "/", Host: "h", Header: http.Header{}, ID: "1", SameProcess: x.same})
+				return err
+			}
+			err = send()
+			var be *port.BackendError
+			if reported := errors.As(err, &be) && be.Code == port.BackendRestarted && !be.Sent; reported != x.reported {
+				t.Errorf("error %v, want one: %t", err, x.reported)
+			}
+			if x.reported {
+				err = send()
+			}
+			if err != nil {
+				t.Errorf("request over a new connection: %v", err)
+			}
+		})
+	}
+}
+
 // TestForgottenIdleConnections plays servers that forget connections after some
 // idle time: once that has shown, longer idle ones are not used for a while.
 func TestForgottenIdleConnections(t *testing.T) {
--- a/internal/adapter/serverconn/pool.go
+++ b/internal/adapter/serverconn/pool.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -43,7 +44,10 @@
 	net.Conn
 	r     *bufio.Reader
 	limit *headlimit.Reader
-	until time.Time
+	// until is how long the connection may be used; promised is set if that is within an
+	// idle timeout that the server stated.
+	until    time.Time
+	promised bool
 	// since is when the connection became idle last; zero for a new one.
 	since time.Time
 	// waited is how long it was idle before the request that uses it.
@@ -70,19 +74,39 @@
 	return &Pool{dialect: dialect, dial: d.Dial, now: time.Now, idle: map[string][]*conn{}}
 }
 
+// ClosedError means that the server closed all kept connections within the idle timeout
+// that it had stated.
+type ClosedError struct{ Connections int }
+
+func (e *ClosedError) Error() string {
+	return fmt.Sprintf("server closed all %d kept connections", e.Connections)
+}
+
 // take returns a connection, and whether it is new.
-func (p *Pool) take(ctx context.Context, address string, fresh bool) (*conn, bool, error) {
+//
+// Errors: *ClosedError if sameProcess is set, and those of the network.
+func (p *Pool) take(ctx context.Context, address string, fresh, sameProcess bool) (*conn, bool, error) {
+	closed := 0
 	for !fresh {
 		c := p.pop(address)
 		if c == nil {
 			break
 		}
 		c.waited = p.now().Sub(c.since)
-		if p.now().Before(c.until) && p.trusts(c.waited) && tcp.Peek(c.Conn) == tcp.Quiet {
-			return c, false, nil
+		if p.now().Before(c.until) {
+			state := tcp.Peek(c.Conn)
+			if state == tcp.Quiet && p.trusts(c.waited) {
+				return c, false, nil
+			}
+			if state == tcp.Closed && c.promised {
+				closed++
+			}
 		}
 		c.Close()
 	}
+	if sameProcess && closed > 0 {
+		return nil, false, &ClosedError{Connections: closed}
+	}
 	nc, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, true, err
@@ -105,9 +129,9 @@
 	return c
 }
 
-func (p *Pool) put(address string, c *conn, keep time.Duration) {
+func (p *Pool) put(address string, c *conn, keep time.Duration, promised bool) {
 	c.since, c.waited = p.now(), 0
-	c.until = c.since.Add(keep)
+	c.until, c.promised = c.since.Add(keep), promised
 	c.SetDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/adapter/serverconn/probe.go
+++ b/internal/adapter/serverconn/probe.go
@@ -12,7 +12,7 @@
 //
 // Errors: *port.BackendError.
 func (p *Pool) Probe(ctx context.Context, address, path string) (port.ServerMeta, int, error) {
-	c, _, err := p.take(ctx, address, true)
+	c, _, err := p.take(ctx, address, true, false)
 	if err != nil {
 		return port.ServerMeta{}, 0, connectError(ctx, address, err)
 	}
--- a/internal/core/fleet/health.go
+++ b/internal/core/fleet/health.go
@@ -68,6 +68,17 @@
 	return true
 }
 
+// Suspect records that the server's process may have been replaced. It gets no requests
+// until a check succeeds, which is due immediately. Suspect reports whether that changed
+// the state.
+func (h *Health) Suspect(now time.Time) bool {
+	if h.down {
+		return false
+	}
+	h.down, h.checking, h.nextCheck = true, false, now
+	return true
+}
+
 // Doubted reports whether the server counts as unreachable only because another
 // gateway reported it.
 func (h *Health) Doubted() bool { return h.down && h.peerReported }
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithDeadline(parent, req.deadline.Add(answerGrace))
 	forward := &port.ForwardRequest{
 		Method: r.Method, URI: req.uri, Host: r.Host, Header: endToEndHeaders(r.Header), Body: req.body, Rest: req.unreadBody,
-		Size: r.ContentLength, ID: req.caller.ID,
+		Size: r.ContentLength, ID: req.caller.ID, SameProcess: n.limitsColdServers(req),
 	}
 	if req.unreadBody == nil {
 		forward.Size = int64(len(req.body))
@@ -108,6 +108,9 @@
 	now := time.Now()
 	var crashRequests []string
 	switch {
+	case be.Code == port.BackendRestarted:
+		n.checkForRestart(req, s, err, now)
+		return
 	case be.Code == port.BackendRefused:
 		crashRequests = s.connectionRefused(now)
 	case be.Code == port.BackendBroken && be.Sent && req.unreadBody == nil:
@@ -128,6 +131,21 @@
 	}
 }
 
+// limitsColdServers reports whether the request's service limits the requests to cold
+// servers.
+func (n *Node) limitsColdServers(req *inflightRequest) bool {
+	return req.view.config.Services[req.service].ColdRate > 0
+}
+
+// checkForRestart checks a server that closed its connections before it gets further
+// requests: a new process is cold, and the store may not say so yet.
+func (n *Node) checkForRestart(req *inflightRequest, s *server, err error, now time.Time) {
+	if s.withHealth(func(h *fleet.Health) bool { return h.Suspect(now) }) {
+		n.log.WithField("server", s.rec().ID).WithError(err).Info("Server may have restarted; it is checked.")
+	}
+	n.checkIfDue(req.view, s, now)
+}
+
 // reportCrash reports the server's crash for each of the requests that were
 // running on it.
 func (n *Node) reportCrash(s *server, requests []string, now time.Time) {
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -116,11 +116,13 @@
 // there again. A server whose connection broke before it responded, or that
 // rejected the request although it has free slots, may be tried once more: such
 // servers fail only some of their requests, and s is probably warm for the object.
+// So may one that is checked first, since nothing was sent.
 func (req *inflightRequest) excludeServer(s *server, a *port.ForwardAnswer, err error) {
 	var be *port.BackendError
 	answerLost := errors.As(err, &be) && be.Code == port.BackendBroken && be.Sent
 	refusedWithRoom := err == nil && a.Meta.NotRun && !a.Meta.OtherInstance && a.Meta.Load.HasRoom()
-	if (answerLost || refusedWithRoom) && !req.secondChance[s] {
+	notTried := errors.As(err, &be) && be.Code == port.BackendRestarted
+	if (answerLost || refusedWithRoom || notTried) && !req.secondChance[s] {
 		req.secondChance[s] = true
 		return
 	}
--- a/internal/daemon/gateway/servers_test.go
+++ b/internal/daemon/gateway/servers_test.go
@@ -130,6 +130,54 @@
 	})
 }
 
+// TestRestartInOutageKeepsColdRateLimit checks that servers that restart while the store is
+// away are not sent requests as if they were warm: nothing but their closed connections
+// shows it when they are back before anybody is refused.
+func TestRestartInOutageKeepsColdRateLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const coldFor = 3 * time.Second
+		restart := time.Now().Add(time.Second)
+		f := newFixture(nil)
+		noticed := map[string]bool{}
+		f.servers.answer = func(_ context.Context, n int, address string) (*port.ForwardAnswer, error) {
+			f.servers.mu.Lock()
+			defer f.servers.mu.Unlock()
+			if sent := f.servers.sent[n-1]; sent.at.After(restart) && sent.req.SameProcess && !noticed[address] {
+				noticed[address] = true
+				f.servers.sent[n-1].server = ""
+				return nil, &port.BackendError{Code: port.BackendRestarted, Address: address}
+			}
+			return okAnswer(), nil
+		}
+		f.servers.probe = func(string) (port.ServerMeta, int, error) {
+			time.Sleep(5 * time.Millisecond)
+			return port.ServerMeta{Cold: max(0, time.Until(restart.Add(coldFor)))}, 200, nil
+		}
+		f.node.syncer.state.Store(int32(peerv1.HostState_HOST_STATE_SERVING))
+		f.keeper.Hear(f.node.syncer.self(), time.Now(), time.Now())
+		for i := range 1000 {
+			time.Sleep(2 * time.Millisecond)
+			f.do("GET", "/get/", "Object", fmt.Sprint(i))
+		}
+		before, after := 0, map[string]int{}
+		for _, s := range f.servers.sent {
+			if s.at.Before(restart) {
+				before++
+			} else if s.server != "" {
+				after[s.server]++
+			}
+		}
+		for server, n := range after {
+			if n > 6 {
+				t.Errorf("%d requests within a second to %s, the limit is 6", n, server)
+			}
+		}
+		if before < 400 || len(after) < len(testDomains) {
+			t.Errorf("%d requests before the restart, %d of %d servers used after it", before, len(after), len(testDomains))
+		}
+	})
+}
+
 // TestCrashingRequestIsRejectedUnderLoad checks that a request that crashes every server
 // running it is rejected after three crashes, even if other requests on the same servers
 // observe each crash first.
--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -92,6 +92,9 @@
 	BackendTooLarge BackendCode = "too-large"
 	// BackendCanceled means that the caller gave up after sending began.
 	BackendCanceled BackendCode = "canceled"
+	// BackendRestarted means that the server closed all kept connections, so that
+	// another process may serve the address: nothing was sent.
+	BackendRestarted BackendCode = "restarted"
 	// BackendSuspect means that the request was refused, since servers that
 	// ran it crashed: nothing was sent.
 	BackendSuspect BackendCode = "suspect"
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -23,6 +23,9 @@
 	ID string
 	// Fresh asks for a connection on which nothing was sent before.
 	Fresh bool
+	// SameProcess asks for a BackendRestarted error in place of a new connection if the
+	// server closed all kept ones, as a process that ends does.
+	SameProcess bool
 }
 
 // ForwardAnswer is an answer of a backend server.
