Hubs tell the gateways behind them that they have lost the store

Cause: a hub that the store has just turned away goes on passing its last word of the store as current until that is 0.68 of the bound old. The gateways behind it turn to the store at 0.84 of the bound, and those that are turned away have what is left to find one of them, at one source in 0.1 s and the other hubs first, which are turned away as well.

Change: after two failed calls in a row a hub answers pulls at once, without an age. Its followers count it as failed, the next in rank becomes the hub and watches the store. A gateway that hears from another source meanwhile passes that on as before.

Conclusion: news goes round a store that fails some gateways within a call or two.

--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -75,6 +75,9 @@
 	// graceUntil is when lapsed records stop counting; lapsed are those kept.
 	graceUntil time.Time
 	lapsed     map[string]mirror.Record
+	// storeLost is since when the store has failed this gateway; zero while it does not.
+	// What was confirmed before then is no longer passed on as current.
+	storeLost time.Time
 	// loaded is when a listing that may be old was taken in.
 	loaded time.Time
 	// reports are what gateways met at servers; number counts this one's. Its
@@ -131,6 +134,19 @@
 	}
 }
 
+// SetStoreLost notes that the store fails this gateway, or no longer does.
+func (k *Keeper) SetStoreLost(lost bool, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case !lost:
+		k.storeLost = time.Time{}
+	case k.storeLost.IsZero():
+		k.storeLost = now
+		k.wake()
+	}
+}
+
 // Have returns the revision up to which the mirror has every record.
 func (k *Keeper) Have() uint64 {
 	k.mu.Lock()
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -30,7 +30,7 @@
 	defer cancel()
 	for {
 		page, changed := k.page(epoch, req, time.Now())
-		if len(page.Records) > 0 || len(page.Reports) > 0 || req.WaitMicros <= 0 {
+		if len(page.Records) > 0 || len(page.Reports) > 0 || page.AgeMicros < 0 || req.WaitMicros <= 0 {
 			return page
 		}
 		select {
@@ -51,7 +51,7 @@
 		page.Reports, page.ReportsNext = k.reportsSince(req.ReportsFrom, now)
 	}
 	have := req.Have
-	if at := k.mirror.Synced(); !at.IsZero() {
+	if at := k.mirror.Synced(); !at.IsZero() && (k.storeLost.IsZero() || at.After(k.storeLost)) {
 		page.AgeMicros = now.Sub(at).Microseconds()
 	}
 	if have <= page.Complete {
--- a/internal/daemon/gateway/sync.go
+++ b/internal/daemon/gateway/sync.go
@@ -38,6 +38,9 @@
 	retryBase  = 200 * time.Millisecond
 	retryMax   = 1500 * time.Millisecond
 	retryAside = 4 * time.Second
+	// lostFailures is after how many failed calls in a row a gateway tells those that pull
+	// from it that it has lost the store: single calls fail now and then.
+	lostFailures = 2
 	// leaseTTL is how long the store keeps the record of a gateway that is
 	// silent, and renewEvery how often its lease is renewed.
 	leaseTTL   = 4 * time.Second
@@ -204,6 +207,7 @@
 				return
 			}
 			failures++
+			s.keeper.SetStoreLost(failures >= lostFailures, time.Now())
 			if failures == 1 || port.IsStoreCode(err, port.StoreCompacted) {
 				s.log.WithError(err).WithField("revision", revision).Warn("Store lost.")
 			}
@@ -222,6 +226,7 @@
 			s.log.WithFields(logrus.Fields{"revision": s.keeper.Have(), "failures": failures}).Info("Store reached again.")
 		}
 		failures, relist = 0, false
+		s.keeper.SetStoreLost(false, time.Now())
 		sleep.For(ctx, watchPause-time.Since(started))
 	}
 }
