Check servers for coldness while the store is away

Cause: that a server is cold is known from its record and its health checks. In an outage there is no record, and a server that responds is not checked. What one gateway finds out reached the others with pulls, which are a second apart in an outage.

Change: while its view of the store is too old, the nearest gateway to a server asks it four times a second whether it is cold, and reports that. New reports are passed on to the first source at once in an outage, and the second pull loop waits for reports in place of polling.

--- a/internal/core/fleet/reports.go
+++ b/internal/core/fleet/reports.go
@@ -8,8 +8,8 @@
 )
 
 // Report is an observation of one gateway about a server: that it was
-// unreachable, that it crashed while running a request, or that a request
-// reported before has completed.
+// unreachable, that it is cold, that it crashed while running a request, or that a
+// request reported before has completed.
 type Report struct {
 	// Origin and Number identify the report.
 	Origin string
@@ -22,11 +22,13 @@
 	// Cleared is set when the request completed, which clears it of earlier
 	// crashes.
 	Cleared bool
+	// Cold is how much longer the server is cold; zero in other reports.
+	Cold time.Duration
 }
 
 // Limits of reports.
 const (
-	// unreachableTTL is how long a report of an unreachable server is
+	// unreachableTTL is how long a report of an unreachable or cold server is
 	// forwarded: a few times the latency through the hubs. A gateway that
 	// received it later would check the server because of outdated information.
 	unreachableTTL = 5 * time.Second
--- /dev/null
+++ b/internal/daemon/gateway/coldcheck_test.go
@@ -0,0 +1,88 @@
+//go:build !race
+
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/port"
+)
+
+// coldLink is the way to servers that are cold until a time, as their health checks say.
+type coldLink struct {
+	until func(address string) time.Time
+	// checks counts the health checks of this gateway.
+	checks *atomic.Int32
+}
+
+// Forward implements port.Forwarder.
+func (coldLink) Forward(context.Context, string, *port.ForwardRequest) (*port.ForwardAnswer, error) {
+	return okAnswer(), nil
+}
+
+// Probe implements port.Prober. Every fourth check gets no response.
+func (l coldLink) Probe(ctx context.Context, address, _ string) (port.ServerMeta, int, error) {
+	time.Sleep(5 * time.Millisecond)
+	if l.checks.Add(1)%4 == 0 {
+		<-ctx.Done()
+		return port.ServerMeta{}, 0, &port.BackendError{Code: port.BackendTimeout, Sent: true, Err: ctx.Err()}
+	}
+	return port.ServerMeta{Cold: max(0, time.Until(l.until(address)))}, 200, nil
+}
+
+// TestServersThatTurnColdInOutageAreKnown checks that all gateways know within half a
+// second that servers have turned cold while the store is away, or after one more check if
+// one is lost, also in other regions than the gateway that finds it out: each went on
+// sending as to warm servers until the store was back.
+func TestServersThatTurnColdInOutageAreKnown(t *testing.T) {
+	// The bound on requests to a cold server is one for any second.
+	const known = time.Second/2 + coldCheckInterval
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestCluster(t)
+		var cold time.Time
+		w.forwarder = func(string) forwardProber {
+			return coldLink{checks: new(atomic.Int32), until: func(address string) time.Time {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				if address == "i-a1:1" || address == "i-c2:1" {
+					return cold
+				}
+				return time.Time{}
+			}}
+		}
+		w.setConfig(1)
+		for _, d := range testDomains {
+			w.setServer(fleet.Record{ID: "i-" + d.Domain, Domain: d.Domain})
+		}
+		w.addPerDomain(4)
+		defer synctest.Wait()
+		defer w.stopAll()
+		time.Sleep(8 * time.Second)
+		w.store.turnAway(true, "")
+		for _, outage := range []time.Duration{4 * time.Second, 7 * time.Second, 20 * time.Second} {
+			time.Sleep(outage)
+			w.mu.Lock()
+			cold = time.Now().Add(3 * time.Second)
+			w.mu.Unlock()
+			took := w.waitFor(known, "all gateways know that i-a1 and i-c2 are cold", func() bool {
+				for _, h := range w.hosts {
+					for _, id := range []string{"i-a1", "i-c2"} {
+						if h.keeper.server(id, 0).remainingCold(time.Now()) == 0 {
+							return false
+						}
+					}
+				}
+				return true
+			})
+			t.Logf("known everywhere after %v", took)
+			if h := w.hosts["b1-0"]; h.keeper.server("i-b1", 0).remainingCold(time.Now()) > 0 {
+				t.Error("i-b1 is taken for cold")
+			}
+		}
+	})
+}
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -27,17 +27,22 @@
 			continue
 		}
 		m, steady := order[rank], s.steadySources()
-		if stale >= seekQuickly && stale%2 == 0 {
+		// Once the store is away for all, the second loop waits for reports.
+		await := rank > 0 && stale >= seekQuickly
+		switch {
+		case await:
+			m = steady[0]
+		case stale >= seekQuickly && stale%2 == 0:
 			// Meanwhile reports still go through the usual source.
 			m = steady[rank]
 		}
 		with := exchangedWith(reports, m.Host, steady[:min(sources, len(steady))])
 		times := s.times.Load()
 		wait := times.pullWait
-		if rank > 0 || time.Since(s.keeper.Synced()) > times.staleSource {
+		if !await && (rank > 0 || time.Since(s.keeper.Synced()) > times.staleSource) {
 			wait = 0
 		}
-		page, err := s.pull(ctx, m, wait, with)
+		page, err := s.pull(ctx, m, pullOptions{wait: wait, awaitReports: await}, with)
 		if ctx.Err() != nil {
 			return
 		}
@@ -52,7 +57,11 @@
 		if page.AgeMicros < 0 || time.Duration(page.AgeMicros)*time.Microsecond > times.staleSource {
 			// The source lost the store, too; another may still have it.
 			s.fail(m.Host)
-			sleep.For(ctx, times.seekAfter(stale, len(order)))
+			pause := times.seekAfter(stale, len(order))
+			if await {
+				pause = gather
+			}
+			sleep.For(ctx, pause)
 			stale++
 			continue
 		}
@@ -136,10 +145,18 @@
 	return with[host]
 }
 
-func (s *Syncer) pull(ctx context.Context, m mirror.Member, wait time.Duration, with *exchanged) (*peerv1.MirrorPage, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+s.times.Load().pullSlack)
+// pullOptions say what a pull waits for, and how long.
+type pullOptions struct {
+	wait         time.Duration
+	awaitReports bool
+}
+
+func (s *Syncer) pull(ctx context.Context, m mirror.Member, o pullOptions, with *exchanged) (*peerv1.MirrorPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.wait+s.times.Load().pullSlack)
 	defer cancel()
-	pull := &peerv1.MirrorPull{Have: s.keeper.Have(), WaitMicros: wait.Microseconds(), Self: s.self(), NoReports: with == nil}
+	pull := &peerv1.MirrorPull{
+		Have: s.keeper.Have(), WaitMicros: o.wait.Microseconds(), Self: s.self(), NoReports: with == nil, AwaitReports: o.awaitReports,
+	}
 	var told uint64
 	if with != nil {
 		pull.ReportsFrom, pull.ReportsEpoch = with.from, with.epoch
--- a/internal/daemon/gateway/module.go
+++ b/internal/daemon/gateway/module.go
@@ -170,6 +170,7 @@
 					f.Expire(func(address string) bool { return known()[address] })
 				}
 			})
+			wg.Go(func() { n.checkColdServers(ctx) })
 			wg.Go(func() { n.reloadOnHangup(ctx, reload) })
 			return nil
 		},
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -254,13 +254,13 @@
 	log := n.log.WithFields(logrus.Fields{"server": rec.ID, "address": rec.Address, "status": status})
 	// A server without a free slot also rejects health checks, but it is alive.
 	alive := err == nil && (status == 200 || meta.NotRun) && (meta.Instance == "" || meta.Instance == rec.ID)
+	if alive && meta.Cold > 0 {
+		n.learnCold(s, meta.Cold, now)
+	}
 	s.withHealth(func(h *fleet.Health) bool {
 		if !alive {
 			return h.Unreachable(now)
 		}
-		if meta.Cold > 0 {
-			h.Cold(now.Add(meta.Cold))
-		}
 		return h.Reached(now)
 	})
 	if alive {
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -17,8 +17,9 @@
 	gather = 50 * time.Millisecond
 )
 
-// Page answers a pull: at once when there is news for the puller, else when
-// there is, or when its wait is over.
+// Page answers a pull: at once when there is news for the puller, or when the store is
+// lost and the puller does not wait for reports, else when there is, or when its wait is
+// over.
 func (k *Keeper) Page(ctx context.Context, epoch uint64, req *peerv1.MirrorPull) *peerv1.MirrorPage {
 	now := time.Now()
 	k.Hear(req.Self, now, now)
@@ -30,7 +31,8 @@
 	defer cancel()
 	for {
 		page, changed := k.page(epoch, req, time.Now())
-		if len(page.Records) > 0 || len(page.Reports) > 0 || page.AgeMicros < 0 || req.WaitMicros <= 0 {
+		lost := page.AgeMicros < 0 && !req.AwaitReports
+		if len(page.Records) > 0 || len(page.Reports) > 0 || lost || req.WaitMicros <= 0 {
 			return page
 		}
 		select {
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -40,6 +40,14 @@
 		Warn("Server crashed under a request.")
 }
 
+// ReportCold tells the other gateways that a server says that it is cold.
+func (k *Keeper) ReportCold(server string, cold time.Duration, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.report(fleet.Report{Server: server, Cold: cold, At: now})
+	k.log.WithFields(logrus.Fields{"server": server, "source": k.origin, "cold_ms": cold.Milliseconds()}).Info("Server is cold.")
+}
+
 // report numbers a report of this gateway and makes it known. The caller holds
 // k.mu.
 func (k *Keeper) report(rep fleet.Report) {
@@ -47,6 +55,20 @@
 	rep.Origin, rep.Number = k.origin, k.number
 	k.reports.Add(rep.At, rep)
 	k.wake()
+	k.wakeTeller()
+}
+
+// wakeTeller has new reports passed on. The caller holds k.mu.
+func (k *Keeper) wakeTeller() {
+	close(k.reported)
+	k.reported = make(chan struct{})
+}
+
+// Reported returns a channel that is closed with the next new report.
+func (k *Keeper) Reported() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.reported
 }
 
 // wake answers the pulls that wait. The caller holds k.mu.
@@ -63,7 +85,8 @@
 	for _, r := range list {
 		rep := fleet.Report{
 			Origin: r.Origin, Number: r.Number, Server: r.Server, Request: string(r.Fingerprint), Cleared: r.Cleared,
-			At: now.Add(-time.Duration(r.AgeMicros) * time.Microsecond),
+			Cold: time.Duration(r.ColdMicros) * time.Microsecond,
+			At:   now.Add(-time.Duration(r.AgeMicros) * time.Microsecond),
 		}
 		if !k.reports.Add(now, rep) {
 			continue
@@ -73,6 +96,10 @@
 			continue
 		}
 		s := k.servers[r.Server]
+		if rep.Cold > 0 {
+			k.takeColdReport(s, rep, now)
+			continue
+		}
 		if s != nil && s.withHealth(func(h *fleet.Health) bool { return h.Doubt(now, rep.At) }) {
 			k.log.WithFields(logrus.Fields{"server": r.Server, "source": r.Origin, "age_ms": now.Sub(rep.At).Milliseconds()}).
 				Info("Server reported unreachable.")
@@ -84,7 +111,18 @@
 	}
 	if news {
 		k.wake()
+		k.wakeTeller()
+	}
+}
+
+// takeColdReport takes in that a server, or nil, says that it is cold. The caller holds k.mu.
+func (k *Keeper) takeColdReport(s *server, rep fleet.Report, now time.Time) {
+	left := rep.Cold - now.Sub(rep.At)
+	if s == nil || left <= s.remainingCold(now) {
+		return
 	}
+	s.withHealth(func(h *fleet.Health) bool { h.Cold(now.Add(left)); return true })
+	k.log.WithFields(logrus.Fields{"server": rep.Server, "source": rep.Origin, "cold_ms": left.Milliseconds()}).Info("Server is cold.")
 }
 
 // reportsSince returns the reports after a sequence. The caller holds k.mu.
@@ -94,6 +132,7 @@
 	for _, r := range list {
 		out = append(out, &peerv1.ServerReport{
 			Origin: r.Origin, Number: r.Number, Server: r.Server, AgeMicros: now.Sub(r.At).Microseconds(), Fingerprint: []byte(r.Request), Cleared: r.Cleared,
+			ColdMicros: r.Cold.Microseconds(),
 		})
 	}
 	return out, next
--- a/internal/daemon/gateway/sync.go
+++ b/internal/daemon/gateway/sync.go
@@ -99,6 +99,7 @@
 	wg.Go(func() { s.load(ctx) })
 	wg.Go(func() { s.watch(ctx) })
 	wg.Go(func() { s.register(ctx) })
+	wg.Go(func() { s.tell(ctx) })
 	for rank := range sources {
 		wg.Go(func() { s.follow(ctx, rank) })
 	}
--- a/internal/daemon/gateway/world_test.go
+++ b/internal/daemon/gateway/world_test.go
@@ -98,6 +98,9 @@
 	w.hosts[name] = h
 	w.mu.Unlock()
 	go s.Run(ctx)
+	if servers != nil {
+		go n.checkColdServers(ctx)
+	}
 	return h
 }
 
