--- a/internal/core/mirror/mirror.go
+++ b/internal/core/mirror/mirror.go
@@ -50,8 +50,24 @@
 	gapFrom, gapTo uint64
 	syncedAt       time.Time
 	lastExpire     time.Time
+	counts         Counts
 }
 
+// Counts says what became of the records that were applied to a mirror.
+type Counts struct {
+	// Changed records changed the mirror; Unchanged ones say the same as the record that
+	// it held; Old ones are of a revision that it already had.
+	Changed, Unchanged, Old uint64
+}
+
+// Sub returns the counts since an earlier state.
+func (c Counts) Sub(earlier Counts) Counts {
+	return Counts{Changed: c.Changed - earlier.Changed, Unchanged: c.Unchanged - earlier.Unchanged, Old: c.Old - earlier.Old}
+}
+
+// Counts returns the counts of all records since the mirror was made.
+func (m *Mirror) Counts() Counts { return m.counts }
+
 // New returns an empty mirror.
 func New(same func(key string, a, b []byte) bool) *Mirror {
 	return &Mirror{Same: same, entries: map[string]*entry{}}
@@ -67,7 +83,10 @@
 func (m *Mirror) applyAll(records []Record, skip func(Record) bool) []Record {
 	var out []Record
 	for _, r := range records {
-		if !skip(r) && m.apply(r) {
+		switch {
+		case skip(r):
+			m.counts.Old++
+		case m.apply(r):
 			out = append(out, r)
 		}
 	}
@@ -84,12 +103,15 @@
 func (m *Mirror) apply(r Record) bool {
 	old := m.entries[r.Key]
 	if old != nil && r.Revision <= old.Revision {
+		m.counts.Old++
 		return false
 	}
 	if old != nil && !r.Deleted && !old.Deleted && m.Same(r.Key, old.Value, r.Value) {
+		m.counts.Unchanged++
 		old.Record = r
 		return false
 	}
+	m.counts.Changed++
 	m.entries[r.Key] = &entry{Record: r, changeRevision: r.Revision}
 	return true
 }
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"cassiatray/internal/core/mirror"
 	"cassiatray/internal/sleep"
 	peerv1 "cassiatray/proto/peer/v1"
@@ -74,6 +76,17 @@
 	return page, k.changed
 }
 
+// logPage logs what became of the records of a page. The caller holds k.mu.
+func (k *Keeper) logPage(page *peerv1.MirrorPage, source string, have uint64, c mirror.Counts) {
+	if c.Changed == 0 && c.Unchanged == 0 {
+		return
+	}
+	k.log.WithFields(logrus.Fields{
+		"source": source, "from_revision": have, "revision": page.Complete, "snapshot": page.Snapshot,
+		"changed": c.Changed, "unchanged": c.Unchanged, "old": c.Old,
+	}).Info("Page taken.")
+}
+
 // TakePage takes in the answer of a pull.
 func (k *Keeper) TakePage(page *peerv1.MirrorPage, source string, now time.Time) {
 	records := make([]mirror.Record, 0, len(page.Records))
@@ -84,6 +97,7 @@
 		})
 	}
 	k.mu.Lock()
+	before, have := k.mirror.Counts(), k.mirror.Revision()
 	if page.AgeMicros >= 0 {
 		k.noteGap(now)
 		k.mirror.Confirm(now.Add(-time.Duration(page.AgeMicros) * time.Microsecond))
@@ -94,6 +108,7 @@
 		k.take(k.mirror.Apply(records), source, now)
 		k.mirror.Complete(page.Complete)
 	}
+	k.logPage(page, source, have, k.mirror.Counts().Sub(before))
 	k.mu.Unlock()
 	k.takeReports(page.Reports, now)
 	for i, m := range page.Heard {
