Take records that a peer forwards as changes; tell cold spells apart by time

Cause: a mirror drops a record that says nothing new, and compared the seconds that a cold server has left as plain values. A hub compares with the countdown of a moment ago, and forwards the second spell. Those that pull have the first record of the first spell, since countdowns are not forwarded, with as many seconds: they dropped the second one and took the server for warm.

Ruled out: hubs that do not forward the records (the pages had them), a belief lost when the evacuation ended (no line says that it ever was there).

Change: what a source forwards as a change is one for whoever pulls it, who lacks what came between. A source compares a record with the latest and with the forwarded one, and spells by when they end. The comparison moves from platform/, which decides nothing, to core/fleet; its test moves along, with the cases of time added. The same class: a heartbeat counter that starts anew, compared with an old value by those that pull (TestForwardedRecordsAreChanges).

Why it works: the hub sees each record of the store and so each start of a spell; nobody after it judges again.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -43,3 +43,17 @@
 func (r Record) SameLife(o Record) bool {
 	return r.ID == o.ID && r.Address == o.Address && r.Service == o.Service && (r.Born == o.Born || r.Born == 0 || o.Born == 0)
 }
+
+// countdownError is by how much the ends of one cold spell may differ that follow from two
+// records of it: they are read up to a pause between two watches after they were written.
+const countdownError = 500 * time.Millisecond
+
+// Unchanged reports whether a later record of a server differs from a held one in nothing
+// but heartbeats and the passing of time. Both come with the time at which they were read:
+// a server that is cold counts down, and the same value much later is of another cold spell.
+func Unchanged(held Record, heldRead time.Time, later Record, laterRead time.Time) bool {
+	restarted := later.Beat < held.Beat
+	colder := later.Cold > held.Cold || later.Cold > 0 && laterRead.Add(later.Cold).Sub(heldRead.Add(held.Cold)) > countdownError
+	held.Cold, later.Cold, held.Beat, later.Beat = 0, 0, 0, 0
+	return !restarted && !colder && held == later
+}
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -181,3 +181,38 @@
 		t.Error("broken exchanges before and after a response counted together")
 	}
 }
+
+// TestUnchangedRecords checks what of a server's later record is news: heartbeats and the
+// countdown of a cold spell are not; another state, a restart or another spell are.
+func TestUnchangedRecords(t *testing.T) {
+	read := time.Unix(1000, 0)
+	held := Record{ID: "i", Service: "s", Slots: 9, Cold: time.Second, Beat: 7}
+	with := func(change func(*Record)) Record {
+		r := held
+		r.Beat++
+		change(&r)
+		return r
+	}
+	cold := func(d time.Duration) Record { return with(func(r *Record) { r.Cold = d }) }
+	for name, x := range map[string]struct {
+		later     Record
+		after     time.Duration
+		unchanged bool
+	}{
+		"heartbeat":                       {cold(time.Second), 0, true},
+		"countdown":                       {cold(700 * time.Millisecond), 300 * time.Millisecond, true},
+		"countdown, read late":            {cold(700 * time.Millisecond), 700 * time.Millisecond, true},
+		"end of the countdown":            {cold(0), time.Minute, true},
+		"draining":                        {with(func(r *Record) { r.State = Draining }), 0, false},
+		"more time left":                  {cold(3 * time.Second), 0, false},
+		"same time left in another spell": {cold(time.Second), 10 * time.Second, false},
+		"less time left in another spell": {cold(600 * time.Millisecond), 10 * time.Second, false},
+		"restart without a start time":    {with(func(r *Record) { r.Beat = 1 }), 0, false},
+		"restart with a start time":       {with(func(r *Record) { r.Born = 5 }), 0, false},
+		"countdown slower than the clock": {cold(900 * time.Millisecond), time.Second, false},
+	} {
+		if got := Unchanged(held, read, x.later, read.Add(x.after)); got != x.unchanged {
+			t.Errorf("%s: unchanged %t", name, got)
+		}
+	}
+}
--- a/internal/core/mirror/mirror.go
+++ b/internal/core/mirror/mirror.go
@@ -27,18 +27,18 @@
 // purgesPerTTL is how often within tombstoneTTL old removals are purged.
 const purgesPerTTL = 10
 
-// entry is a record with the revision of its last change that is forwarded to
-// other gateways.
+// entry is the latest record of a key, and the last one that was forwarded to other
+// gateways as a change.
 type entry struct {
 	Record
-	changeRevision uint64
+	forwarded Record
 }
 
 // Mirror is a copy of the store. It is not safe for concurrent use.
 type Mirror struct {
-	// Same reports whether two values of a key differ only in ways that need
-	// not be forwarded.
-	Same             func(key string, a, b []byte) bool
+	// Same reports whether a later record of a key differs only in ways that need not
+	// be forwarded.
+	Same             func(held, later Record) bool
 	entries          map[string]*entry
 	completeRevision uint64
 	// purgedRevision is the highest revision of a removal that is no longer
@@ -69,24 +69,37 @@
 func (m *Mirror) Counts() Counts { return m.counts }
 
 // New returns an empty mirror.
-func New(same func(key string, a, b []byte) bool) *Mirror {
+func New(same func(held, later Record) bool) *Mirror {
 	return &Mirror{Same: same, entries: map[string]*entry{}}
 }
 
-// Apply applies records to the mirror and returns those that changed it.
+// Apply applies records of the store to the mirror and returns those that changed it.
 func (m *Mirror) Apply(records []Record) []Record {
-	return m.applyAll(records, m.alreadyApplied)
+	return m.applyAll(records, m.alreadyApplied, m.same)
 }
 
-// applyAll applies the records that skip does not exclude, and returns those
-// that changed the mirror.
-func (m *Mirror) applyAll(records []Record, skip func(Record) bool) []Record {
+// ApplyForwarded applies records that another mirror has forwarded. It takes each for a
+// change, as that mirror did: this one lacks the records between two changes, and cannot
+// tell by what it holds.
+func (m *Mirror) ApplyForwarded(records []Record) []Record {
+	return m.applyAll(records, m.alreadyApplied, nil)
+}
+
+// same reports whether a later record differs neither from the latest one nor from the
+// forwarded one in ways that must be forwarded. Small differences add up to the latter.
+func (m *Mirror) same(e *entry, later Record) bool {
+	return m.Same(e.Record, later) && (e.forwarded.Revision == e.Revision || m.Same(e.forwarded, later))
+}
+
+// applyAll applies the records that skip does not exclude, and returns those that changed
+// the mirror; the ones that are the same as the held one do not. Without same, all do.
+func (m *Mirror) applyAll(records []Record, skip func(Record) bool, same func(*entry, Record) bool) []Record {
 	var out []Record
 	for _, r := range records {
 		switch {
 		case skip(r):
 			m.counts.Old++
-		case m.apply(r):
+		case m.apply(r, same):
 			out = append(out, r)
 		}
 	}
@@ -100,19 +113,19 @@
 func (m *Mirror) alreadyApplied(r Record) bool { return r.Revision <= m.completeRevision }
 
 // apply applies one record and reports whether it is a change to forward.
-func (m *Mirror) apply(r Record) bool {
+func (m *Mirror) apply(r Record, same func(*entry, Record) bool) bool {
 	old := m.entries[r.Key]
 	if old != nil && r.Revision <= old.Revision {
 		m.counts.Old++
 		return false
 	}
-	if old != nil && !r.Deleted && !old.Deleted && m.Same(r.Key, old.Value, r.Value) {
+	if old != nil && same != nil && !r.Deleted && !old.Deleted && same(old, r) {
 		m.counts.Unchanged++
 		old.Record = r
 		return false
 	}
 	m.counts.Changed++
-	m.entries[r.Key] = &entry{Record: r, changeRevision: r.Revision}
+	m.entries[r.Key] = &entry{Record: r, forwarded: r}
 	return true
 }
 
@@ -135,7 +148,7 @@
 		// The listing is newer than the mirror, so no record of it is outdated.
 		skip = func(Record) bool { return false }
 	}
-	out := m.applyAll(records, skip)
+	out := m.applyAll(records, skip, m.same)
 	if revision > m.completeRevision {
 		// Only one gap is stored; pulls from before an earlier gap get a
 		// snapshot.
@@ -180,7 +193,7 @@
 		switch {
 		case snapshot && !e.Deleted:
 			records = append(records, e.Record)
-		case !snapshot && e.changeRevision > revision && e.changeRevision <= m.completeRevision:
+		case !snapshot && e.forwarded.Revision > revision && e.forwarded.Revision <= m.completeRevision:
 			records = append(records, e.Record)
 		}
 	}
--- a/internal/core/mirror/mirror_test.go
+++ b/internal/core/mirror/mirror_test.go
@@ -11,7 +11,7 @@
 )
 
 // neverSame treats any two values as different.
-func neverSame(string, []byte, []byte) bool { return false }
+func neverSame(Record, Record) bool { return false }
 
 // drawHistory draws the writes to a store, in order.
 func drawHistory(t *rapid.T) []Record {
@@ -103,7 +103,7 @@
 // TestUnchangedValuesAreNotForwarded checks that a record whose value is the
 // same in every relevant way, such as a heartbeat, is stored but not forwarded.
 func TestUnchangedValuesAreNotForwarded(t *testing.T) {
-	m := New(func(_ string, a, b []byte) bool { return a[0] == b[0] })
+	m := New(func(held, later Record) bool { return held.Value[0] == later.Value[0] })
 	m.Apply([]Record{{Key: "s", Value: []byte("a1"), Revision: 1}})
 	if got := m.Apply([]Record{{Key: "s", Value: []byte("a2"), Revision: 2}}); len(got) > 0 || len(since(m, 1)) > 0 {
 		t.Error("a heartbeat counted as a change")
@@ -120,6 +120,38 @@
 	}
 }
 
+// TestSmallChangesAddUp checks that records that each differ little from the one before are
+// forwarded once they differ much from the last one that was.
+func TestSmallChangesAddUp(t *testing.T) {
+	m := New(func(held, later Record) bool { return later.Value[0]-held.Value[0] <= 2 })
+	forwarded := 0
+	for i := range 10 {
+		forwarded += len(m.Apply([]Record{{Key: "s", Value: []byte{byte(2 * i)}, Revision: uint64(i + 1)}}))
+	}
+	if forwarded != 5 {
+		t.Errorf("%d of 10 records forwarded, want each second one", forwarded)
+	}
+}
+
+// TestForwardedRecordsAreChanges checks that what a source took for a change is one for
+// each mirror that pulls from it, whatever that has seen of the key.
+func TestForwardedRecordsAreChanges(t *testing.T) {
+	// A counter that falls has started anew.
+	falls := func(held, later Record) bool { return later.Value[0] >= held.Value[0] }
+	rapid.Check(t, func(t *rapid.T) {
+		source, puller := New(falls), New(falls)
+		for revision := range uint64(rapid.IntRange(1, 30).Draw(t, "writes")) {
+			r := Record{Key: "s", Value: []byte{byte(rapid.IntRange(0, 9).Draw(t, "value"))}, Revision: revision + 1}
+			changed := source.Apply([]Record{r})
+			source.Complete(r.Revision)
+			if got := puller.ApplyForwarded(since(source, puller.Revision())); len(got) != len(changed) {
+				t.Fatalf("revision %d: %d changes at the source, %d at the puller", r.Revision, len(changed), len(got))
+			}
+			puller.Complete(source.Revision())
+		}
+	})
+}
+
 func since(m *Mirror, revision uint64) []Record {
 	records, _ := m.Since(revision)
 	return records
@@ -222,7 +254,7 @@
 				m.Complete(p.complete)
 			}
 			for _, r := range p.records {
-				naive.apply(r)
+				naive.apply(r, naive.same)
 			}
 		}
 		if got, want := fmt.Sprint(contents(m)), fmt.Sprint(finalState(h)); got != want {
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -97,14 +97,26 @@
 		heard: map[string]heardMember{}, lapsed: map[string]mirror.Record{},
 		origin: cfg.Host + "/" + strconv.FormatUint(rand.Uint64(), 36),
 	}
-	k.mirror = mirror.New(func(key string, a, b []byte) bool {
-		kind, _ := schema.Kind(key)
-		return kind == port.RecordServer && schema.SameServer(a, b)
-	})
+	k.mirror = mirror.New(k.sameRecord)
 	k.view.Store(&view{})
 	return k
 }
 
+// sameRecord reports whether a later record of a key says nothing new: of servers, the
+// heartbeats and the passing of time are not news.
+func (k *Keeper) sameRecord(held, later mirror.Record) bool {
+	kind, id := k.schema.Kind(later.Key)
+	if kind != port.RecordServer {
+		return false
+	}
+	x, err := k.schema.Server(id, held.Value)
+	y, laterErr := k.schema.Server(id, later.Value)
+	if err != nil || laterErr != nil {
+		return err != nil && laterErr != nil
+	}
+	return fleet.Unchanged(x, held.Read, y, later.Read)
+}
+
 // View returns the newest view.
 func (k *Keeper) View() *view { return k.view.Load() }
 
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -105,7 +105,7 @@
 	if page.Snapshot {
 		k.take(k.mirror.Replace("", records, page.Complete, now), source, now)
 	} else {
-		k.take(k.mirror.Apply(records), source, now)
+		k.take(k.mirror.ApplyForwarded(records), source, now)
 		k.mirror.Complete(page.Complete)
 	}
 	k.logPage(page, source, have, k.mirror.Counts().Sub(before))
--- a/internal/daemon/gateway/schema_test.go
+++ b/internal/daemon/gateway/schema_test.go
@@ -54,14 +54,6 @@
 	return r, nil
 }
 
-func (s plainSchema) SameServer(a, b []byte) bool {
-	x, _ := s.Server("", a)
-	y, _ := s.Server("", b)
-	same := y.Cold <= x.Cold && y.Beat >= x.Beat
-	x.Cold, y.Cold, x.Beat, y.Beat = 0, 0, 0, 0
-	return same && x == y
-}
-
 func encode(v any) []byte {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/internal/daemon/gateway/servers_test.go
+++ b/internal/daemon/gateway/servers_test.go
@@ -345,3 +345,24 @@
 		}
 	}
 }
+
+// TestMalformedRecordIsNews checks that a record that cannot be decoded replaces a good one,
+// and the other way round.
+func TestMalformedRecordIsNews(t *testing.T) {
+	f := newFixture(nil)
+	good := f.serverRecord(fleet.Record{ID: "i-a1", Domain: "a1"}, 20)
+	bad := good
+	bad.Revision, bad.Value = 21, []byte("{")
+	worse := bad
+	worse.Revision = 22
+	good.Revision = 23
+	for i, x := range []struct {
+		record mirror.Record
+		known  bool
+	}{{bad, false}, {worse, false}, {good, true}} {
+		f.keeper.Apply([]mirror.Record{x.record}, x.record.Revision, "store", time.Now())
+		if known := f.keeper.server("i-a1", 0) != nil; known != x.known {
+			t.Errorf("record %d: server known %t", i, known)
+		}
+	}
+}
--- a/internal/port/dialect.go
+++ b/internal/port/dialect.go
@@ -95,9 +95,6 @@
 	Config(value []byte) (*routing.Config, error)
 	// Server decodes a backend server's record. Errors: *RecordError.
 	Server(id string, value []byte) (fleet.Record, error)
-	// SameServer reports whether two records of one server differ in nothing
-	// but a heartbeat's counter and the passing of time.
-	SameServer(a, b []byte) bool
 }
 
 // RecordError is a record that cannot be used.
