--- /dev/null
+++ b/internal/daemon/gateway/coldslots_test.go
@@ -0,0 +1,179 @@
+//go:build !race
+
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/port"
+)
+
+// coldSlots are simulated servers that turn cold without a restart. A cold server has
+// cached nothing and runs each request for several times as long; health checks wait for a
+// slot as requests do.
+type coldSlots struct {
+	*simulatedServers
+	mu sync.Mutex
+	// coldFrom is when the servers of coldDomain turn cold; zero for not yet.
+	coldFrom time.Time
+	arrivals map[string][]time.Time
+}
+
+const (
+	coldDomain   = "a1"
+	coldSpell    = 3 * time.Second
+	coldSlowdown = 2
+)
+
+func (s *coldSlots) cold(address string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.coldFrom.IsZero() || !strings.Contains(address, coldDomain) {
+		return 0
+	}
+	return max(0, coldSpell-time.Since(s.coldFrom))
+}
+
+// turnCold turns the servers of coldDomain cold.
+func (s *coldSlots) turnCold() {
+	s.mu.Lock()
+	s.coldFrom = time.Now()
+	s.mu.Unlock()
+	s.simulatedServers.mu.Lock()
+	defer s.simulatedServers.mu.Unlock()
+	for address := range s.cached {
+		if strings.Contains(address, coldDomain) {
+			s.cached[address] = nil
+		}
+	}
+}
+
+// Forward implements port.Forwarder.
+func (s *coldSlots) Forward(ctx context.Context, address string, req *port.ForwardRequest) (*port.ForwardAnswer, error) {
+	s.mu.Lock()
+	s.arrivals[address] = append(s.arrivals[address], time.Now())
+	s.mu.Unlock()
+	if s.cold(address) == 0 {
+		return s.simulatedServers.Forward(ctx, address, req)
+	}
+	if !s.takeSlot(address) {
+		return notRunAnswer(), nil
+	}
+	time.Sleep(coldSlowdown * s.coldRunTime)
+	a := okAnswer()
+	a.Meta.Load = s.freeSlot(address)
+	return a, nil
+}
+
+// Probe implements port.Prober.
+func (s *coldSlots) Probe(ctx context.Context, address, _ string) (port.ServerMeta, int, error) {
+	done := make(chan port.ServerMeta, 1)
+	go func() {
+		if !s.takeSlot(address) {
+			done <- port.ServerMeta{NotRun: true}
+			return
+		}
+		time.Sleep(time.Millisecond)
+		load := s.freeSlot(address)
+		done <- port.ServerMeta{Cold: s.cold(address), Load: load}
+	}()
+	select {
+	case meta := <-done:
+		if meta.NotRun {
+			return meta, http.StatusServiceUnavailable, nil
+		}
+		return meta, http.StatusOK, nil
+	case <-ctx.Done():
+		return port.ServerMeta{}, 0, &port.BackendError{Code: port.BackendTimeout, Sent: true, Err: ctx.Err()}
+	}
+}
+
+// most returns the most requests that a cold server got in any second of its cold spell.
+func (s *coldSlots) most() (most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, list := range s.arrivals {
+		if !strings.Contains(address, coldDomain) {
+			continue
+		}
+		for i, from := range list {
+			n := 0
+			for _, at := range list[i:] {
+				if at.Sub(from) < time.Second {
+					n++
+				}
+			}
+			if !from.Before(s.coldFrom) && from.Before(s.coldFrom.Add(coldSpell-time.Second)) {
+				most = max(most, n)
+			}
+		}
+	}
+	return most
+}
+
+// TestServersThatTurnColdInOutageAreNotFlooded guards against a flood of servers that turn
+// cold while the store is away: cold runs take all their slots, so that the health check
+// that would show it is not answered for up to a second.
+func TestServersThatTurnColdInOutageAreNotFlooded(t *testing.T) {
+	const (
+		coldRate  = 6
+		allowed   = coldRate*1.5 + 5
+		slots     = 3
+		coldRun   = 240 * time.Millisecond
+		perServer = 18 // requests a second
+		perDomain = 3
+	)
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				servers := &coldSlots{simulatedServers: newSimulatedServers(slots, 80, coldRun), arrivals: map[string][]time.Time{}}
+				w := newTestCluster(t)
+				w.forwarder = func(string) forwardProber { return servers }
+				w.setConfig(1)
+				n := 0
+				for _, d := range testDomains {
+					for i := range 3 {
+						n++
+						w.setServer(fleet.Record{ID: fmt.Sprintf("i-%s-%d", d.Domain, i), Domain: d.Domain, Slots: slots, Born: 7})
+					}
+				}
+				w.addPerDomain(perDomain)
+				defer synctest.Wait()
+				defer w.stopAll()
+				time.Sleep(3 * time.Second)
+				random := rand.New(rand.NewPCG(seed, 7))
+				var wg sync.WaitGroup
+				send := func(span time.Duration) {
+					for end := time.Now().Add(span); time.Now().Before(end); {
+						time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(n*perServer)))
+						host := w.anyHost(random)
+						r := httptest.NewRequest(http.MethodGet, "/x", strings.NewReader(""))
+						r.Host = "h"
+						r.Header.Set("Left", "1.2s")
+						r.Header.Set("Object", fmt.Sprint(random.IntN(100)))
+						wg.Go(func() { host.node.ServeHTTP(httptest.NewRecorder(), r) })
+					}
+				}
+				send(6 * time.Second)
+				w.store.turnAway(true)
+				send(5 * time.Second)
+				servers.turnCold()
+				send(coldSpell)
+				wg.Wait()
+				if most := servers.most(); float64(most) > allowed {
+					t.Errorf("a cold server got %d requests in a second, %v are allowed", most, allowed)
+				}
+			})
+		})
+	}
+}
--- a/internal/daemon/gateway/load_test.go
+++ b/internal/daemon/gateway/load_test.go
@@ -38,23 +38,43 @@
 
 // Forward implements port.Forwarder.
 func (s *simulatedServers) Forward(ctx context.Context, address string, req *port.ForwardRequest) (*port.ForwardAnswer, error) {
-	s.mu.Lock()
-	if s.running[address] >= s.slots {
-		if len(s.waiting[address]) >= s.queue {
-			s.mu.Unlock()
-			return notRunAnswer(), nil
-		}
-		slotFree := make(chan struct{})
-		s.waiting[address] = append(s.waiting[address], slotFree)
-		s.mu.Unlock()
-		<-slotFree
-		s.mu.Lock()
-	} else {
-		s.running[address]++
+	if !s.takeSlot(address) {
+		return notRunAnswer(), nil
 	}
+	s.mu.Lock()
 	work := s.startRun(address, req.Header.Get("Object"))
 	s.mu.Unlock()
 	time.Sleep(work)
+	load := s.freeSlot(address)
+	if ctx.Err() != nil {
+		return nil, &port.BackendError{Code: port.BackendTimeout, Sent: true, Err: ctx.Err()}
+	}
+	a := okAnswer()
+	a.Meta.Load = load
+	return a, nil
+}
+
+// takeSlot waits for a slot of a server. It returns false if the server's queue is full.
+func (s *simulatedServers) takeSlot(address string) bool {
+	s.mu.Lock()
+	if s.running[address] < s.slots {
+		s.running[address]++
+		s.mu.Unlock()
+		return true
+	}
+	if len(s.waiting[address]) >= s.queue {
+		s.mu.Unlock()
+		return false
+	}
+	slotFree := make(chan struct{})
+	s.waiting[address] = append(s.waiting[address], slotFree)
+	s.mu.Unlock()
+	<-slotFree
+	return true
+}
+
+// freeSlot gives a slot back and returns the server's load before that.
+func (s *simulatedServers) freeSlot(address string) *port.ServerLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load := &port.ServerLoad{Running: s.running[address], Waiting: len(s.waiting[address]), Slots: s.slots}
@@ -64,12 +84,7 @@
 	} else {
 		s.running[address]--
 	}
-	if ctx.Err() != nil {
-		return nil, &port.BackendError{Code: port.BackendTimeout, Sent: true, Err: ctx.Err()}
-	}
-	a := okAnswer()
-	a.Meta.Load = load
-	return a, nil
+	return load
 }
 
 // startRun returns how long a request for an object takes, and adds the object to the
