Take an unanswered health check in an outage for a sign of a cold server

Cause: in an outage of the store only health checks tell that a server has turned cold, and they wait for a slot. Three cold runs take three slots within 50 ms; the check is answered after up to a second, and all gateways send on as to a warm server.

Ruled out: several owners (the senders have no cold_ms), the time that reports take (0.19 s). Rejected: reports of long runs by every gateway, which queues cause as well and which come no earlier.

Change: a check that is unanswered for longer than the estimated queue and one and a half service times is reported as unanswered; whoever has had no response since checks the server before sending there. A check that the server rejects for want of a slot settles nothing. The owner of a server that turned cold unnoticed sends nothing for a second. Checks each 150 ms in place of 250, reports gathered for 10 ms in place of 50.

--- a/internal/core/fleet/health.go
+++ b/internal/core/fleet/health.go
@@ -79,6 +79,15 @@
 	return true
 }
 
+// recheckAfter is the time after which a server that rejected a check is checked again.
+const recheckAfter = 200 * time.Millisecond
+
+// CheckRejected records that the server rejected a check for want of a slot: it is alive,
+// and says nothing else.
+func (h *Health) CheckRejected(now time.Time) {
+	h.checking, h.nextCheck = false, now.Add(recheckAfter)
+}
+
 // Doubted reports whether the server counts as unreachable only because another
 // gateway reported it.
 func (h *Health) Doubted() bool { return h.down && h.peerReported }
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -34,10 +34,19 @@
 
 // Limiter limits the requests to one cold server in any window of one second.
 // It is not safe for concurrent use.
-type Limiter struct{ sent []time.Time }
+type Limiter struct {
+	sent      []time.Time
+	heldUntil time.Time
+}
 
 // Clone returns a copy that counts the same requests.
-func (l *Limiter) Clone() Limiter { return Limiter{sent: slices.Clone(l.sent)} }
+func (l *Limiter) Clone() Limiter {
+	return Limiter{sent: slices.Clone(l.sent), heldUntil: l.heldUntil}
+}
+
+// Hold allows no request within the next second: others may have sent to the server as to
+// a warm one until now.
+func (l *Limiter) Hold(now time.Time) { l.heldUntil = now.Add(window) }
 
 // Take counts a request and returns true if the rate allows one more now.
 func (l *Limiter) Take(now time.Time, rate float64) bool {
@@ -53,5 +62,5 @@
 	for len(l.sent) > 0 && now.Sub(l.sent[0]) > window {
 		l.sent = l.sent[1:]
 	}
-	return len(l.sent) < int(rate*ownerShare)
+	return len(l.sent) < int(rate*ownerShare) && !now.Before(l.heldUntil)
 }
--- a/internal/core/pace/pace_test.go
+++ b/internal/core/pace/pace_test.go
@@ -75,3 +75,20 @@
 		}
 	})
 }
+
+// TestHeldLimiter checks that a limiter allows nothing for a second after a hold, and then
+// what it did before.
+func TestHeldLimiter(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var l Limiter
+	l.Hold(now)
+	c := l.Clone()
+	for _, l := range []*Limiter{&l, &c} {
+		if l.Take(now.Add(window-time.Millisecond), 10) {
+			t.Error("a request is allowed during the hold")
+		}
+		if !l.Take(now.Add(window), 10) {
+			t.Error("no request is allowed after the hold")
+		}
+	}
+}
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithDeadline(parent, req.deadline.Add(answerGrace))
 	forward := &port.ForwardRequest{
 		Method: r.Method, URI: req.uri, Host: r.Host, Header: endToEndHeaders(r.Header), Body: req.body, Rest: req.unreadBody,
-		Size: r.ContentLength, ID: req.caller.ID, SameProcess: n.limitsColdServers(req),
+		Size: r.ContentLength, ID: req.caller.ID, SameProcess: n.limitsColdServers(req.view, req.service),
 	}
 	if req.unreadBody == nil {
 		forward.Size = int64(len(req.body))
@@ -131,10 +131,9 @@
 	}
 }
 
-// limitsColdServers reports whether the request's service limits the requests to cold
-// servers.
-func (n *Node) limitsColdServers(req *inflightRequest) bool {
-	return req.view.config.Services[req.service].ColdRate > 0
+// limitsColdServers reports whether a service limits the requests to cold servers.
+func (n *Node) limitsColdServers(v *view, service string) bool {
+	return v.config != nil && v.config.Services[service] != nil && v.config.Services[service].ColdRate > 0
 }
 
 // checkForRestart checks a server that closed its connections before it gets further
--- a/internal/daemon/gateway/coldcheck.go
+++ b/internal/daemon/gateway/coldcheck.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/overload"
 	"cassiatray/internal/core/ratelimit"
 	"cassiatray/internal/sleep"
 )
@@ -12,7 +15,20 @@
 // coldCheckInterval is how often a server is checked for having turned cold in an outage of
 // the store. Until all gateways know, it gets requests as a warm one; the bounds on
 // requests to cold servers hold for any second.
-const coldCheckInterval = 250 * time.Millisecond
+const coldCheckInterval = 150 * time.Millisecond
+
+// A check that is not answered although a warm server would have had a free slot by then is
+// a sign of a cold server, whose runs take several times as long and all its slots:
+// checkRunTimes is how many service times a check may wait beyond the estimated queue, and
+// checkSlack the time for the response.
+const (
+	checkRunTimes = 1.5
+	checkSlack    = 30 * time.Millisecond
+)
+
+// awaitsColdCheck reports whether a server is to be checked for having turned cold: it can
+// be reached, as far as is known here.
+func awaitsColdCheck(h *fleet.Health) bool { return !h.Down() || h.Doubted() }
 
 // checkColdServers checks servers while the store, which else says which of them are cold,
 // is out of reach. One gateway checks a server, the one that would issue its permits.
@@ -27,7 +43,7 @@
 			checked, own = v, n.serversToCheck(v)
 		}
 		for _, s := range own {
-			if s.isDown() || s.remainingCold(time.Now()) > 0 {
+			if !s.withHealth(awaitsColdCheck) || s.remainingCold(time.Now()) > 0 {
 				continue
 			}
 			path := checked.config.Services[s.rec().Service].HealthPath
@@ -41,7 +57,7 @@
 func (n *Node) serversToCheck(v *view) []*server {
 	var own []*server
 	for service, g := range v.groups {
-		if v.config.Services[service].ColdRate <= 0 {
+		if !n.limitsColdServers(v, service) {
 			continue
 		}
 		for _, s := range g.servers {
@@ -60,14 +76,36 @@
 	defer cancel()
 	n.metrics.checks.Inc()
 	rec := s.rec()
+	sent, serviceTime := time.Now(), n.serviceTimes.ofService(rec.Service)
+	wait := overload.Load{Requests: s.estimatedRequests(sent, serviceTime), Slots: rec.Slots, Service: serviceTime}.Wait()
+	suspect := time.AfterFunc(wait+time.Duration(checkRunTimes*float64(serviceTime))+checkSlack, func() { n.suspectCold(s, sent.Add(serviceTime), time.Now()) })
 	meta, _, err := n.prober.Probe(ctx, rec.Address, path)
+	suspect.Stop()
 	if err != nil {
 		n.log.WithField("server", rec.ID).WithError(err).Debug("Server not checked.")
 		return
 	}
-	if meta.Cold > 0 && (meta.Instance == "" || meta.Instance == rec.ID) {
-		n.learnCold(s, meta.Cold, time.Now())
+	if meta.NotRun || meta.Instance != "" && meta.Instance != rec.ID {
+		return
+	}
+	now := time.Now()
+	s.recordLoad(meta.Load, s.inFlight(), now)
+	if meta.Cold > 0 {
+		s.holdColdPermits(now)
+		n.learnCold(s, meta.Cold, now)
+	}
+	s.withHealth(func(h *fleet.Health) bool { return h.Doubted() && h.Reached(now) })
+}
+
+// suspectCold has every gateway that got no response from a server since a time check it
+// before it sends there again.
+func (n *Node) suspectCold(s *server, since, now time.Time) {
+	if !s.withHealth(func(h *fleet.Health) bool { return h.Doubt(now, since) }) {
+		return
 	}
+	id := s.rec().ID
+	n.keeper.ReportUnanswered(id, since)
+	n.log.WithFields(logrus.Fields{"server": id, "waiting_ms": now.Sub(since).Milliseconds()}).Info("Server does not answer its check; it may be cold.")
 }
 
 // learnCold takes in that a server says that it is cold, and tells the other gateways if
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -59,7 +59,7 @@
 			s.fail(m.Host)
 			pause := times.seekAfter(stale, len(order))
 			if await {
-				pause = gather
+				pause = gatherReports
 			}
 			sleep.For(ctx, pause)
 			stale++
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -220,7 +220,7 @@
 // ownsColdServer reports whether this gateway may send requests to a cold server:
 // if the service limits their rate, only one gateway per server may.
 func (n *Node) ownsColdServer(v *view, s *server) bool {
-	if v.config.Services[s.rec().Service].ColdRate <= 0 {
+	if !n.limitsColdServers(v, s.rec().Service) {
 		return true
 	}
 	return pace.Owner(s.rec().ID, v.hosts) == n.cfg.Host && n.keeper.introduced(time.Now())
@@ -254,7 +254,15 @@
 	log := n.log.WithFields(logrus.Fields{"server": rec.ID, "address": rec.Address, "status": status})
 	// A server without a free slot also rejects health checks, but it is alive.
 	alive := err == nil && (status == 200 || meta.NotRun) && (meta.Instance == "" || meta.Instance == rec.ID)
+	if alive && meta.NotRun && n.limitsColdServers(n.keeper.View(), rec.Service) && n.syncer.outage(now) && s.withHealth((*fleet.Health).Doubted) {
+		// It may be full because it is cold.
+		s.withHealth(func(h *fleet.Health) bool { h.CheckRejected(now); return false })
+		return
+	}
 	if alive && meta.Cold > 0 {
+		if s.withHealth((*fleet.Health).Doubted) {
+			s.holdColdPermits(now)
+		}
 		n.learnCold(s, meta.Cold, now)
 	}
 	s.withHealth(func(h *fleet.Health) bool {
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -17,6 +17,9 @@
 	// gather is how long news waits for more of it before waiting pulls are
 	// answered, so that a burst of changes is one page.
 	gather = 50 * time.Millisecond
+	// gatherReports is that time in an outage of the store: what gateways report of servers
+	// is all that others have of them.
+	gatherReports = 10 * time.Millisecond
 )
 
 // Page answers a pull: at once when there is news for the puller, or when the store is
@@ -39,7 +42,11 @@
 		}
 		select {
 		case <-changed:
-			sleep.For(ctx, gather)
+			if req.AwaitReports {
+				sleep.For(ctx, gatherReports)
+			} else {
+				sleep.For(ctx, gather)
+			}
 		case <-ctx.Done():
 			page, _ := k.page(epoch, req, time.Now())
 			return page
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -30,6 +30,15 @@
 	}
 }
 
+// ReportUnanswered tells the other gateways that a server has not answered a health check
+// since a time. They check it themselves, so that a fault of this gateway's own links costs
+// no more than that.
+func (k *Keeper) ReportUnanswered(server string, since time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.report(fleet.Report{Server: server, At: since})
+}
+
 // ReportCrash tells the other gateways that a server crashed under a request. It
 // refused connections, so that the links of this gateway are not at fault.
 func (k *Keeper) ReportCrash(server, request string, now time.Time) {
@@ -121,6 +130,7 @@
 	if s == nil || left <= s.remainingCold(now) {
 		return
 	}
+	s.holdColdPermits(now)
 	s.withHealth(func(h *fleet.Health) bool { h.Cold(now.Add(left)); return true })
 	k.log.WithFields(logrus.Fields{"server": rep.Server, "source": rep.Origin, "cold_ms": left.Milliseconds()}).Info("Server is cold.")
 }
--- a/internal/daemon/gateway/server.go
+++ b/internal/daemon/gateway/server.go
@@ -202,6 +202,16 @@
 // isDown reports whether the server is considered unreachable.
 func (s *server) isDown() bool { return s.withHealth((*fleet.Health).Down) }
 
+// holdColdPermits keeps this gateway from sending for a second to a server that has turned
+// cold unnoticed: until now all gateways sent to it as to a warm one.
+func (s *server) holdColdPermits(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.health.ColdUntil().After(now) {
+		s.coldLimiter.Hold(now)
+	}
+}
+
 // remainingCold returns how much longer the server is cold.
 func (s *server) remainingCold(now time.Time) time.Duration {
 	s.mu.Lock()
--- a/internal/daemon/gateway/tell.go
+++ b/internal/daemon/gateway/tell.go
@@ -25,7 +25,7 @@
 			return
 		}
 		// Several reports at a time are one pull.
-		sleep.For(ctx, gather)
+		sleep.For(ctx, gatherReports)
 		reported = s.keeper.Reported()
 		steady := s.steadySources()
 		if len(steady) == 0 || !s.outage(time.Now()) {
