--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -136,7 +136,13 @@
 	defer k.mu.Unlock()
 	k.noteGap(now)
 	k.mirror.Confirm(now)
+	before, have := k.mirror.Counts(), k.mirror.Revision()
 	k.take(k.mirror.Replace("", records, revision, now), source, now)
+	c := k.mirror.Counts().Sub(before)
+	k.log.WithFields(logrus.Fields{
+		"source": source, "from_revision": have, "revision": revision, "records": len(records),
+		"changed": c.Changed, "unchanged": c.Unchanged, "old": c.Old,
+	}).Info("Listing taken.")
 }
 
 // noteGap starts the grace of lapsed records when an outage ends.
