Order records by the store's era before its revision

Cause: gateways take revisions for ever growing. The store gives them out again after a restore, and says so in Store-Era, which nobody read. A mirror drops each record up to the revision that it has: 57 of 57 records of each listing after the return ('Listing taken.'). Once the store has passed that revision, a watch from there gets no 410 and never shows the changes below it: version 15 had the revision of version 12.

Ruled out: the version check (no 'Configuration is not newer' line), gateways that bring old pages back (no gateway had version 15).

Change: the revisions of port.Registry include the era (era times 10^13, so that logs show both). A watch from another era fails as one whose history is gone, and the store is listed. Mirrors and pulls need no other order than before.

--- a/internal/port/registry.go
+++ b/internal/port/registry.go
@@ -5,6 +5,25 @@
 	"time"
 )
 
+// A service that comes back from a copy of itself continues with the copy's revision, and
+// gives the later ones out again. It counts these restores in its era. The revisions of a
+// Registry include the era, so that they never fall.
+
+// EraSpan is the distance between the revisions of two eras, more than a service uses in one.
+// A power of ten, so that logs show era and revision.
+const EraSpan uint64 = 1e13
+
+// RevisionIn returns a service's revision in an era; zero stays zero, for no revision.
+func RevisionIn(era, revision uint64) uint64 {
+	if revision == 0 {
+		return 0
+	}
+	return era*EraSpan + revision
+}
+
+// Era returns the era of a revision.
+func Era(revision uint64) uint64 { return revision / EraSpan }
+
 // Change is one write or removal of a key.
 type Change struct {
 	Entry
@@ -35,7 +54,7 @@
 //
 // Errors: *StoreError, with code StoreNotFound for a lease that has ended,
 // StoreConflict for a key that is not as expected, StoreCompacted for a watch
-// from a revision that the store has forgotten, StoreUnavailable (the call had
+// from a revision that the store has forgotten or that is of another era, StoreUnavailable (the call had
 // no effect) or StoreUnknown (the reply was lost).
 type Registry interface {
 	// ListPrefix reads all keys with a prefix.
