Keep what a copy of the store lacks until it is written again

After a restore gateways followed the copy at once: they sent to servers that had said that they leave or were gone, into evacuated domains, and to restarted servers as to the warm processes of before; a gateway could renew a lease that the store had meanwhile granted to another, and was then in no other gateway's list.

Cause: a record of the copy counted as news, and a key that the copy lacks as removed. The class: a source is trusted to be newer because it is the source, and not because of what it says.

Change: configurations go by version, servers' records by their own start and heartbeats; what the copy lacks has a grace; servers that only the copy knows are checked first; gateways write their records again with the era, and one of an earlier era does not count.

--- a/internal/daemon/gateway/announce.go
+++ b/internal/daemon/gateway/announce.go
@@ -16,7 +16,7 @@
 	return &peerv1.GatewayMember{
 		Host: s.cfg.Host, Domain: s.cfg.Domain, Region: s.cfg.Region, Incarnation: s.identity.Incarnation,
 		CallerAddress: s.cfg.Caller.String(), PeerAddress: s.cfg.Peer.String(),
-		State: peerv1.HostState(s.state.Load()), Capacity: uint32(s.cfg.Capacity * 1000),
+		State: peerv1.HostState(s.state.Load()), Capacity: uint32(s.cfg.Capacity * 1000), StoreEra: port.Era(s.keeper.Have()),
 	}
 }
 
@@ -52,7 +52,10 @@
 
 // announce renews the lease, or opens one and writes the record under it.
 func (s *Syncer) announce(ctx context.Context) error {
-	lease := s.held()
+	lease, era := s.held(), port.Era(s.keeper.Have())
+	if s.forgetLease(era) {
+		lease = ""
+	}
 	if lease != "" && s.announced() {
 		err := s.store.RenewLease(ctx, lease)
 		s.metrics.call("renew", err)
@@ -78,7 +81,7 @@
 	if port.IsStoreCode(err, port.StoreNotFound) {
 		lease = ""
 	}
-	s.hold(lease)
+	s.hold(lease, era)
 	return err
 }
 
@@ -89,10 +92,22 @@
 	return s.lease
 }
 
-func (s *Syncer) hold(id port.LeaseID) {
+func (s *Syncer) hold(id port.LeaseID, era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease, s.leaseEra = id, era
+}
+
+// forgetLease drops a lease of an earlier era: the copy that the store came back from may
+// not have it, and its number may be another's by now. It reports whether it did.
+func (s *Syncer) forgetLease(era uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lease = id
+	if s.lease == "" || s.leaseEra >= era {
+		return false
+	}
+	s.lease = ""
+	return true
 }
 
 // announced reports whether the mirror lacks nothing of this gateway's record.
@@ -100,8 +115,10 @@
 func (s *Syncer) announced() bool {
 	s.keeper.mu.Lock()
 	defer s.keeper.mu.Unlock()
-	m := s.keeper.stored[s.cfg.Host]
-	return m != nil && m.Incarnation == s.identity.Incarnation || time.Since(s.keeper.mirror.Synced()) > s.times.Load().staleAfter
+	m := new(peerv1.GatewayMember)
+	r, ok := s.keeper.mirror.Get(s.schema.MemberKey(s.cfg.Host))
+	ok = ok && proto.Unmarshal(r.Value, m) == nil && m.Incarnation == s.identity.Incarnation && !isCopiedMember(m, r)
+	return ok || time.Since(s.keeper.mirror.Synced()) > s.times.Load().staleAfter
 }
 
 // introductionTime is how long after its start a gateway whose record is not in the store
--- a/internal/daemon/gateway/fakestore_test.go
+++ b/internal/daemon/gateway/fakestore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -33,6 +34,53 @@
 	away map[string]bool
 	// silent makes calls hang until they are given up instead of failing.
 	silent bool
+	// era counts the restores.
+	era uint64
+}
+
+// storeCopy is a copy of the store at a time.
+type storeCopy struct {
+	revision uint64
+	items    map[string]port.Entry
+	leases   map[port.LeaseID]bool
+}
+
+// copy returns a copy of the store.
+func (f *fakeStore) copy() storeCopy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := storeCopy{revision: f.revision % port.EraSpan, items: maps.Clone(f.items), leases: map[port.LeaseID]bool{}}
+	for id, timer := range f.leases {
+		c.leases[id] = timer != nil
+	}
+	return c
+}
+
+// restore puts a copy in place, in a new era. Later revisions and leases are given out again.
+func (f *fakeStore) restore(c storeCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.era++
+	f.revision = port.RevisionIn(f.era, c.revision)
+	f.first, f.history, f.items = f.revision, nil, map[string]port.Entry{}
+	for key, e := range c.items {
+		e.Revision = port.RevisionIn(f.era, e.Revision%port.EraSpan)
+		f.items[key] = e
+	}
+	for _, timer := range f.leases {
+		if timer != nil {
+			timer.Stop()
+		}
+	}
+	clear(f.leases)
+	for id, live := range c.leases {
+		f.leases[id] = nil
+		if live {
+			f.leases[id] = time.AfterFunc(leaseTTL, func() { f.lapse(id) })
+		}
+	}
+	close(f.changed)
+	f.changed = make(chan struct{})
 }
 
 func newFakeStore() *fakeStore {
@@ -162,7 +210,7 @@
 	}
 	for {
 		c.mu.Lock()
-		changed, away, compacted := c.changed, c.away[""] || c.away[c.host], after < c.first
+		changed, away, compacted := c.changed, c.away[""] || c.away[c.host], after < c.first || after > c.revision
 		out := port.Changes{Revision: c.revision}
 		for _, ch := range c.history {
 			if ch.Revision > after && strings.HasPrefix(ch.Key, prefix) {
@@ -235,6 +283,11 @@
 	if err := c.begin(ctx); err != nil {
 		return err
 	}
-	c.set(key, value, id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leases[id] == nil {
+		return &port.StoreError{Code: port.StoreNotFound, Op: "put"}
+	}
+	c.write(key, value, id)
 	return nil
 }
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -73,9 +73,11 @@
 	servers        map[string]*server
 	stored         map[string]*peerv1.GatewayMember
 	heard          map[string]heardMember
-	// graceUntil is when lapsed records stop counting; lapsed are those kept.
+	// graceUntil is until when records that lapse still count for a while; lapsed are those
+	// kept, by key.
 	graceUntil time.Time
-	lapsed     map[string]mirror.Record
+	lapsed     map[string]lapsedRecord
+	restore    restore
 	// storeLost is since when the store has failed this gateway; zero while it does not.
 	// What was confirmed before then is no longer passed on as current.
 	storeLost time.Time
@@ -94,7 +96,7 @@
 	k := &Keeper{
 		cfg: cfg, schema: schema, log: log, born: time.Now(), changed: make(chan struct{}), reported: make(chan struct{}),
 		servers: map[string]*server{}, stored: map[string]*peerv1.GatewayMember{},
-		heard: map[string]heardMember{}, lapsed: map[string]mirror.Record{},
+		heard: map[string]heardMember{}, lapsed: map[string]lapsedRecord{},
 		origin: cfg.Host + "/" + strconv.FormatUint(rand.Uint64(), 36),
 	}
 	k.mirror = mirror.New(k.sameRecord)
@@ -125,6 +127,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.noteGap(now)
+	k.noteRestore(revision, now)
 	k.mirror.Confirm(now)
 	k.take(k.mirror.Apply(records), source, now)
 	k.mirror.Complete(revision)
@@ -135,6 +138,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.noteGap(now)
+	k.noteRestore(revision, now)
 	k.mirror.Confirm(now)
 	before, have := k.mirror.Counts(), k.mirror.Revision()
 	k.take(k.mirror.Replace("", records, revision, now), source, now)
@@ -186,24 +190,56 @@
 		return
 	}
 	for _, r := range records {
-		kind, name := k.schema.Kind(r.Key)
-		k.placementChanged = k.placementChanged || kind != port.RecordMember
-		fields := logrus.Fields{"key": r.Key, "revision": r.Revision, "source": source, "age_ms": now.Sub(r.Read).Milliseconds()}
-		switch kind {
-		case port.RecordConfig:
-			k.takeConfig(r, fields)
-		case port.RecordEvacuation:
-			k.log.WithFields(fields).WithField("evacuated", !r.Deleted).Info("Evacuation changed.")
-		case port.RecordServer:
-			k.takeServer(name, r, fields, now)
-		case port.RecordMember:
-			k.takeMember(name, r, fields, now)
-		}
+		k.takeOne(r, source, now)
 	}
 	k.wake()
 	k.publish(now)
 }
 
+// takeOne acts on a changed record. The caller holds k.mu.
+func (k *Keeper) takeOne(r mirror.Record, source string, now time.Time) {
+	kind, name := k.schema.Kind(r.Key)
+	k.placementChanged = k.placementChanged || kind != port.RecordMember
+	fields := logrus.Fields{"key": r.Key, "revision": r.Revision, "source": source, "age_ms": now.Sub(r.Read).Milliseconds()}
+	delete(k.restore.doubted, r.Key)
+	if !r.Deleted {
+		delete(k.lapsed, r.Key)
+	}
+	switch kind {
+	case port.RecordConfig:
+		k.takeConfig(r, fields)
+	case port.RecordEvacuation:
+		if k.isMissingInCopy(r) {
+			k.lapse(r, restoreSettle, fields, now)
+			return
+		}
+		k.log.WithFields(fields).WithField("evacuated", !r.Deleted).Info("Evacuation changed.")
+	case port.RecordServer:
+		k.takeServer(name, r, fields, now)
+	case port.RecordMember:
+		k.takeMember(name, r, fields, now)
+	}
+}
+
+// remove acts on the removal of a server's, a gateway's or an evacuation's record. The caller
+// holds k.mu.
+func (k *Keeper) remove(r mirror.Record, fields logrus.Fields, now time.Time) {
+	delete(k.lapsed, r.Key)
+	switch kind, name := k.schema.Kind(r.Key); kind {
+	case port.RecordServer:
+		if old := k.servers[name]; old != nil {
+			k.restore.depart(r.Key, departure{at: now, born: old.rec().Born})
+		}
+		delete(k.servers, name)
+		k.log.WithFields(fields).Info("Server gone.")
+	case port.RecordMember:
+		delete(k.stored, name)
+		k.log.WithFields(fields).Info("Gateway's record gone.")
+	case port.RecordEvacuation:
+		k.log.WithFields(fields).WithField("evacuated", false).Info("Evacuation changed.")
+	}
+}
+
 // publish swaps the view. The caller holds k.mu.
 func (k *Keeper) publish(now time.Time) { k.view.Store(k.buildView(now)) }
 
@@ -234,26 +270,35 @@
 func (k *Keeper) takeServer(id string, r mirror.Record, fields logrus.Fields, now time.Time) {
 	old := k.servers[id]
 	if r.Deleted {
-		if old != nil && now.Before(k.graceUntil) {
-			k.lapsed[id] = r
-			k.log.WithFields(fields).Info("Server's record lapsed during an outage; waiting for it.")
-			return
+		switch {
+		case old != nil && k.isMissingInCopy(r):
+			k.lapse(r, lapseGrace, fields, now)
+		case old != nil && now.Before(k.graceUntil):
+			k.lapse(r, k.graceUntil.Sub(now), fields, now)
+		default:
+			k.remove(r, fields, now)
 		}
-		delete(k.servers, id)
-		k.log.WithFields(fields).Info("Server gone.")
 		return
 	}
-	delete(k.lapsed, id)
 	rec, err := k.schema.Server(id, r.Value)
 	if err != nil {
 		delete(k.servers, id)
 		k.log.WithFields(fields).WithError(err).Warn("Server's record refused.")
 		return
 	}
+	if k.isOutdatedServer(old, rec, r) {
+		k.restore.doubt(r.Key)
+		k.log.WithFields(fields).Info("Server's record in the copy is older than what is known.")
+		return
+	}
 	s := old
 	switch {
 	case old == nil:
 		s = newServer(rec, k.cfg.regionOf(rec.Domain))
+		if k.restore.isCopied(r) {
+			// It may be gone since before this gateway started.
+			s.withHealth(func(h *fleet.Health) bool { return h.Suspect(now) })
+		}
 	case old.rec().SameLife(rec):
 		s.record.Store(&rec)
 	default:
@@ -270,8 +315,11 @@
 
 func (k *Keeper) takeMember(host string, r mirror.Record, fields logrus.Fields, now time.Time) {
 	if r.Deleted {
-		delete(k.stored, host)
-		k.log.WithFields(fields).Info("Gateway's record gone.")
+		if k.isMissingInCopy(r) && k.stored[host] != nil {
+			k.lapse(r, restoreSettle, fields, now)
+			return
+		}
+		k.remove(r, fields, now)
 		return
 	}
 	m := new(peerv1.GatewayMember)
@@ -279,6 +327,10 @@
 		k.log.WithFields(fields).WithError(err).Warn("Gateway's record refused.")
 		return
 	}
+	if isCopiedMember(m, r) {
+		k.log.WithFields(fields).Info("Gateway's record is of before the store came back from a copy.")
+		return
+	}
 	k.stored[host] = m
 	k.log.WithFields(fields).WithField("incarnation", m.Incarnation).Info("Gateway known.")
 }
@@ -313,15 +365,8 @@
 func (k *Keeper) Tick(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	changed := false
-	if len(k.lapsed) > 0 && !now.Before(k.graceUntil) {
-		for id, r := range k.lapsed {
-			delete(k.servers, id)
-			k.log.WithFields(logrus.Fields{"key": r.Key, "revision": r.Revision}).Info("Server gone.")
-		}
-		clear(k.lapsed)
-		changed, k.placementChanged = true, true
-	}
+	changed := k.endLapses(now)
+	k.restore.forget(now)
 	for host, h := range k.heard {
 		if now.Sub(h.at) >= k.heardLife(now) {
 			delete(k.heard, host)
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiatray/internal/core/mirror"
+	"cassiatray/internal/port"
 	"cassiatray/internal/sleep"
 	peerv1 "cassiatray/proto/peer/v1"
 )
@@ -105,7 +106,9 @@
 	}
 	k.mu.Lock()
 	before, have := k.mirror.Counts(), k.mirror.Revision()
-	if page.AgeMicros >= 0 {
+	k.noteRestore(page.Complete, now)
+	// A source that has not noticed that the store came back from a copy confirms nothing.
+	if page.AgeMicros >= 0 && port.Era(page.Complete) >= port.Era(have) {
 		k.noteGap(now)
 		k.mirror.Confirm(now.Add(-time.Duration(page.AgeMicros) * time.Microsecond))
 	}
--- /dev/null
+++ b/internal/daemon/gateway/restore_test.go
@@ -0,0 +1,265 @@
+//go:build !race
+
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cassiatray/internal/core/fleet"
+)
+
+// restored takes the store away for a second and has it come back from a copy.
+func (w *testCluster) restored(c storeCopy) {
+	w.store.turnAway(true)
+	time.Sleep(time.Second)
+	w.store.restore(c)
+	w.store.turnAway(false)
+}
+
+// always fails the test if a gateway is at fault during a span: check returns what is wrong.
+func (w *testCluster) always(span time.Duration, what string, check func(h *testHost) string) {
+	w.t.Helper()
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for name, h := range w.hosts {
+			if fault := check(h); fault != "" {
+				w.t.Errorf("%s, %v before the end of %q: %s", name, time.Until(end), what, fault)
+				return
+			}
+		}
+	}
+}
+
+// version returns the version of the configuration in force; zero for none.
+func (h *testHost) version() uint64 {
+	if c := h.keeper.View().config; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// isCold reports whether the gateway takes a server for cold.
+func (h *testHost) isCold(id string) bool {
+	s := h.keeper.server(id, 0)
+	return s != nil && s.remainingCold(time.Now()) > 0
+}
+
+// TestWhatACopyLacksStaysKnown guards against requests to servers that leave or are gone, to
+// evacuated domains and to cold servers as to warm ones after the store came back from a
+// copy that knows nothing of that: what gateways know stays until it is written again.
+func TestWhatACopyLacksStaysKnown(t *testing.T) {
+	const (
+		rewritten = time.Second
+		coldFor   = 20 * time.Second
+	)
+	for _, restores := range []int{1, 2} {
+		t.Run(fmt.Sprintf("%d restores", restores), func(t *testing.T) {
+			play(t, 2, func(w *testCluster) {
+				record := func(domain string, born, beat int64) fleet.Record {
+					return fleet.Record{ID: "i-" + domain, Domain: domain, Born: born, Beat: beat}
+				}
+				for _, d := range testDomains {
+					w.setServer(record(d.Domain, 100, 10))
+				}
+				w.setServer(record("a1", 100, 10))
+				time.Sleep(2 * time.Second)
+				c := w.store.copy()
+
+				draining := record("a1", 100, 30)
+				draining.State = fleet.Draining
+				w.setServer(draining)
+				w.store.set("server/i-b1", nil, "")
+				w.store.set("evacuate/c1", []byte("{}"), "")
+				w.setConfig(2)
+				restarted := record("a2", 200, 1)
+				restarted.Cold = coldFor
+				w.setServer(restarted)
+				started := fleet.Record{ID: "i-new", Domain: "b2", Born: 300, Beat: 1, Cold: coldFor}
+				w.setServer(started)
+				cold := record("c2", 100, 30)
+				cold.Cold = coldFor
+				w.setServer(cold)
+				time.Sleep(drainBound)
+				holds := func(h *testHost) string {
+					for _, id := range []string{"i-a1", "i-b1", "i-c1"} {
+						if h.routesTo(id) {
+							return "routes to " + id
+						}
+					}
+					for _, id := range []string{"i-a2", "i-new", "i-c2"} {
+						if !h.routesTo(id) || !h.isCold(id) {
+							return fmt.Sprintf("routes to %s: %t, cold %t", id, h.routesTo(id), h.isCold(id))
+						}
+					}
+					if h.version() < 2 {
+						return fmt.Sprint("version ", h.version())
+					}
+					return ""
+				}
+				w.always(time.Second, "as it was written", holds)
+				for range restores {
+					w.restored(c)
+					w.always(rewritten, "as it was before the restore", holds)
+				}
+				// The operators and the servers that are alive write again what the copy lacks.
+				w.setServer(draining)
+				w.store.set("evacuate/c1", []byte("{}"), "")
+				w.setConfig(2)
+				for _, r := range []fleet.Record{restarted, started, cold} {
+					r.Beat += 8
+					r.Cold = coldFor - 10*time.Second
+					w.setServer(r)
+				}
+				// The lease of the server that is gone ends.
+				time.Sleep(time.Second)
+				w.store.set("server/i-b1", nil, "")
+				w.always(2*restoreSettle, "as it was written again", holds)
+
+				// What is written from now on counts as ever.
+				w.setConfig(3)
+				w.setServer(record("b1", 400, 1))
+				w.store.set("evacuate/c1", nil, "")
+				w.waitFor(drainBound, "changes are in force", func() bool {
+					for _, h := range w.hosts {
+						if h.version() != 3 || !h.routesTo("i-b1") || !h.routesTo("i-c1") {
+							return false
+						}
+					}
+					return true
+				})
+			})
+		})
+	}
+}
+
+// TestWhatIsNotWrittenAgainEnds checks that what only the gateways know ends some time after
+// the store came back, and that the copy's records then count.
+func TestWhatIsNotWrittenAgainEnds(t *testing.T) {
+	play(t, 2, func(w *testCluster) {
+		w.setServer(fleet.Record{ID: "i-a1", Domain: "a1", Born: 100, Beat: 10})
+		time.Sleep(time.Second)
+		c := w.store.copy()
+		w.setServer(fleet.Record{ID: "i-new", Domain: "a1", Born: 300, Beat: 1})
+		w.store.set("server/i-a1", nil, "")
+		w.store.set("evacuate/c1", []byte("{}"), "")
+		time.Sleep(drainBound)
+		w.restored(c)
+		w.waitFor(restoreSettle+drainBound, "the copy counts", func() bool {
+			for _, h := range w.hosts {
+				if h.routesTo("i-new") || !h.routesTo("i-a1") || !h.routesTo("i-c1") {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
+// TestGatewaysOutliveRestores checks that all gateways keep knowing each other, and that one
+// that is gone does not come back, while the store loses their records and leases.
+func TestGatewaysOutliveRestores(t *testing.T) {
+	play(t, 2, func(w *testCluster) {
+		old := w.store.copy()
+		w.hosts["b2-1"].syncer.Leave(t.Context())
+		time.Sleep(leaseTTL + time.Second)
+		w.kill("b2-1")
+		w.add("a1-late", "a1")
+		time.Sleep(3 * time.Second)
+		members := func(h *testHost) string {
+			names := map[string]bool{}
+			for _, m := range h.keeper.View().members {
+				names[m.Host] = true
+			}
+			switch {
+			case names["b2-1"]:
+				return "b2-1 is back"
+			case len(names) != len(w.hosts):
+				return fmt.Sprintf("knows %d of %d gateways", len(names), len(w.hosts))
+			}
+			return ""
+		}
+		w.always(time.Second, "all gateways known", members)
+		for range 2 {
+			w.restored(old)
+			w.always(2*leaseTTL, "all gateways known", members)
+			for name := range w.hosts {
+				if _, ok := w.store.copy().items["gateway/"+name]; !ok {
+					t.Errorf("%s is not in the store %v after it came back", name, 2*leaseTTL)
+				}
+			}
+		}
+	})
+}
+
+// TestRestoresWhileGatewaysFail plays restores from copies of any age while gateways are
+// killed, started and cut off: at the end all agree with the store.
+func TestRestoresWhileGatewaysFail(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			play(t, 2, func(w *testCluster) {
+				random := rand.New(rand.NewPCG(seed, 31))
+				copies := []storeCopy{w.store.copy()}
+				state := map[string]fleet.Record{}
+				version := uint64(1)
+				for step := range 40 {
+					d := testDomains[random.IntN(len(testDomains))].Domain
+					switch random.IntN(7) {
+					case 0:
+						version++
+						w.setConfig(version)
+					case 1, 2:
+						r := fleet.Record{ID: "i-" + d, Domain: d, Born: int64(1000 + step), Beat: 1, Cold: 3 * time.Second}
+						state[d] = r
+						w.setServer(r)
+					case 3:
+						if r, ok := state[d]; ok {
+							r.Beat, r.State, r.Cold = r.Beat+20, fleet.Draining, 0
+							state[d] = r
+							w.setServer(r)
+						}
+					case 4:
+						copies = append(copies, w.store.copy())
+					case 5:
+						w.restored(copies[random.IntN(len(copies))])
+						w.setConfig(version)
+						for _, r := range state {
+							w.setServer(r)
+						}
+					case 6:
+						if name := d + "-0"; w.hosts[name] != nil {
+							w.kill(name)
+						} else {
+							w.add(name, d)
+						}
+					}
+					if random.IntN(4) == 0 {
+						cut := d + "-1"
+						w.partition(true, cut)
+						w.store.turnAway(true, cut)
+						time.AfterFunc(3*time.Second, func() {
+							w.partition(false, cut)
+							w.store.turnAway(false, cut)
+						})
+					}
+					time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+				}
+				time.Sleep(2*restoreSettle + drainBound)
+				for name, h := range w.hosts {
+					if h.version() != version {
+						t.Errorf("%s has version %d, want %d", name, h.version(), version)
+					}
+					for d, r := range state {
+						if got := h.routesTo("i-" + d); got != (r.State == fleet.Ready) {
+							t.Errorf("%s routes to i-%s: %t, it is %v", name, d, got, r.State)
+						}
+					}
+					if n := len(h.keeper.View().members); n != len(w.hosts) {
+						t.Errorf("%s knows %d of %d gateways", name, n, len(w.hosts))
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/daemon/gateway/sync.go
+++ b/internal/daemon/gateway/sync.go
@@ -75,8 +75,9 @@
 
 	mu     sync.Mutex
 	failed map[string]time.Time
-	// lease holds this gateway's record in the store.
-	lease port.LeaseID
+	// lease holds this gateway's record in the store, granted in leaseEra.
+	lease    port.LeaseID
+	leaseEra uint64
 }
 
 // NewSyncer returns a syncer that has not started.
--- a/internal/daemon/gateway/view.go
+++ b/internal/daemon/gateway/view.go
@@ -159,11 +159,15 @@
 // evacuated domains. The caller holds k.mu.
 func (k *Keeper) groupServers(v *view) {
 	v.groups, v.evacuated = map[string]*serverGroup{}, map[string]bool{}
-	k.mirror.Each("", func(r mirror.Record) {
+	evacuate := func(r mirror.Record) {
 		if kind, name := k.schema.Kind(r.Key); kind == port.RecordEvacuation {
 			v.evacuated[name] = true
 		}
-	})
+	}
+	k.mirror.Each("", evacuate)
+	for _, r := range k.lapsed {
+		evacuate(r.Record)
+	}
 	for _, s := range k.servers {
 		rec := s.rec()
 		if rec.State != fleet.Ready || v.evacuated[rec.Domain] || s.region == "" {
