Never take a refusal that was written once more for the answer of a later try

A refusal without an ID was taken for the answer of whatever request was waiting.

Change: a request is not sent on a connection on which it was refused; a refusal that names no request counts on a new connection only.

TestRefusalWrittenAgain and TestRefusalWithoutIDOnKeptConnection were red.

--- a/internal/adapter/serverconn/exchange.go
+++ b/internal/adapter/serverconn/exchange.go
@@ -41,7 +41,7 @@
 
 // Forward implements port.Forwarder.
 func (p *Pool) Forward(ctx context.Context, address string, r *port.ForwardRequest) (*port.ForwardAnswer, error) {
-	c, opened, err := p.take(ctx, address, r.Fresh, r.SameProcess)
+	c, opened, err := p.take(ctx, address, r)
 	if err != nil {
 		return nil, connectError(ctx, address, err)
 	}
@@ -81,7 +81,11 @@
 		return nil, shortError(ctx, address, err)
 	}
 	a.Body = body
-	reuse := !resp.Close && !foreign && !early
+	if a.Meta.NotRun {
+		c.refused = append(c.refused, r.ID)
+	}
+	c.answers++
+	reuse := !resp.Close && !foreign && !early && len(c.refused) < maxRefused
 	if len(body) == wholeLimit {
 		a.Rest = &rest{Reader: resp.Body, end: func() { stop(); c.Close() }}
 		return a, nil
@@ -115,7 +119,8 @@
 }
 
 // answer reads the answer that names this request. A server may send answers
-// to earlier requests once more; those are passed over.
+// to earlier requests once more; those are passed over. A refusal that names none counts as
+// the first answer on a connection only: later it may be that of an earlier request.
 func (p *Pool) answer(c *conn, r *port.ForwardRequest) (*http.Response, bool, error) {
 	req := &http.Request{Method: r.Method}
 	for foreign := 0; ; {
@@ -126,7 +131,7 @@
 			return nil, foreign > 0, err
 		}
 		meta := p.dialect.Server(resp.StatusCode, resp.Header)
-		if meta.ID == r.ID || meta.ID == "" && (meta.NotRun || meta.OtherInstance) {
+		if meta.ID == r.ID || meta.ID == "" && c.answers == 0 && foreign == 0 && (meta.NotRun || meta.OtherInstance) {
 			return resp, foreign > 0, nil
 		}
 		foreign++
--- a/internal/adapter/serverconn/pool.go
+++ b/internal/adapter/serverconn/pool.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,8 +53,19 @@
 	since time.Time
 	// waited is how long it was idle before the request that uses it.
 	waited time.Duration
+	// answers counts the answers that came on it; refused holds the IDs of the requests that
+	// were refused on it.
+	answers int
+	refused []string
 }
 
+// maxRefused bounds the refusals that a connection may carry.
+const maxRefused = 32
+
+// mayMix reports whether an answer to the request could be mistaken: a server may write an
+// earlier refusal once more, which names the request if that was refused on the connection.
+func (c *conn) mayMix(id string) bool { return slices.Contains(c.refused, id) }
+
 // Pool implements port.Forwarder.
 type Pool struct {
 	dialect port.Dialect
@@ -82,13 +94,13 @@
 	return fmt.Sprintf("server closed all %d kept connections", e.Connections)
 }
 
-// take returns a connection, and whether it is new.
+// take returns a connection for a request, and whether it is new.
 //
-// Errors: *ClosedError if sameProcess is set, and those of the network.
-func (p *Pool) take(ctx context.Context, address string, fresh, sameProcess bool) (*conn, bool, error) {
+// Errors: *ClosedError if the request asks for the same process, and those of the network.
+func (p *Pool) take(ctx context.Context, address string, r *port.ForwardRequest) (*conn, bool, error) {
 	closed := 0
-	for !fresh {
-		c := p.pop(address)
+	for !r.Fresh {
+		c := p.pop(address, r.ID)
 		if c == nil {
 			break
 		}
@@ -104,7 +116,7 @@
 		}
 		c.Close()
 	}
-	if sameProcess && closed > 0 {
+	if r.SameProcess && closed > 0 {
 		return nil, false, &ClosedError{Connections: closed}
 	}
 	nc, err := p.dial(ctx, address)
@@ -116,17 +128,18 @@
 	return c, true, nil
 }
 
-// pop returns the connection that was used last.
-func (p *Pool) pop(address string) *conn {
+// pop returns the connection that was used last, of those that may carry a request.
+func (p *Pool) pop(address, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.mayMix(id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(address string, c *conn, keep time.Duration, promised bool) {
--- a/internal/adapter/serverconn/probe.go
+++ b/internal/adapter/serverconn/probe.go
@@ -12,7 +12,8 @@
 //
 // Errors: *port.BackendError.
 func (p *Pool) Probe(ctx context.Context, address, path string) (port.ServerMeta, int, error) {
-	c, _, err := p.take(ctx, address, true, false)
+	r := &port.ForwardRequest{Method: http.MethodGet, URI: path, Host: address, Header: http.Header{"Connection": {"close"}}, Fresh: true}
+	c, _, err := p.take(ctx, address, r)
 	if err != nil {
 		return port.ServerMeta{}, 0, connectError(ctx, address, err)
 	}
@@ -20,7 +21,6 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		c.SetDeadline(deadline)
 	}
-	r := &port.ForwardRequest{Method: http.MethodGet, URI: path, Host: address, Header: http.Header{"Connection": {"close"}}}
 	if sent, err := write(c, r); err != nil {
 		return port.ServerMeta{}, 0, brokenError(ctx, address, sent > 0, err)
 	}
