Take no requests behind those in hand once a server stops

An answer may say that it is the last only when nothing behind it was taken, so the connection went on taking.

Change: a server that stops takes nothing behind the requests in hand; the last of their answers says so, and what was not read is sent again by its caller.

--- a/internal/adapter/callerconn/conn.go
+++ b/internal/adapter/callerconn/conn.go
@@ -118,7 +118,7 @@
 	for c.r.Buffered() == 0 {
 		c.mu.Lock()
 		switch {
-		case c.closing || c.broken:
+		case c.ending():
 			c.mu.Unlock()
 			return c.watch()
 		case c.overdue(idle, first):
@@ -137,6 +137,13 @@
 	return nil
 }
 
+// ending reports whether no more requests are taken. A server that stops takes none behind
+// those in hand, or a caller that always sends ahead would keep it from ending. The caller
+// holds c.mu.
+func (c *conn) ending() bool {
+	return c.closing || c.broken || c.inHand > 0 && c.s.draining.Load()
+}
+
 // overdue reports whether a connection without a request is to be closed. The
 // caller holds c.mu.
 func (c *conn) overdue(idle time.Duration, first bool) bool {
@@ -156,7 +163,7 @@
 		return err
 	}
 	c.mu.Lock()
-	if c.closing || c.broken {
+	if c.ending() {
 		c.mu.Unlock()
 		if ahead {
 			c.s.ahead.Add(-1)
--- a/internal/adapter/callerconn/server_test.go
+++ b/internal/adapter/callerconn/server_test.go
@@ -288,3 +288,53 @@
 		}
 	}
 }
+
+// TestStopEndsConnectionsWithRequestsAhead guards against requests that are taken late in a
+// stop and cut at its end: a caller that always has a request ahead kept its connection
+// served for as long as it liked.
+func TestStopEndsConnectionsWithRequestsAhead(t *testing.T) {
+	const (
+		run   = 20 * time.Millisecond
+		limit = 40 * run
+	)
+	var taken atomic.Int32
+	s := open(t, Limits{}, func(w http.ResponseWriter, r *http.Request) {
+		taken.Add(1)
+		time.Sleep(run)
+		io.WriteString(w, r.URL.Path)
+	})
+	c := s.dial(t)
+	go func() {
+		for {
+			if _, err := io.WriteString(c, get("/")); err != nil {
+				return
+			}
+			time.Sleep(run / 4)
+		}
+	}()
+	answered, ended := atomic.Int32{}, make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			resp, err := http.ReadResponse(c.r, nil)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				return
+			}
+			answered.Add(1)
+		}
+	}()
+	await(t, func() bool { return answered.Load() > maxAhead })
+	start := time.Now()
+	s.shutdown(t)
+	if took := time.Since(start); took > limit {
+		t.Errorf("the stop took %v while requests run for %v", took, run)
+	}
+	c.Close()
+	<-ended
+	if a, n := answered.Load(), taken.Load(); a != n {
+		t.Errorf("%d of %d requests that were taken were answered", a, n)
+	}
+}
