Refuse requests that come late in a planned stop

It is refused now with Retry-After 0: other gateways take it at once.

TestRequestsLateInAStopAreRefused was red: sent on 3 s after the stop began.

--- a/internal/daemon/gateway/answer.go
+++ b/internal/daemon/gateway/answer.go
@@ -66,9 +66,10 @@
 	retryAfterSpread = 400 * time.Millisecond
 )
 
-// writeError sends an error response of the gateway itself.
+// writeError sends an error response of the gateway itself. It says when to come back unless
+// that is set.
 func (n *Node) writeError(w http.ResponseWriter, req *inflightRequest, status int, reason string) {
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable && w.Header().Get("Retry-After") == "" {
 		after := minRetryAfter + req.fullServer.wait/2 + rand.N(retryAfterSpread)
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -49,7 +49,9 @@
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 	inFlight   atomic.Int64
-	stopping   atomic.Bool
+	// stopping is set while the gateway is out of the directory, refusing once it takes no
+	// more requests.
+	stopping, refusing atomic.Bool
 
 	permitPeers  permitPeers
 	serviceTimes serviceTimes
@@ -79,6 +81,13 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := &inflightRequest{start: time.Now(), caller: n.dialect.Caller(r.Header), excluded: map[*server]bool{}, secondChance: map[*server]bool{}}
+	if n.refusing.Load() {
+		req.view = n.keeper.View()
+		// Other gateways take it at once.
+		w.Header().Set("Retry-After", "0")
+		n.writeError(w, req, http.StatusServiceUnavailable, "stopping")
+		return
+	}
 	n.awaitStart(r.Context(), req.caller.Left)
 	req.view = n.keeper.View()
 	if req.view.config == nil {
--- a/internal/daemon/gateway/stop.go
+++ b/internal/daemon/gateway/stop.go
@@ -14,7 +14,8 @@
 // Parts of the time that a process may take to stop.
 const (
 	// lingerShare is the part in which a stopping gateway still takes requests
-	// of callers that hold an older answer of the directory.
+	// of callers that hold an older answer of the directory. Requests that come later might
+	// not end in time, and are refused.
 	lingerShare = 0.45
 	// exitReserve is kept free at the end for the process to exit.
 	exitReserve = 800 * time.Millisecond
@@ -34,7 +35,8 @@
 	defer cancel()
 	go n.syncer.Leave(ctx)
 	sleep.For(ctx, time.Duration(lingerShare*float64(grace)))
-	n.log.WithField("in_flight", n.inFlight.Load()).Info("Stopping: no new connections.")
+	n.refusing.Store(true)
+	n.log.WithField("in_flight", n.inFlight.Load()).Info("Stopping: no new requests.")
 	err := callers.Shutdown(ctx)
 	n.log.WithFields(logrus.Fields{"in_flight": n.inFlight.Load()}).Info("Stopping: requests ended.")
 	return err
