Tell gateways that start of a configuration later than the store's

A gateway that starts after the store came back from a copy, and before the operators have written again, served the copy's configuration, while all others had the later one: callers got 404, or the old service, from that gateway alone. A pull names the version in force, and the page brings a later one, whatever the store says.

TestStartedGatewayHearsOfLaterConfiguration is red without the page's configuration.

--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -156,6 +156,7 @@
 	defer cancel()
 	pull := &peerv1.MirrorPull{
 		Have: s.keeper.Have(), WaitMicros: o.wait.Microseconds(), Self: s.self(), NoReports: with == nil, AwaitReports: o.awaitReports,
+		ConfigVersion: s.keeper.configVersion(),
 	}
 	var told uint64
 	if with != nil {
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -66,13 +66,14 @@
 	// placementStale is set when the capacities of servers have changed since the view was
 	// made; the next tick makes a new one.
 	placementStale bool
-	config         *routing.Config
-	configRevision uint64
-	splits         map[*routing.Route]*lockedSplit
-	levels         map[*routing.Route]int
-	servers        map[string]*server
-	stored         map[string]*peerv1.GatewayMember
-	heard          map[string]heardMember
+	// configRecord is the record of the configuration in force.
+	config       *routing.Config
+	configRecord mirror.Record
+	splits       map[*routing.Route]*lockedSplit
+	levels       map[*routing.Route]int
+	servers      map[string]*server
+	stored       map[string]*peerv1.GatewayMember
+	heard        map[string]heardMember
 	// graceUntil is until when records that lapse still count for a while; lapsed are those
 	// kept, by key.
 	graceUntil time.Time
@@ -177,6 +178,14 @@
 	return k.mirror.Revision()
 }
 
+// configVersion returns the version of the configuration in force; zero for none.
+func (k *Keeper) configVersion() uint64 {
+	if c := k.View().config; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // Synced returns when the mirror last equalled the store.
 func (k *Keeper) Synced() time.Time {
 	k.mu.Lock()
@@ -257,7 +266,7 @@
 		k.log.WithFields(fields).WithField("version", c.Version).Warn("Configuration is not newer; the last one stays in force.")
 		return
 	}
-	k.config, k.configRevision = c, r.Revision
+	k.config, k.configRecord = c, r
 	k.splits, k.levels = map[*routing.Route]*lockedSplit{}, c.Levels()
 	c.EachRoute(func(route *routing.Route) {
 		if len(route.Parts) > 1 {
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -70,11 +70,12 @@
 		var records []mirror.Record
 		records, page.Snapshot = k.mirror.Since(have)
 		for _, r := range records {
-			page.Records = append(page.Records, &peerv1.StoreRecord{
-				Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted, AgeMicros: now.Sub(r.Read).Microseconds(),
-			})
+			page.Records = append(page.Records, recordMessage(r, now))
 		}
 	}
+	if k.config != nil && k.config.Version > req.ConfigVersion {
+		page.Config = recordMessage(k.configRecord, now)
+	}
 	for _, h := range k.heard {
 		if s := k.stored[h.member.Host]; now.Sub(h.at) < k.heardLife(now) && (s == nil || s.Incarnation < h.member.Incarnation) {
 			page.Heard = append(page.Heard, h.member)
@@ -84,6 +85,18 @@
 	return page, k.changed
 }
 
+func recordMessage(r mirror.Record, now time.Time) *peerv1.StoreRecord {
+	return &peerv1.StoreRecord{
+		Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted, AgeMicros: now.Sub(r.Read).Microseconds(),
+	}
+}
+
+func recordOf(m *peerv1.StoreRecord, now time.Time) mirror.Record {
+	return mirror.Record{
+		Key: m.Key, Value: m.Value, Revision: m.Revision, Deleted: m.Deleted, Read: now.Add(-time.Duration(m.AgeMicros) * time.Microsecond),
+	}
+}
+
 // logPage logs what became of the records of a page. The caller holds k.mu.
 func (k *Keeper) logPage(page *peerv1.MirrorPage, source string, have uint64, c mirror.Counts) {
 	if c.Changed == 0 && c.Unchanged == 0 {
@@ -99,10 +112,7 @@
 func (k *Keeper) TakePage(page *peerv1.MirrorPage, source string, now time.Time) {
 	records := make([]mirror.Record, 0, len(page.Records))
 	for _, r := range page.Records {
-		records = append(records, mirror.Record{
-			Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted,
-			Read: now.Add(-time.Duration(r.AgeMicros) * time.Microsecond),
-		})
+		records = append(records, recordOf(r, now))
 	}
 	k.mu.Lock()
 	before, have := k.mirror.Counts(), k.mirror.Revision()
@@ -118,6 +128,9 @@
 		k.take(k.mirror.ApplyForwarded(records), source, now)
 		k.mirror.Complete(page.Complete)
 	}
+	if c := page.Config; c != nil && !c.Deleted && k.config != nil {
+		k.takeLaterConfig(recordOf(c, now), source, now)
+	}
 	k.logPage(page, source, have, k.mirror.Counts().Sub(before))
 	k.mu.Unlock()
 	k.takeReports(page.Reports, now)
--- a/internal/daemon/gateway/restore.go
+++ b/internal/daemon/gateway/restore.go
@@ -118,6 +118,18 @@
 	return m.StoreEra < port.Era(r.Revision)
 }
 
+// takeLaterConfig takes in the configuration that is in force at a source, if it is later than
+// the one here. The caller holds k.mu.
+func (k *Keeper) takeLaterConfig(r mirror.Record, source string, now time.Time) {
+	version := k.config.Version
+	k.takeConfig(r, logrus.Fields{"key": r.Key, "revision": r.Revision, "source": source, "age_ms": now.Sub(r.Read).Milliseconds()})
+	if k.config.Version > version {
+		k.placementChanged = true
+		k.wake()
+		k.publish(now)
+	}
+}
+
 // lapse keeps a removed record for a while. The caller holds k.mu.
 func (k *Keeper) lapse(r mirror.Record, grace time.Duration, fields logrus.Fields, now time.Time) {
 	k.lapsed[r.Key] = lapsedRecord{r, now.Add(grace), grace}
--- a/internal/daemon/gateway/restore_test.go
+++ b/internal/daemon/gateway/restore_test.go
@@ -263,3 +263,19 @@
 		})
 	}
 }
+
+// TestStartedGatewayHearsOfLaterConfiguration guards against a gateway that starts after the
+// store came back from a copy, and serves the copy's configuration although all others know
+// a later one.
+func TestStartedGatewayHearsOfLaterConfiguration(t *testing.T) {
+	play(t, 2, func(w *testCluster) {
+		c := w.store.copy()
+		w.setConfig(2)
+		time.Sleep(drainBound)
+		w.restored(c)
+		h := w.add("a1-late", "a1")
+		w.waitFor(drainBound, "version 2 is in force", func() bool { return h.version() == 2 })
+		w.setConfig(3)
+		w.waitFor(drainBound, "version 3 is in force", func() bool { return h.version() == 3 })
+	})
+}
--- a/internal/daemon/gateway/view.go
+++ b/internal/daemon/gateway/view.go
@@ -111,7 +111,7 @@
 
 // buildView returns a view of the mirror's records. The caller holds k.mu.
 func (k *Keeper) buildView(now time.Time) *view {
-	v := &view{config: k.config, revision: k.configRevision, splits: k.splits, urgencyLevels: k.levels}
+	v := &view{config: k.config, revision: k.configRecord.Revision, splits: k.splits, urgencyLevels: k.levels}
 	if old := k.view.Load(); !k.placementChanged && old.groups != nil {
 		v.groups, v.evacuated = old.groups, old.evacuated
 	} else {
