Act on a server's word that it leaves, and on the pauses that it asks for

A server that leaves gets nothing from the first response on that says so, until it starts again; other gateways are told, also in an outage of the store; a service whose servers all leave is used for half of the drain bound. A pause holds for the gateway that was asked, for health checks too; callers of a service whose servers all pause are told when the first one ends, and a server gets one request at a time until it serves again.

--- a/internal/adapter/serverconn/exchange.go
+++ b/internal/adapter/serverconn/exchange.go
@@ -78,7 +78,9 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeLimit))
 	if err != nil {
-		return nil, shortError(ctx, address, err)
+		be := shortError(ctx, address, err)
+		be.Meta = a.Meta
+		return nil, be
 	}
 	a.Body = body
 	if a.Meta.NotRun {
@@ -236,7 +238,7 @@
 	return &port.BackendError{Code: code, Address: address, Sent: sent, Err: err}
 }
 
-func shortError(ctx context.Context, address string, err error) error {
+func shortError(ctx context.Context, address string, err error) *port.BackendError {
 	be := brokenError(ctx, address, true, err).(*port.BackendError)
 	if be.Code == port.BackendBroken {
 		be.Code = port.BackendShort
--- a/internal/core/fleet/reports.go
+++ b/internal/core/fleet/reports.go
@@ -8,7 +8,7 @@
 )
 
 // Report is an observation of one gateway about a server: that it was
-// unreachable, that it is cold, that it crashed while running a request, or that a
+// unreachable, that it is cold, that it leaves, that it crashed while running a request, or that a
 // request reported before has completed.
 type Report struct {
 	// Origin and Number identify the report.
@@ -24,6 +24,10 @@
 	Cleared bool
 	// Cold is how much longer the server is cold; zero in other reports.
 	Cold time.Duration
+	// Leaving is set when the server's process that started at Born, in Unix milliseconds,
+	// said that it leaves.
+	Leaving bool
+	Born    int64
 }
 
 // Limits of reports.
--- a/internal/daemon/gateway/answer.go
+++ b/internal/daemon/gateway/answer.go
@@ -70,7 +70,11 @@
 // that is set.
 func (n *Node) writeError(w http.ResponseWriter, req *inflightRequest, status int, reason string) {
 	if status == http.StatusServiceUnavailable && w.Header().Get("Retry-After") == "" {
-		after := minRetryAfter + req.fullServer.wait/2 + rand.N(retryAfterSpread)
+		after := minRetryAfter + req.fullServer.wait/2
+		if req.comeBackAfter > 0 {
+			after = req.comeBackAfter
+		}
+		after += rand.N(retryAfterSpread)
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Length", "0")
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -67,6 +67,10 @@
 		result.Status, result.New = a.Status, a.Opened
 		s.recordAnswer(a.Meta, ownRequests, time.Now())
 		n.recordLimit(s, a.Meta, time.Now())
+		n.recordSignals(s, a.Meta, time.Now())
+		if !a.Meta.NotRun {
+			s.resume(started.at)
+		}
 		if req.route.Sticky && a.Status < http.StatusMultipleChoices {
 			s.markWarm(req.objectHash, time.Now())
 		}
@@ -106,6 +110,7 @@
 		return
 	}
 	now := time.Now()
+	n.recordSignals(s, be.Meta, now)
 	var crashRequests []string
 	switch {
 	case be.Code == port.BackendRestarted:
--- a/internal/daemon/gateway/coldcheck.go
+++ b/internal/daemon/gateway/coldcheck.go
@@ -43,7 +43,9 @@
 			checked, own = v, n.serversToCheck(v)
 		}
 		for _, s := range own {
-			if !s.withHealth(awaitsColdCheck) || s.remainingCold(time.Now()) > 0 {
+			now := time.Now()
+			paused, _ := s.pauseLeft(now)
+			if !s.withHealth(awaitsColdCheck) || s.remainingCold(now) > 0 || paused > 0 || s.isLeaving() {
 				continue
 			}
 			path := checked.config.Services[s.rec().Service].HealthPath
@@ -85,10 +87,14 @@
 		n.log.WithField("server", rec.ID).WithError(err).Debug("Server not checked.")
 		return
 	}
-	if meta.NotRun || meta.Instance != "" && meta.Instance != rec.ID {
+	if meta.Instance != "" && meta.Instance != rec.ID {
 		return
 	}
 	now := time.Now()
+	n.recordSignals(s, meta, now)
+	if meta.NotRun {
+		return
+	}
 	s.recordLoad(meta.Load, s.inFlight(), now)
 	if meta.Cold > 0 {
 		s.holdColdPermits(now)
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -79,6 +79,8 @@
 	graceUntil time.Time
 	lapsed     map[string]lapsedRecord
 	restore    restore
+	// leaving holds the servers that said that they leave, by ID.
+	leaving map[string]leavingWord
 	// storeLost is since when the store has failed this gateway; zero while it does not.
 	// What was confirmed before then is no longer passed on as current.
 	storeLost time.Time
@@ -97,7 +99,7 @@
 	k := &Keeper{
 		cfg: cfg, schema: schema, log: log, born: time.Now(), changed: make(chan struct{}), reported: make(chan struct{}),
 		servers: map[string]*server{}, stored: map[string]*peerv1.GatewayMember{},
-		heard: map[string]heardMember{}, lapsed: map[string]lapsedRecord{},
+		heard: map[string]heardMember{}, lapsed: map[string]lapsedRecord{}, leaving: map[string]leavingWord{},
 		origin: cfg.Host + "/" + strconv.FormatUint(rand.Uint64(), 36),
 	}
 	k.mirror = mirror.New(k.sameRecord)
@@ -211,9 +213,11 @@
 	k.placementChanged = k.placementChanged || kind != port.RecordMember
 	fields := logrus.Fields{"key": r.Key, "revision": r.Revision, "source": source, "age_ms": now.Sub(r.Read).Milliseconds()}
 	delete(k.restore.doubted, r.Key)
-	if !r.Deleted {
-		delete(k.lapsed, r.Key)
+	if _, lapsed := k.lapsed[r.Key]; lapsed && r.Deleted {
+		// Each hub that lists the store gives what a copy lacks a revision of its own.
+		return
 	}
+	delete(k.lapsed, r.Key)
 	switch kind {
 	case port.RecordConfig:
 		k.takeConfig(r, fields)
@@ -317,6 +321,9 @@
 		until := r.Read.Add(rec.Cold)
 		s.withHealth(func(h *fleet.Health) bool { h.Cold(until); return true })
 	}
+	if k.saidToLeave(&rec) {
+		s.leave(now)
+	}
 	k.servers[id] = s
 	fields["service"], fields["state"], fields["cold_ms"] = rec.Service, rec.State.String(), rec.Cold.Milliseconds()
 	k.log.WithFields(fields).Info("Server changed.")
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -20,6 +20,7 @@
 	opened   prometheus.Counter
 	limited  *prometheus.CounterVec
 	permits  *prometheus.CounterVec
+	signals  *prometheus.CounterVec
 }
 
 // latencyBuckets cover the latencies that routes aim for, in seconds.
@@ -56,7 +57,10 @@
 			Name: "cassiatray_gateway_permit_asks_total", Help: "Asks for permits to send to backend servers that name a limit, by result.",
 		}, []string{"result"}),
 	}
-	reg.MustRegister(m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits)
+	m.signals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_server_signals_total", Help: "What responses of backend servers said of them: leaving, pause or unreadable.",
+	}, []string{"signal"})
+	reg.MustRegister(m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals)
 	return m
 }
 
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -153,6 +153,9 @@
 		now := time.Now()
 		if reason != reasonNone {
 			req.fullServer = c
+			if reason == reasonPaused {
+				req.comeBackAfter = c.wait
+			}
 			n.writeFailure(w, req, string(reason))
 			return
 		}
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -46,6 +46,8 @@
 	reasonCold        rejectReason = "servers cold"
 	reasonFull        rejectReason = "servers full"
 	reasonLimited     rejectReason = "servers at their limit"
+	reasonLeaving     rejectReason = "servers leaving"
+	reasonPaused      rejectReason = "servers pause"
 )
 
 // pickServer chooses a server for the request. If the server names a limit, pickServer
@@ -73,7 +75,7 @@
 	}
 	serviceTime := n.serviceTimes.estimate(req.route)
 	maxWait := overload.MaxWait(req.route.Target, req.deadline.Sub(now), serviceTime, v.urgencyLevels[req.route])
-	var best, reportedDown, limited candidate
+	var best, reportedDown, limited, paused, leaving candidate
 	why := reasonNoServer
 	usable := 0
 	for rank, s := range g.ranked(req.objectHash, req.sticky()) {
@@ -86,6 +88,10 @@
 				reportedDown = c
 			case reason == reasonLimited && (limited.server == nil || c.wait < limited.wait):
 				limited = c
+			case reason == reasonPaused && (paused.server == nil || c.wait < paused.wait):
+				paused = c
+			case reason == reasonLeaving && leaving.server == nil && s.leftFor(now) < n.lastUse():
+				leaving = c
 			}
 			continue
 		}
@@ -105,7 +111,12 @@
 		// The server may be unreachable only from the gateway that reported it.
 		best = reportedDown
 	}
+	if best.server == nil && limited.server == nil && paused.server == nil {
+		best = leaving
+	}
 	switch {
+	case best.server == nil && paused.server != nil && (limited.server == nil || paused.wait < limited.wait):
+		return paused, reasonPaused
 	case best.server == nil && limited.server != nil:
 		return limited, reasonLimited
 	case best.server == nil:
@@ -170,6 +181,12 @@
 	case req.excluded[s]:
 		return candidate{}, reasonAllTried
 	}
+	if s.isLeaving() {
+		return candidate{server: s}, reasonLeaving
+	}
+	if left, oneAtATime := s.pauseLeft(now); left > 0 || oneAtATime && s.inFlight() > 0 {
+		return candidate{server: s, wait: left}, reasonPaused
+	}
 	limit := s.limit()
 	if limit.Named {
 		if pause := s.permitPause(now); pause > 0 || len(req.permitAsks) >= maxPermitAsks {
@@ -226,11 +243,20 @@
 	return pace.Owner(s.rec().ID, v.hosts) == n.cfg.Host && n.keeper.introduced(time.Now())
 }
 
+// lastUse returns how long a server that says that it leaves still gets requests that no
+// other server can take.
+func (n *Node) lastUse() time.Duration {
+	return time.Duration(lastUseShare * float64(n.bounds.Load().Drain))
+}
+
 // checkTimeout is the timeout of a health check.
 const checkTimeout = time.Second
 
 // checkIfDue starts a health check of an unreachable server if one is due.
 func (n *Node) checkIfDue(v *view, s *server, now time.Time) {
+	if left, _ := s.pauseLeft(now); left > 0 || s.isLeaving() {
+		return
+	}
 	if !s.withHealth(func(h *fleet.Health) bool { return h.WantsCheck(now) }) {
 		return
 	}
@@ -251,6 +277,9 @@
 	if errors.As(err, &be) && be.Code == port.BackendRefused {
 		n.reportCrash(s, s.connectionRefused(now), now)
 	}
+	if err == nil && (meta.Instance == "" || meta.Instance == rec.ID) {
+		n.recordSignals(s, meta, now)
+	}
 	log := n.log.WithFields(logrus.Fields{"server": rec.ID, "address": rec.Address, "status": status})
 	// A server without a free slot also rejects health checks, but it is alive.
 	alive := err == nil && (status == 200 || meta.NotRun) && (meta.Instance == "" || meta.Instance == rec.ID)
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -94,8 +94,8 @@
 	for _, r := range list {
 		rep := fleet.Report{
 			Origin: r.Origin, Number: r.Number, Server: r.Server, Request: string(r.Fingerprint), Cleared: r.Cleared,
-			Cold: time.Duration(r.ColdMicros) * time.Microsecond,
-			At:   now.Add(-time.Duration(r.AgeMicros) * time.Microsecond),
+			Cold: time.Duration(r.ColdMicros) * time.Microsecond, Leaving: r.Leaving, Born: r.Born,
+			At: now.Add(-time.Duration(r.AgeMicros) * time.Microsecond),
 		}
 		if !k.reports.Add(now, rep) {
 			continue
@@ -104,6 +104,10 @@
 		if rep.Cleared {
 			continue
 		}
+		if rep.Leaving {
+			k.takeLeavingReport(rep, now)
+			continue
+		}
 		s := k.servers[r.Server]
 		if rep.Cold > 0 {
 			k.takeColdReport(s, rep, now)
@@ -142,7 +146,7 @@
 	for _, r := range list {
 		out = append(out, &peerv1.ServerReport{
 			Origin: r.Origin, Number: r.Number, Server: r.Server, AgeMicros: now.Sub(r.At).Microseconds(), Fingerprint: []byte(r.Request), Cleared: r.Cleared,
-			ColdMicros: r.Cold.Microseconds(),
+			ColdMicros: r.Cold.Microseconds(), Leaving: r.Leaving, Born: r.Born,
 		})
 	}
 	return out, next
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -40,6 +40,8 @@
 	mayHaveRun bool
 	// fullServer is the server that was picked but whose wait was too long.
 	fullServer candidate
+	// comeBackAfter is when a server will take requests again; zero if that is not known.
+	comeBackAfter time.Duration
 	// fallbackAnswer is a server's error response, returned to the caller if no
 	// retry succeeds.
 	fallbackAnswer *port.ForwardAnswer
--- a/internal/daemon/gateway/server.go
+++ b/internal/daemon/gateway/server.go
@@ -35,6 +35,12 @@
 	permits ratelimit.Bucket
 	// nextPermitAsk is when this gateway may ask for a permit again.
 	nextPermitAsk time.Time
+	// leavingSince is when the server was heard to leave; zero for not at all.
+	leavingSince time.Time
+	// pausedUntil is until when the server wants no requests, resuming whether it has served
+	// none since.
+	pausedUntil time.Time
+	resuming    bool
 	// capacityShare is the fraction of the work of its slots that the server takes under
 	// its limit, as the placement of objects takes it; zero for all.
 	capacityShare float64
--- /dev/null
+++ b/internal/daemon/gateway/signals_test.go
@@ -0,0 +1,265 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/mirror"
+	"cassiatray/internal/port"
+)
+
+// signallingServers answer with what each server says of itself.
+type signallingServers struct {
+	mu   sync.Mutex
+	meta map[string]port.ServerMeta
+	// arrivals are the requests that each server got.
+	arrivals map[string][]time.Time
+	// running counts the requests in flight at each server, most is the highest count.
+	running, most map[string]int
+	runTime       time.Duration
+}
+
+func newSignallingServers() *signallingServers {
+	return &signallingServers{
+		meta: map[string]port.ServerMeta{}, arrivals: map[string][]time.Time{}, running: map[string]int{}, most: map[string]int{}, runTime: 10 * time.Millisecond,
+	}
+}
+
+func (s *signallingServers) say(address string, meta port.ServerMeta) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.meta[address] = meta
+}
+
+// got returns how many requests a server got since a time.
+func (s *signallingServers) got(address string, since time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, at := range s.arrivals[address] {
+		if at.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// Forward implements port.Forwarder.
+func (s *signallingServers) Forward(_ context.Context, address string, _ *port.ForwardRequest) (*port.ForwardAnswer, error) {
+	s.mu.Lock()
+	s.arrivals[address] = append(s.arrivals[address], time.Now())
+	meta := s.meta[address]
+	if !meta.NotRun {
+		s.running[address]++
+		s.most[address] = max(s.most[address], s.running[address])
+	}
+	s.mu.Unlock()
+	if meta.NotRun {
+		return &port.ForwardAnswer{Status: http.StatusServiceUnavailable, Header: http.Header{}, Meta: meta}, nil
+	}
+	time.Sleep(s.runTime)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[address]--
+	a := okAnswer()
+	a.Meta = meta
+	return a, nil
+}
+
+// Probe implements port.Prober.
+func (s *signallingServers) Probe(_ context.Context, address, _ string) (port.ServerMeta, int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.meta[address], http.StatusOK, nil
+}
+
+// signalFixture is a gateway whose servers say what they like; the drain bound is drainBound.
+func signalFixture() (*fixture, *signallingServers) {
+	servers := newSignallingServers()
+	f := newFixture(nil)
+	f.node.forwarder, f.node.prober = servers, servers
+	return f, servers
+}
+
+// spread sends a request for each of some objects.
+func (f *fixture) spread(objects int) {
+	for i := range objects {
+		f.do(http.MethodGet, "/get/", "Object", fmt.Sprint(i))
+	}
+}
+
+// TestServerThatSaysItLeavesGetsNoRequests guards against requests to a server that has said
+// in a response that it leaves: nothing but its record was believed, which comes later, or
+// not at all. The word holds until the server starts again.
+func TestServerThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, servers := signalFixture()
+		apply := func(revision uint64, r fleet.Record) {
+			r.ID, r.Domain = "i-a1", "a1"
+			f.keeper.Apply([]mirror.Record{f.serverRecord(r, revision)}, revision, "store", time.Now())
+		}
+		apply(20, fleet.Record{Born: 7, Beat: 1})
+		servers.say("i-a1", port.ServerMeta{Leaving: true})
+		start := time.Now()
+		f.spread(60)
+		if n := servers.got("i-a1", start.Add(-1)); n != 1 {
+			t.Errorf("%d requests reached i-a1, want the one whose response says that it leaves", n)
+		}
+		check := func(what string, want bool) {
+			t.Helper()
+			since := time.Now()
+			f.spread(60)
+			if n := servers.got("i-a1", since.Add(-1)); (n > 0) != want {
+				t.Errorf("%s: %d requests reached i-a1", what, n)
+			}
+		}
+		apply(21, fleet.Record{Born: 7, Beat: 9, Version: "v2"})
+		check("after a record of the same process", false)
+		f.keeper.Apply([]mirror.Record{{Key: "server/i-a1", Revision: 22, Deleted: true, Read: time.Now()}}, 22, "store", time.Now())
+		apply(23, fleet.Record{Born: 7, Beat: 12})
+		check("after the record of the same process was gone", false)
+		servers.say("i-a1", port.ServerMeta{})
+		apply(24, fleet.Record{Born: 9, Beat: 1})
+		check("after another start", true)
+	})
+}
+
+// TestWordOfAServerThatLeavesIsPassedOn checks that all gateways act on a server's word that
+// it leaves within the bound, also while the store is away and those that never asked it.
+func TestWordOfAServerThatLeavesIsPassedOn(t *testing.T) {
+	for _, away := range []bool{false, true} {
+		t.Run(fmt.Sprintf("store away=%t", away), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				servers := newSignallingServers()
+				w := newTestCluster(t)
+				w.forwarder = func(string) forwardProber { return servers }
+				w.setConfig(1)
+				for _, d := range testDomains {
+					w.setServer(fleet.Record{ID: "i-" + d.Domain, Domain: d.Domain, Born: 7})
+				}
+				w.addPerDomain(2)
+				defer synctest.Wait()
+				defer w.stopAll()
+				time.Sleep(8 * time.Second)
+				w.store.turnAway(away)
+				time.Sleep(5 * time.Second)
+				h := w.hosts["b2-1"]
+				h.node.recordSignals(h.keeper.server("i-a1", 0), port.ServerMeta{Leaving: true}, time.Now())
+				w.waitFor(drainBound, "all gateways know that i-a1 leaves", func() bool {
+					for _, h := range w.hosts {
+						if !h.keeper.server("i-a1", 0).isLeaving() {
+							return false
+						}
+					}
+					return true
+				})
+			})
+		})
+	}
+}
+
+// TestLastServersThatLeaveServeForAWhile checks that callers are served by servers that leave
+// if there are no others, well within the bound, and are rejected at once after that.
+func TestLastServersThatLeaveServeForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, servers := signalFixture()
+		f.node.bounds.Store(&Bounds{Drain: 2500 * 1e6})
+		for _, d := range testDomains {
+			servers.say("i-"+d.Domain, port.ServerMeta{Leaving: true})
+		}
+		f.spread(60)
+		start := time.Now()
+		if w := f.do(http.MethodGet, "/get/"); w.Code != http.StatusOK {
+			t.Errorf("status %d while all servers leave", w.Code)
+		}
+		time.Sleep(drainBound - time.Since(start))
+		begin := time.Now()
+		if w := f.do(http.MethodGet, "/get/"); w.Code != http.StatusServiceUnavailable || time.Since(begin) > 0 {
+			t.Errorf("status %d after %v, %v after all said that they leave", w.Code, time.Since(begin), drainBound)
+		}
+	})
+}
+
+// TestServerThatAsksForAPauseGetsNoRequests guards against requests to a server that has
+// turned one away and said for how long it wants none.
+func TestServerThatAsksForAPauseGetsNoRequests(t *testing.T) {
+	const pause = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f, servers := signalFixture()
+		start := time.Now()
+		servers.say("i-a1", port.ServerMeta{NotRun: true, Pause: pause})
+		f.spread(60)
+		servers.say("i-a1", port.ServerMeta{})
+		for time.Since(start) < pause-100*time.Millisecond {
+			f.spread(6)
+			time.Sleep(50 * time.Millisecond)
+		}
+		if n := servers.got("i-a1", start.Add(-1)); n != 1 {
+			t.Errorf("%d requests within the pause, want the one that was turned away", n)
+		}
+		time.Sleep(200 * time.Millisecond)
+		since := time.Now()
+		f.spread(60)
+		if servers.got("i-a1", since.Add(-1)) == 0 {
+			t.Error("no request after the pause")
+		}
+	})
+}
+
+// TestAllServersAskForAPause checks that callers are told to come back when the first pause
+// ends, not all at once, and that a server gets one request at a time until it serves again.
+func TestAllServersAskForAPause(t *testing.T) {
+	const shortest = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f, servers := signalFixture()
+		for i, d := range testDomains {
+			servers.say("i-"+d.Domain, port.ServerMeta{NotRun: true, Pause: shortest + time.Duration(i)*time.Second})
+		}
+		start := time.Now()
+		f.spread(60)
+		told := map[string]bool{}
+		for range 20 {
+			w := f.do(http.MethodGet, "/get/")
+			after, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+			back := time.Since(start) + time.Duration(after*float64(time.Second))
+			if w.Code != http.StatusServiceUnavailable || err != nil || back < shortest || back > shortest+time.Second {
+				t.Fatalf("status %d, Retry-After %q, %v after the pauses began", w.Code, w.Header().Get("Retry-After"), time.Since(start))
+			}
+			told[w.Header().Get("Retry-After")] = true
+			time.Sleep(50 * time.Millisecond)
+		}
+		if len(told) < 10 {
+			t.Errorf("%d different times told to 20 callers", len(told))
+		}
+		if n := f.servers.count(); n > 0 {
+			t.Errorf("%d requests", n)
+		}
+		time.Sleep(shortest - time.Since(start) + time.Millisecond)
+		first := "i-" + testDomains[0].Domain
+		servers.say(first, port.ServerMeta{})
+		servers.runTime = 200 * time.Millisecond
+		var wg sync.WaitGroup
+		for i := range 30 {
+			wg.Go(func() { f.do(http.MethodGet, "/get/", "Object", fmt.Sprint(i)) })
+			time.Sleep(time.Millisecond)
+		}
+		wg.Wait()
+		if servers.most[first] != 1 {
+			t.Errorf("%d requests at once to a server that has not served since its pause", servers.most[first])
+		}
+		for i := range 4 {
+			wg.Go(func() { f.do(http.MethodGet, "/get/", "Object", fmt.Sprint(i)) })
+		}
+		wg.Wait()
+		if servers.most[first] < 2 {
+			t.Error("one request at a time to a server that serves again")
+		}
+	})
+}
--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -102,6 +102,8 @@
 
 // BackendError is a failed request to a backend server.
 type BackendError struct {
+	// Meta is what the head of an answer said that was not whole.
+	Meta    ServerMeta
 	Code    BackendCode
 	Address string
 	// Sent is set once a byte of the request may have left this host.
--- a/internal/port/dialect.go
+++ b/internal/port/dialect.go
@@ -42,6 +42,13 @@
 	// names one that cannot be read.
 	Limit      *float64
 	LimitError error
+	// Leaving is set when the server says that it leaves.
+	Leaving bool
+	// Pause is for how long the server wants no requests from this gateway; zero for no
+	// pause.
+	Pause time.Duration
+	// SignalErrors are what of Leaving and Pause cannot be read.
+	SignalErrors []error
 }
 
 // HeaderError is a header of a response that cannot be read.
