Ask for the changes before a hub's first listing

After a loss of power that hits all gateways, those whose listing is a revision older than their hub's were sent all records once more, since a listing does not tell what was removed before it: links of small hosts fill just when they are needed.

A hub asks the store once for the 1000 revisions before its listing and keeps the removals.

--- a/internal/core/mirror/mirror.go
+++ b/internal/core/mirror/mirror.go
@@ -159,6 +159,22 @@
 	return out
 }
 
+// Backfill takes in the changes after a revision that the last listing covers, and so the
+// removals among them: mirrors that are complete up to that revision or a later one need no
+// snapshot. It does nothing if an earlier gap in the history reaches there.
+func (m *Mirror) Backfill(records []Record, after uint64) {
+	if after >= m.gapTo || after < m.gapFrom || after < m.purgedRevision {
+		return
+	}
+	for _, r := range records {
+		old := m.entries[r.Key]
+		if r.Deleted && r.Revision <= m.completeRevision && (old == nil || old.Deleted && old.Revision < r.Revision) {
+			m.entries[r.Key] = &entry{Record: r, forwarded: r}
+		}
+	}
+	m.gapTo = after
+}
+
 // Complete records that the mirror holds every record up to a revision.
 func (m *Mirror) Complete(revision uint64) { m.completeRevision = max(m.completeRevision, revision) }
 
--- a/internal/core/mirror/mirror_test.go
+++ b/internal/core/mirror/mirror_test.go
@@ -214,6 +214,46 @@
 	})
 }
 
+// TestBackfilledListingNeedsNoSnapshot checks that a mirror that was filled by a listing, and
+// then by the changes before it, brings another one that listed earlier up to date without a
+// snapshot; and one that listed before those changes with a snapshot.
+func TestBackfilledListingNeedsNoSnapshot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := drawHistory(t)
+		now := time.Unix(0, 0)
+		listing := func(upTo int) (out []Record) {
+			live := map[string]Record{}
+			for _, r := range h[:upTo] {
+				delete(live, r.Key)
+				if !r.Deleted {
+					live[r.Key] = r
+				}
+			}
+			return slices.Collect(maps.Values(live))
+		}
+		early := rapid.IntRange(1, len(h)).Draw(t, "early")
+		late := rapid.IntRange(early, len(h)).Draw(t, "late")
+		from := rapid.IntRange(0, late).Draw(t, "from")
+		source, puller := New(neverSame), New(neverSame)
+		source.Replace("", listing(late), uint64(late), now)
+		source.Backfill(h[from:late], uint64(from))
+		puller.Replace("", listing(early), uint64(early), now)
+		records, snapshot := source.Since(uint64(early))
+		if want := early < from; snapshot != want && early < late {
+			t.Fatalf("listed at %d and %d, changes from %d: snapshot %t", early, late, from, snapshot)
+		}
+		if snapshot {
+			puller.Replace("", records, source.Revision(), now)
+		} else {
+			puller.ApplyForwarded(records)
+			puller.Complete(source.Revision())
+		}
+		if got, want := fmt.Sprint(contents(puller)), fmt.Sprint(contents(source)); got != want {
+			t.Fatalf("got %s, want %s", got, want)
+		}
+	})
+}
+
 // TestPullsInFlightConverge checks that responses to pulls that were sent
 // before the mirror applied others do not restore removed keys. This happens
 // when a process that has just started pulls from two sources at once. The test
--- a/internal/daemon/gateway/start.go
+++ b/internal/daemon/gateway/start.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiatray/internal/core/mirror"
+	"cassiatray/internal/port"
 	"cassiatray/internal/sleep"
 )
 
@@ -21,6 +22,34 @@
 	loadTrust = time.Second
 )
 
+// startOverlap is how many revisions before its first listing a hub asks the store for: those
+// that list a little earlier, when many start at once, then lack nothing that it has not.
+const startOverlap = 1000
+
+// backfill asks the store for the changes just before the first listing.
+func (s *Syncer) backfill(ctx context.Context) {
+	have := s.keeper.Have()
+	era := port.RevisionIn(port.Era(have), 1)
+	if have <= era {
+		return
+	}
+	after := max(era, have-min(have-era, startOverlap))
+	ch, err := s.store.WatchPrefix(ctx, "", after, 0)
+	s.metrics.call("watch", err)
+	if err != nil {
+		s.log.WithError(err).WithField("revision", after).Debug("No changes before the first listing; others may need a snapshot.")
+		return
+	}
+	s.keeper.Backfill(recordsOfChanges(ch.List, time.Now()), after)
+}
+
+// Backfill takes in the changes after a revision that the first listing covers.
+func (k *Keeper) Backfill(records []mirror.Record, after uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.mirror.Backfill(records, after)
+}
+
 // load lists the store once when the process starts. Many start at once after a
 // loss of power, and the store bears that better than the links of the few hosts
 // that would otherwise send each of them all records.
--- a/internal/daemon/gateway/sync.go
+++ b/internal/daemon/gateway/sync.go
@@ -195,6 +195,8 @@
 	s.awaitLoad(ctx)
 	// relist is set when the store has forgotten what follows the mirror's revision.
 	relist := false
+	// backfilled is set once the changes before the first listing were asked for.
+	backfilled := false
 	failures := 0
 	for ctx.Err() == nil {
 		if !s.watching() {
@@ -203,6 +205,10 @@
 		}
 		started := time.Now()
 		revision := s.keeper.Have()
+		if revision > 0 && !backfilled {
+			s.backfill(ctx)
+		}
+		backfilled = true
 		err := s.step(ctx, revision, relist || revision == 0)
 		if err != nil {
 			if ctx.Err() != nil {
@@ -261,12 +267,16 @@
 		return err
 	}
 	now := time.Now()
-	records := make([]mirror.Record, 0, len(ch.List))
-	for _, c := range ch.List {
+	s.keeper.Apply(recordsOfChanges(ch.List, now), ch.Revision, "store", now)
+	return nil
+}
+
+func recordsOfChanges(changes []port.Change, now time.Time) []mirror.Record {
+	records := make([]mirror.Record, 0, len(changes))
+	for _, c := range changes {
 		records = append(records, mirror.Record{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, Read: now})
 	}
-	s.keeper.Apply(records, ch.Revision, "store", now)
-	return nil
+	return records
 }
 
 func recordsOf(entries []port.Entry, now time.Time) []mirror.Record {
