--- a/internal/core/document/bench_test.go
+++ b/internal/core/document/bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-// benchSizes are numbers of client blocks.
+// benchSizes are the numbers of client blocks to benchmark with.
 var benchSizes = []int{1_000, 10_000, 100_000, 440_000}
 
 func benchReplica(b *testing.B, n int) *Replica {
@@ -16,11 +16,12 @@
 	return replicaOf(b, 1, doc)
 }
 
-// step returns the head and the delta that give one block other regions.
-func step(b *testing.B, r *Replica, i, order int) (Head, Delta) {
+// oneBlockChange returns a head and a delta that change the regions of one
+// block.
+func oneBlockChange(b *testing.B, r *Replica, i, order int) (Head, Delta) {
 	b.Helper()
 	d := Delta{Base: r.Head().Sequence, Set: []Client{testClient(i, order)}}
-	sections, err := r.sectionsOf(d)
+	sections, err := r.changedSections(d)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -30,7 +31,7 @@
 	return h, d
 }
 
-// BenchmarkApplyOneBlock changes one block of many by a delta.
+// BenchmarkApplyOneBlock applies a delta that changes one of n blocks.
 func BenchmarkApplyOneBlock(b *testing.B) {
 	for _, n := range benchSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
@@ -38,7 +39,7 @@
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				b.StopTimer()
-				h, d := step(b, r, i%n, i%n+1+i/n)
+				h, d := oneBlockChange(b, r, i%n, i%n+1+i/n)
 				b.StartTimer()
 				if _, err := r.Apply(h, d); err != nil {
 					b.Fatal(err)
@@ -48,51 +49,51 @@
 	}
 }
 
-// BenchmarkReplicaMemory reports the bytes that a replica holds for a block.
+// BenchmarkReplicaMemory reports the memory of a replica per block.
 func BenchmarkReplicaMemory(b *testing.B) {
 	for _, n := range benchSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for b.Loop() {
-				before := heap()
+				before := heapBytes()
 				r := benchReplica(b, n)
-				b.ReportMetric(float64(heap()-before)/float64(n), "B/block")
+				b.ReportMetric(float64(heapBytes()-before)/float64(n), "B/block")
 				runtime.KeepAlive(r)
 			}
 		})
 	}
 }
 
-func heap() uint64 {
+func heapBytes() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
 
-// BenchmarkChangeBytes reports what one changed block costs to store and to
-// send: the sections that it makes anew.
+// BenchmarkChangeBytes reports the number and size of the sections that have to
+// be stored and sent when one block changes.
 func BenchmarkChangeBytes(b *testing.B) {
 	for _, n := range benchSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			r := benchReplica(b, n)
 			for b.Loop() {
-				_, d := step(b, r, 7, 8)
-				sections, err := r.sectionsOf(d)
+				_, d := oneBlockChange(b, r, 7, 8)
+				sections, err := r.changedSections(d)
 				if err != nil {
 					b.Fatal(err)
 				}
 				total, largest := 0, 0
-				made := 0
+				created := 0
 				for _, s := range sections {
-					if _, held := r.Find(s.Hash); !held {
+					if _, exists := r.Find(s.Hash); !exists {
 						total += len(s.Data)
-						made++
+						created++
 					}
 				}
 				for _, s := range r.sections {
 					largest = max(largest, len(s.Data))
 				}
-				b.ReportMetric(float64(made), "sections/change")
+				b.ReportMetric(float64(created), "sections/change")
 				b.ReportMetric(float64(total), "B/change")
 				b.ReportMetric(float64(largest), "largest-B")
 				b.ReportMetric(float64(len(r.sections)), "sections")
--- a/internal/core/document/check_services.go
+++ b/internal/core/document/check_services.go
@@ -7,14 +7,15 @@
 	"time"
 )
 
-// Bounds of the numbers of a service.
+// Limits of the numeric settings of a service.
 const (
-	// MaxPriority is the largest number of Class.Priority, for the least urgent.
+	// MaxPriority is the largest value of Class.Priority, for the least urgent
+	// requests.
 	MaxPriority = 9
-	// MaxSlots and MaxConnections bound one server.
+	// MaxSlots and MaxConnections limit the settings of one server.
 	MaxSlots       = 10_000
 	MaxConnections = 1_000_000
-	// MaxDeadline bounds how long a request may take.
+	// MaxDeadline is the longest deadline of a request.
 	MaxDeadline = Duration(time.Hour)
 )
 
@@ -23,16 +24,16 @@
 	for i := range c.doc.Services {
 		s := &c.doc.Services[i]
 		key := fmt.Sprintf("services[%d]", i)
-		c.name(key+".name", "service", s.Name, names)
+		c.checkName(key+".name", "service", s.Name, names)
 		c.services[s.Name] = s
 		if s.Slots < 1 || s.Slots > MaxSlots {
-			c.fail(key+".slots", "expected 1 to %d, got %d", MaxSlots, s.Slots)
+			c.addProblem(key+".slots", "expected 1 to %d, got %d", MaxSlots, s.Slots)
 		}
 		if s.Connections < s.Slots || s.Connections > MaxConnections {
-			c.fail(key+".connections", "expected at least as many as slots and at most %d, got %d", MaxConnections, s.Connections)
+			c.addProblem(key+".connections", "expected at least as many as slots and at most %d, got %d", MaxConnections, s.Connections)
 		}
 		if n := s.ColdStart.InitialSlots; n < 0 || n > s.Slots {
-			c.fail(key+".coldStart.initialSlots", "expected 0 to the %d slots of the service, got %d", s.Slots, n)
+			c.addProblem(key+".coldStart.initialSlots", "expected 0 to the %d slots of the service, got %d", s.Slots, n)
 		}
 		c.servers(key, s)
 		c.classes(key, s)
@@ -41,70 +42,70 @@
 
 func (c *checker) servers(key string, s *Service) {
 	if len(s.Servers) == 0 {
-		c.fail(key+".servers", "expected at least one server")
+		c.addProblem(key+".servers", "expected at least one server")
 	}
 	names := map[string]bool{}
 	for j, b := range s.Servers {
 		skey := fmt.Sprintf("%s.servers[%d]", key, j)
-		c.name(skey+".name", "server of "+s.Name, b.Name, names)
+		c.checkName(skey+".name", "server of "+s.Name, b.Name, names)
 		if _, ok := c.domains[b.Domain]; !ok {
-			c.fail(skey+".domain", "no failure domain is named %q", b.Domain)
+			c.addProblem(skey+".domain", "no failure domain is named %q", b.Domain)
 		}
-		c.address(skey+".address", b.Address)
+		c.checkAddress(skey+".address", b.Address)
 	}
 }
 
 func (c *checker) classes(key string, s *Service) {
 	if len(s.Classes) == 0 {
-		c.fail(key+".classes", "expected at least one class")
+		c.addProblem(key+".classes", "expected at least one class")
 	}
 	names := map[string]bool{}
 	for j, k := range s.Classes {
 		ckey := fmt.Sprintf("%s.classes[%d]", key, j)
-		c.name(ckey+".name", "class of "+s.Name, k.Name, names)
-		c.match(ckey, k, s.Classes[:j])
+		c.checkName(ckey+".name", "class of "+s.Name, k.Name, names)
+		c.classMatch(ckey, k, s.Classes[:j])
 		c.execution(ckey, k)
 		if k.Deadline <= 0 || k.Deadline > MaxDeadline {
-			c.fail(ckey+".deadline", "expected a duration above zero and up to %s, got %s", MaxDeadline, k.Deadline)
+			c.addProblem(ckey+".deadline", "expected a duration above zero and up to %s, got %s", MaxDeadline, k.Deadline)
 		}
 		if k.Priority < 0 || k.Priority > MaxPriority {
-			c.fail(ckey+".priority", "expected 0 to %d, got %d", MaxPriority, k.Priority)
+			c.addProblem(ckey+".priority", "expected 0 to %d, got %d", MaxPriority, k.Priority)
 		}
 		if k.MaxAnswer < 1 {
-			c.fail(ckey+".maxAnswer", "expected a size above zero")
+			c.addProblem(ckey+".maxAnswer", "expected a size above zero")
 		}
 	}
 }
 
-var knownMethods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+var allowedMethods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 
-// match checks what a class takes, and that no class before it takes all of
-// that already.
-func (c *checker) match(key string, k Class, before []Class) {
+// classMatch checks the path and methods of a class, and that the classes
+// before it leave some of its requests to it.
+func (c *checker) classMatch(key string, k Class, before []Class) {
 	if !strings.HasPrefix(k.Path, "/") {
-		c.fail(key+".path", `expected a path prefix that begins with "/", got %q`, k.Path)
+		c.addProblem(key+".path", `expected a path prefix that begins with "/", got %q`, k.Path)
 	}
 	if len(k.Methods) == 0 {
-		c.fail(key+".methods", "expected at least one method")
+		c.addProblem(key+".methods", "expected at least one method")
 		return
 	}
 	for i, m := range k.Methods {
 		mkey := fmt.Sprintf("%s.methods[%d]", key, i)
-		if !slices.Contains(knownMethods, m) {
-			c.fail(mkey, "expected one of %s, got %q", strings.Join(knownMethods, ", "), m)
+		if !slices.Contains(allowedMethods, m) {
+			c.addProblem(mkey, "expected one of %s, got %q", strings.Join(allowedMethods, ", "), m)
 		}
 		if slices.Contains(k.Methods[:i], m) {
-			c.fail(mkey, "method %s is listed twice", m)
+			c.addProblem(mkey, "method %s is listed twice", m)
 		}
 	}
-	if shadows := shadowing(k, before); len(shadows) > 0 {
-		c.fail(key, "class %q is never reached: %s before it takes all of its requests", k.Name, strings.Join(shadows, " and "))
+	if shadows := shadowingClasses(k, before); len(shadows) > 0 {
+		c.addProblem(key, "class %q is never reached: %s before it takes all of its requests", k.Name, strings.Join(shadows, " and "))
 	}
 }
 
-// shadowing returns the classes that together take every request of k, or
-// nothing when some request reaches k.
-func shadowing(k Class, before []Class) []string {
+// shadowingClasses returns the classes that together match every request of k,
+// or nil if some requests reach k.
+func shadowingClasses(k Class, before []Class) []string {
 	var out []string
 	for _, m := range k.Methods {
 		i := slices.IndexFunc(before, func(b Class) bool {
@@ -124,16 +125,16 @@
 	switch k.Execution {
 	case Idempotent:
 		if k.RequireOperationID {
-			c.fail(key+".requireOperationId", "expected only in a class with execution at-most-once")
+			c.addProblem(key+".requireOperationId", "expected only in a class with execution at-most-once")
 		}
 	case AtMostOnce:
 		if k.HedgeAfter > 0 {
-			c.fail(key+".hedgeAfter", "expected only in a class with execution idempotent: a hedge runs a request twice")
+			c.addProblem(key+".hedgeAfter", "expected only in a class with execution idempotent: a hedge runs a request twice")
 		}
 	default:
-		c.fail(key+".execution", "expected idempotent or at-most-once, got %q", k.Execution)
+		c.addProblem(key+".execution", "expected idempotent or at-most-once, got %q", k.Execution)
 	}
 	if k.HedgeAfter > 0 && k.HedgeAfter >= k.Deadline {
-		c.fail(key+".hedgeAfter", "expected less than the deadline of %s, got %s", k.Deadline, k.HedgeAfter)
+		c.addProblem(key+".hedgeAfter", "expected less than the deadline of %s, got %s", k.Deadline, k.HedgeAfter)
 	}
 }
--- a/internal/core/document/check_test.go
+++ b/internal/core/document/check_test.go
@@ -20,9 +20,9 @@
 	return string(data)
 }
 
-// edit applies lines of the form "old => new" to the base document; \n stands
-// for a line break and (none) for nothing.
-func edit(t testing.TB, edits string) string {
+// editBase applies lines of the form "old => new" to the base document. In
+// them, \n stands for a line break and (none) for an empty replacement.
+func editBase(t testing.TB, edits string) string {
 	t.Helper()
 	text := baseText(t)
 	for line := range strings.SplitSeq(edits, "\n") {
@@ -32,7 +32,7 @@
 		line = strings.ReplaceAll(line, `\n`, "\n")
 		old, replacement, ok := strings.Cut(line, " => ")
 		if !ok || !strings.Contains(text, old) {
-			t.Fatalf("the base document has no %q", old)
+			t.Fatalf("the base document does not contain %q", old)
 		}
 		replacement = strings.TrimSuffix(replacement, "(none)")
 		text = strings.Replace(text, old, replacement, 1)
@@ -40,7 +40,7 @@
 	return text
 }
 
-func parsed(t testing.TB, text string) *Document {
+func mustParseText(t testing.TB, text string) *Document {
 	t.Helper()
 	doc, err := Parse("base.yaml", []byte(text))
 	if err != nil {
@@ -50,16 +50,17 @@
 }
 
 func TestCheck(t *testing.T) {
-	datadriven.RunTest(t, "testdata/check/meaning", func(t *testing.T, d *datadriven.TestData) string {
-		if _, err := Parse("d", []byte(edit(t, d.Input))); err != nil {
+	datadriven.RunTest(t, "testdata/check/semantics", func(t *testing.T, d *datadriven.TestData) string {
+		if _, err := Parse("d", []byte(editBase(t, d.Input))); err != nil {
 			return err.Error()
 		}
 		return "valid"
 	})
 }
 
-// hostile are inputs that a parser may loop, panic or grow on.
-var hostile = map[string]string{
+// malformedInputs are inputs on which a parser may loop, panic or allocate too
+// much.
+var malformedInputs = map[string]string{
 	"empty":         "",
 	"nested flow":   strings.Repeat("[", 200_000),
 	"nested blocks": strings.Repeat("- ", 100_000),
@@ -76,18 +77,18 @@
 	"binary":        "weigh: !!binary gIGC\n",
 	"complex key":   "? [a, b]\n: c\n",
 	"two documents": "weigh: latency\n---\nweigh: latency\n",
-	"many faults":   strings.Repeat("- \n", 100_000),
+	"many problems": strings.Repeat("- \n", 100_000),
 	"many unknown":  "regions: [" + strings.Repeat("a,", 100_000) + "]\n",
 	"null":          "~\n",
 	"huge":          strings.Repeat("#", MaxFile+1),
 }
 
-func TestParseHostile(t *testing.T) {
-	for name, text := range hostile {
+func TestParseRejectsMalformedInput(t *testing.T) {
+	for name, text := range malformedInputs {
 		_, err := Parse("d", []byte(text))
 		var invalid *InvalidError
 		if !errors.As(err, &invalid) {
-			t.Errorf("%s: error %v is no InvalidError", name, err)
+			t.Errorf("%s: error %v is not an InvalidError", name, err)
 		}
 		if n := len(invalid.Problems); n == 0 || n > maxProblems+1 {
 			t.Errorf("%s: %d problems", name, n)
@@ -95,12 +96,13 @@
 	}
 }
 
-// FuzzParse: any input gives a checked document or a typed error, and an
-// accepted document survives its division into sections.
+// FuzzParse checks that any input gives a valid document or an InvalidError,
+// and that a valid document does not change when it is divided into sections
+// and joined.
 func FuzzParse(f *testing.F) {
 	base := baseText(f)
 	f.Add([]byte(base))
-	for _, text := range hostile {
+	for _, text := range malformedInputs {
 		if len(text) < len(base) {
 			f.Add([]byte(text))
 		}
@@ -110,17 +112,17 @@
 		var invalid *InvalidError
 		if err != nil {
 			if !errors.As(err, &invalid) || len(invalid.Problems) == 0 {
-				t.Fatalf("error %v is no InvalidError", err)
+				t.Fatalf("error %v is not an InvalidError", err)
 			}
 			return
 		}
-		if got := rejoin(t, doc); len(Diff(doc, got)) > 0 {
-			t.Fatalf("divided and joined: %v", Diff(doc, got))
+		if got := divideAndJoin(t, doc); len(Diff(doc, got)) > 0 {
+			t.Fatalf("document differs after Divide and Join: %v", Diff(doc, got))
 		}
 	})
 }
 
-func rejoin(t testing.TB, doc *Document) *Document {
+func divideAndJoin(t testing.TB, doc *Document) *Document {
 	sections, err := Divide(doc)
 	if err != nil {
 		t.Fatal(err)
@@ -132,10 +134,10 @@
 	return out
 }
 
-// TestDrainsLeaveServers compares the check of drains with a look at every
-// minute of the plan.
-func TestDrainsLeaveServers(t *testing.T) {
-	base := parsed(t, baseText(t))
+// TestCheckRejectsDrainsThatLeaveNoServers compares the check of drains, which
+// looks only at their start times, with the state in every minute of the plan.
+func TestCheckRejectsDrainsThatLeaveNoServers(t *testing.T) {
+	base := mustParseText(t, baseText(t))
 	targets := []Drain{{Server: "sheetvault/v1"}, {Server: "sheetvault/v2"}, {Domain: "gulf-a"}, {Region: "delta"}, {Region: "gulf"}, {Region: "carolinas"}}
 	rapid.Check(t, func(rt *rapid.T) {
 		doc := *base
@@ -152,22 +154,23 @@
 		want := false
 		ix := NewIndex(&doc)
 		for m := range 20 {
-			want = want || allStopped(ix, start.Add(minutes(m)))
+			want = want || anyServiceStopped(ix, start.Add(minutes(m)))
 		}
 		got := false
 		for _, p := range Check(&doc, nil) {
 			got = got || strings.Contains(p.Message, "would be left")
 		}
 		if got != want {
-			rt.Fatalf("fault = %t, want %t", got, want)
+			rt.Fatalf("problem reported = %t, want %t", got, want)
 		}
 	})
 }
 
 func minutes(n int) time.Duration { return time.Duration(n) * time.Minute }
 
-// allStopped reports whether some service has no server left at a time.
-func allStopped(ix *Index, at time.Time) bool {
+// anyServiceStopped reports whether all servers of a service are draining at a
+// time.
+func anyServiceStopped(ix *Index, at time.Time) bool {
 	for i := range ix.Doc.Services {
 		s := &ix.Doc.Services[i]
 		stopped := 0
--- a/internal/core/document/clients.go
+++ b/internal/core/document/clients.go
@@ -11,34 +11,36 @@
 	"strings"
 )
 
-// Client blocks are spread over sections by a hash of the block. A section
-// holds the blocks whose hashes share a prefix; a prefix with more blocks than
-// clientsPerSection is split by its next bit. Pages group sections, and pages,
-// the same way. The division depends on the set of blocks alone, and a change
-// of one block changes one section and the pages above it.
+// Client blocks are distributed over sections by a hash of the block. A section
+// contains the blocks whose hashes share a prefix; a prefix with more blocks
+// than clientsPerSection is split by its next bit. Pages group sections and
+// other pages in the same way. The division depends only on the set of blocks,
+// and a change of one block changes one section and the pages above it.
 const (
 	clientsPerSection = 128
 	refsPerPage       = 128
 	keyBits           = 64
 )
 
-// clientKey places a block. It is cut from a SHA-256, so that nobody can choose
-// blocks that share a long prefix.
+// clientKey returns the position of a block in the tree. It is the start of a
+// SHA-256, so that blocks with a long common prefix cannot be chosen on
+// purpose.
 func clientKey(p Prefix) uint64 {
 	sum := sha256.Sum256([]byte(p.String()))
 	return binary.BigEndian.Uint64(sum[:8])
 }
 
-// bucket is a range of items whose keys share their first depth bits.
+// bucket is a range of items whose keys have the same first depth bits.
 type bucket struct{ from, to, depth int }
 
-// cut divides sorted keys into buckets of at most limit keys, each as short a
-// prefix as that allows, below a depth at which all keys agree.
-func cut(keys []uint64, limit, depth int) []bucket {
-	return appendCut(nil, keys, 0, len(keys), limit, depth)
+// partition divides sorted keys into buckets of at most limit keys, with
+// prefixes as short as that allows. All keys must agree in their first depth
+// bits.
+func partition(keys []uint64, limit, depth int) []bucket {
+	return appendPartition(nil, keys, 0, len(keys), limit, depth)
 }
 
-func appendCut(out []bucket, keys []uint64, from, to, limit, depth int) []bucket {
+func appendPartition(out []bucket, keys []uint64, from, to, limit, depth int) []bucket {
 	if from == to {
 		return out
 	}
@@ -47,11 +49,11 @@
 	}
 	bit := uint64(1) << (keyBits - 1 - depth)
 	mid := from + sort.Search(to-from, func(i int) bool { return keys[from+i]&bit != 0 })
-	out = appendCut(out, keys, from, mid, limit, depth+1)
-	return appendCut(out, keys, mid, to, limit, depth+1)
+	out = appendPartition(out, keys, from, mid, limit, depth+1)
+	return appendPartition(out, keys, mid, to, limit, depth+1)
 }
 
-// bitString writes the first depth bits of a key.
+// bitString formats the first depth bits of a key as zeros and ones.
 func bitString(key uint64, depth int) string {
 	var b [keyBits]byte
 	for i := range depth {
@@ -60,15 +62,15 @@
 	return string(b[:depth])
 }
 
-// prefixOf returns the first depth bits of a key, the rest zero.
-func prefixOf(key uint64, depth int) uint64 {
+// keyPrefix returns a key with all bits after the first depth bits set to zero.
+func keyPrefix(key uint64, depth int) uint64 {
 	if depth == 0 {
 		return 0
 	}
 	return key >> (keyBits - depth) << (keyBits - depth)
 }
 
-// parseBits reads the prefix at the end of a section's name.
+// parseBits parses the key prefix at the end of a section's name.
 func parseBits(name string) (key uint64, depth int) {
 	bits := name[strings.LastIndexByte(name, '/')+1:]
 	for i := range min(len(bits), keyBits) {
@@ -81,7 +83,8 @@
 
 // clientLeaf refers to a section of client blocks.
 type clientLeaf struct {
-	// key has the leaf's prefix in its first depth bits and zeros after.
+	// key contains the prefix of the leaf in its first depth bits; the other
+	// bits are zero.
 	key   uint64
 	depth int
 	ref   Ref
@@ -92,7 +95,7 @@
 	return clientLeaf{key: key, depth: depth, ref: ref}
 }
 
-func (l clientLeaf) covers(key uint64) bool { return prefixOf(key, l.depth) == l.key }
+func (l clientLeaf) covers(key uint64) bool { return keyPrefix(key, l.depth) == l.key }
 
 type keyedClient struct {
 	key uint64
@@ -104,7 +107,7 @@
 	for _, c := range clients {
 		keyed = append(keyed, keyedClient{key: clientKey(c.Block), Client: c})
 	}
-	slices.SortFunc(keyed, compareKeyed)
+	slices.SortFunc(keyed, compareByKey)
 	sections, leaves, err := clientSections(keyed, 0)
 	if err != nil {
 		return nil, err
@@ -113,14 +116,15 @@
 	return append(sections, pages...), err
 }
 
-func compareKeyed(a, b keyedClient) int {
+func compareByKey(a, b keyedClient) int {
 	if c := cmp.Compare(a.key, b.key); c != 0 {
 		return c
 	}
 	return a.Block.Compare(b.Block.Prefix)
 }
 
-// clientSections writes sorted blocks, which agree in their first depth bits.
+// clientSections divides sorted blocks, whose keys agree in their first depth
+// bits, into sections.
 func clientSections(keyed []keyedClient, depth int) ([]Section, []clientLeaf, error) {
 	keys := make([]uint64, 0, len(keyed))
 	for _, k := range keyed {
@@ -128,12 +132,12 @@
 	}
 	var sections []Section
 	var leaves []clientLeaf
-	for _, sp := range cut(keys, clientsPerSection, depth) {
-		list := make([]Client, 0, sp.to-sp.from)
-		for _, k := range keyed[sp.from:sp.to] {
+	for _, b := range partition(keys, clientsPerSection, depth) {
+		list := make([]Client, 0, b.to-b.from)
+		for _, k := range keyed[b.from:b.to] {
 			list = append(list, k.Client)
 		}
-		s, err := newSection(clientsPrefix+bitString(keys[sp.from], sp.depth), list)
+		s, err := newSection(clientsPrefix+bitString(keys[b.from], b.depth), list)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -143,8 +147,9 @@
 	return sections, leaves, nil
 }
 
-// clientPages writes the pages over leaves, in order, up to the one that the
-// head refers to. Pages of old that list the same are taken over.
+// clientPages returns the pages above leaves, level by level; the last one is
+// the page that the head refers to. Pages of old with the same references are
+// reused.
 func clientPages(leaves []clientLeaf, old map[string]page) ([]Section, error) {
 	var out []Section
 	for level := 1; len(leaves) > refsPerPage; level++ {
@@ -152,28 +157,30 @@
 		for _, l := range leaves {
 			keys = append(keys, l.key)
 		}
-		var above []clientLeaf
-		for _, sp := range cut(keys, refsPerPage, 0) {
-			name := fmt.Sprintf("%s/%d/%s", pageClients, level, bitString(keys[sp.from], sp.depth))
-			s, err := writePage(name, leaves[sp.from:sp.to], old)
+		var parents []clientLeaf
+		for _, b := range partition(keys, refsPerPage, 0) {
+			name := fmt.Sprintf("%s/%d/%s", pageClients, level, bitString(keys[b.from], b.depth))
+			s, err := writePage(name, leaves[b.from:b.to], old)
 			if err != nil {
 				return nil, err
 			}
 			out = append(out, s)
-			above = append(above, newClientLeaf(s.Ref()))
+			parents = append(parents, newClientLeaf(s.Ref()))
 		}
-		leaves = above
+		leaves = parents
 	}
 	root, err := writePage(pageClients, leaves, old)
 	return append(out, root), err
 }
 
-// page is a page of client sections with what it lists.
+// page is a page of client sections with its decoded references.
 type page struct {
 	Section
 	refs []Ref
 }
 
+// writePage returns the page of leaves, reusing the old page of that name if
+// its references are the same.
 func writePage(name string, leaves []clientLeaf, old map[string]page) (Section, error) {
 	if p, ok := old[name]; ok && slices.EqualFunc(p.refs, leaves, func(r Ref, l clientLeaf) bool { return r == l.ref }) {
 		return p.Section, nil
--- a/internal/core/document/delta.go
+++ b/internal/core/document/delta.go
@@ -5,44 +5,46 @@
 	"slices"
 )
 
-// Delta is what changes between two sequences of an environment, in items
-// rather than sections.
+// Delta is the difference between two sequences of an environment, in client
+// blocks and other sections.
 type Delta struct {
 	// Base is the sequence that the delta starts from.
 	Base uint64 `json:"base"`
 	// Set are client blocks that are new or have new regions.
 	Set []Client `json:"set,omitempty"`
-	// Removed are client blocks that are no more.
+	// Removed are client blocks that no longer exist.
 	Removed []Prefix `json:"removed,omitempty"`
-	// Parts are the changed sections other than those of client blocks, and
-	// the pages that list them.
+	// Parts are the changed sections without client blocks, including the pages
+	// that list them.
 	Parts []Section `json:"parts,omitempty"`
 }
 
-// itemSize is about what one block takes in memory or in a message, in bytes.
-const itemSize = 64
+// approxBlockSize is the approximate size of a client block in memory or in a
+// message, in bytes.
+const approxBlockSize = 64
 
-// size is about how many bytes a delta takes.
-func (d Delta) size() int {
-	n := itemSize * (1 + len(d.Set) + len(d.Removed))
+// approxSize returns the approximate size of a delta in bytes.
+func (d Delta) approxSize() int {
+	n := approxBlockSize * (1 + len(d.Set) + len(d.Removed))
 	for _, s := range d.Parts {
 		n += len(s.Data)
 	}
 	return n
 }
 
-// sectionJSON is a Section whose data stays readable in JSON.
+// sectionJSON encodes the data of a Section as JSON rather than as base64.
 type sectionJSON struct {
 	Name string          `json:"name"`
 	Data json.RawMessage `json:"data"`
 }
 
-// MarshalJSON writes the section's name and data; its hash follows from them.
+// MarshalJSON encodes the section's name and data; the hash is computed from
+// the data when it is decoded.
 func (s Section) MarshalJSON() ([]byte, error) {
 	return json.Marshal(sectionJSON{Name: s.Name, Data: s.Data})
 }
 
-// UnmarshalJSON reads a section and computes its hash.
+// UnmarshalJSON decodes a section and computes its hash.
 func (s *Section) UnmarshalJSON(data []byte) error {
 	var v sectionJSON
 	if err := json.Unmarshal(data, &v); err != nil {
@@ -54,24 +56,25 @@
 
 // Limits of the deltas that a head carries.
 const (
-	headDeltas     = 8
-	headDeltaBytes = 4096
+	maxHeadDeltas     = 8
+	maxHeadDeltaBytes = 4096
 )
 
-// WithDelta returns the head with the deltas of the head before it and one
-// more, as many as fit, newest first to stay. A nil delta is one too large.
+// WithDelta returns the head with d and as many of the latest deltas of the
+// previous head as fit. A nil d stands for a delta that is too large; the head
+// then has no deltas.
 func (h Head) WithDelta(before Head, d *Delta) Head {
 	h.Deltas = nil
 	if d == nil {
 		return h
 	}
 	list := append(slices.Clone(before.Deltas), *d)
-	room := headDeltaBytes
+	remaining := maxHeadDeltaBytes
 	from := len(list)
-	for from > 0 && len(list)-from < headDeltas {
+	for from > 0 && len(list)-from < maxHeadDeltas {
 		data, err := json.Marshal(list[from-1])
-		room -= len(data)
-		if err != nil || room < 0 {
+		remaining -= len(data)
+		if err != nil || remaining < 0 {
 			break
 		}
 		from--
@@ -80,8 +83,8 @@
 	return h
 }
 
-// DeltaFrom returns the changes from a sequence up to the head as one delta,
-// or false when the head's deltas do not reach back so far.
+// DeltaFrom returns the changes from a sequence to the head as one delta, or
+// false if the deltas of the head do not go back that far.
 func (h Head) DeltaFrom(base uint64) (Delta, bool) {
 	i := slices.IndexFunc(h.Deltas, func(d Delta) bool { return d.Base == base })
 	if i < 0 {
@@ -90,7 +93,7 @@
 	return MergeDeltas(h.Deltas[i:]), true
 }
 
-// MergeDeltas returns successive deltas as one. The list is not empty.
+// MergeDeltas combines successive deltas into one. The list must not be empty.
 func MergeDeltas(list []Delta) Delta {
 	if len(list) == 1 {
 		return list[0]
@@ -101,14 +104,14 @@
 	parts := map[string]int{}
 	for _, d := range list {
 		for _, c := range d.Set {
-			set[c.Block] = putItem(&out.Set, set, c.Block, c)
+			set[c.Block] = upsert(&out.Set, set, c.Block, c)
 			delete(removed, c.Block)
 		}
 		for _, p := range d.Removed {
 			removed[p] = true
 		}
 		for _, s := range d.Parts {
-			parts[s.Name] = putItem(&out.Parts, parts, s.Name, s)
+			parts[s.Name] = upsert(&out.Parts, parts, s.Name, s)
 		}
 	}
 	out.Set = slices.DeleteFunc(out.Set, func(c Client) bool { return removed[c.Block] })
@@ -119,9 +122,9 @@
 	return out
 }
 
-// putItem replaces the item under a key, or appends it, and returns its place.
-func putItem[K comparable, V any](list *[]V, at map[K]int, key K, item V) int {
-	if i, ok := at[key]; ok {
+// upsert replaces the item with a key, or appends it, and returns its index.
+func upsert[K comparable, V any](list *[]V, index map[K]int, key K, item V) int {
+	if i, ok := index[key]; ok {
 		(*list)[i] = item
 		return i
 	}
@@ -129,8 +132,9 @@
 	return len(*list) - 1
 }
 
-// compareClients adds the difference of two lists of client blocks to a delta.
-func (d *Delta) compareClients(old, next []Client) {
+// addClientChanges adds the difference of two lists of client blocks to the
+// delta.
+func (d *Delta) addClientChanges(old, next []Client) {
 	before := make(map[Prefix]Client, len(old))
 	for _, c := range old {
 		before[c.Block] = c
@@ -148,20 +152,20 @@
 	}
 }
 
-// NewDelta returns the delta that a difference of trees amounts to.
+// NewDelta converts a difference of section trees into a delta.
 //
 // Errors: *SectionError.
 func NewDelta(base uint64, diff TreeDiff) (Delta, error) {
 	out := Delta{Base: base}
-	old, err := allClients(diff.Removed)
+	old, err := clientsIn(diff.Removed)
 	if err != nil {
 		return Delta{}, err
 	}
-	next, err := allClients(diff.Added)
+	next, err := clientsIn(diff.Added)
 	if err != nil {
 		return Delta{}, err
 	}
-	out.compareClients(old, next)
+	out.addClientChanges(old, next)
 	for _, s := range diff.Added {
 		if !isClients(s.Name) {
 			out.Parts = append(out.Parts, s)
@@ -170,7 +174,8 @@
 	return out, nil
 }
 
-func allClients(sections []Section) ([]Client, error) {
+// clientsIn returns the client blocks of sections.
+func clientsIn(sections []Section) ([]Client, error) {
 	var out []Client
 	for _, s := range sections {
 		if IsPage(s.Name) || !isClients(s.Name) {
--- a/internal/core/document/diff_drains.go
+++ b/internal/core/document/diff_drains.go
@@ -5,42 +5,43 @@
 	"strings"
 )
 
-func drainTarget(d Drain) string { return d.Server + "|" + d.Domain + "|" + d.Region }
+func drainTargetKey(d Drain) string { return d.Server + "|" + d.Domain + "|" + d.Region }
 
-// drains compares planned stops. One that differs only in its times or its
-// reason is shown as moved, when its target has no other.
+// drains compares planned drains. A drain that differs only in its times or its
+// reason is shown with its previous times, if it is the only changed one of its
+// target.
 func (d *differ) drains() {
-	drains := match(d.old.Drains, d.now.Drains, func(x Drain) string {
-		return drainTarget(x) + x.At.UTC().String() + x.Until.UTC().String() + x.Reason
+	drains := match(d.old.Drains, d.next.Drains, func(x Drain) string {
+		return drainTargetKey(x) + x.At.UTC().String() + x.Until.UTC().String() + x.Reason
 	})
-	before := byTarget(drains.removed)
-	after := byTarget(drains.added)
+	before := drainsByTarget(drains.removed)
+	after := drainsByTarget(drains.added)
 	for _, x := range drains.added {
-		t := drainTarget(x)
+		t := drainTargetKey(x)
 		if len(before[t]) == 1 && len(after[t]) == 1 {
-			d.planned(x, ", was planned "+when(before[t][0]))
+			d.addDrain(x, ", was planned "+drainTimesText(before[t][0]))
 			continue
 		}
-		d.planned(x, "")
+		d.addDrain(x, "")
 	}
 	for _, x := range drains.removed {
-		t := drainTarget(x)
+		t := drainTargetKey(x)
 		if len(before[t]) == 1 && len(after[t]) == 1 {
 			continue
 		}
-		d.add(EffectDrain, SeverityHigh, "%s is no longer planned to stop taking work %s.", stopped(x), when(x))
+		d.add(EffectDrain, SeverityHigh, "%s is no longer planned to stop taking work %s.", drainTargetText(x), drainTimesText(x))
 	}
 }
 
-func byTarget(drains []Drain) map[string][]Drain {
+func drainsByTarget(drains []Drain) map[string][]Drain {
 	out := map[string][]Drain{}
 	for _, x := range drains {
-		out[drainTarget(x)] = append(out[drainTarget(x)], x)
+		out[drainTargetKey(x)] = append(out[drainTargetKey(x)], x)
 	}
 	return out
 }
 
-func stopped(x Drain) string {
+func drainTargetText(x Drain) string {
 	switch {
 	case x.Server != "":
 		service, server, _ := strings.Cut(x.Server, "/")
@@ -51,10 +52,10 @@
 	return "Region " + x.Region
 }
 
-func when(x Drain) string {
-	out := "at " + moment(x.At)
+func drainTimesText(x Drain) string {
+	out := "at " + timeText(x.At)
 	if !x.Until.IsZero() {
-		out += " until " + moment(x.Until)
+		out += " until " + timeText(x.Until)
 	}
 	if x.Reason != "" {
 		out += " (" + x.Reason + ")"
@@ -62,30 +63,30 @@
 	return out
 }
 
-// planned says what stops and how much is left to run its work.
-func (d *differ) planned(x Drain, was string) {
-	d.add(EffectDrain, SeverityHigh, "%s is planned to stop taking work %s%s; %s.", stopped(x), when(x), was, list(d.drainCost(x)))
+// addDrain describes a planned drain and the capacity that remains during it.
+func (d *differ) addDrain(x Drain, previous string) {
+	d.add(EffectDrain, SeverityHigh, "%s is planned to stop taking work %s%s; %s.", drainTargetText(x), drainTimesText(x), previous, joinList(d.remainingCapacityTexts(x)))
 }
 
-// drainCost says, for each service touched, how much of the whole system's
-// capacity the drain takes away.
-func (d *differ) drainCost(x Drain) []string {
+// remainingCapacityTexts describes, for each affected service, how much of its
+// capacity in all regions remains during a drain.
+func (d *differ) remainingCapacityTexts(x Drain) []string {
 	regions := map[string]string{}
-	for _, p := range placedDomains(d.now) {
+	for _, p := range domainsInRegions(d.next) {
 		regions[p.Name] = p.region
 	}
 	var out []string
-	for i := range d.now.Services {
-		s := &d.now.Services[i]
+	for i := range d.next.Services {
+		s := &d.next.Services[i]
 		lost := 0
 		for _, b := range s.Servers {
-			if hits(x, s.Name, b, regions[b.Domain]) {
+			if affects(x, s.Name, b, regions[b.Domain]) {
 				lost += s.Slots
 			}
 		}
 		if lost > 0 {
 			all := len(s.Servers) * s.Slots
-			out = append(out, fmt.Sprintf("%s keeps %s of %s requests at once", s.Name, grouped(all-lost), grouped(all)))
+			out = append(out, fmt.Sprintf("%s keeps %s of %s requests at once", s.Name, groupThousands(all-lost), groupThousands(all)))
 		}
 	}
 	if len(out) == 0 {
@@ -94,8 +95,8 @@
 	return out
 }
 
-// hits reports whether a drain takes work from a server.
-func hits(x Drain, service string, b BackendServer, region string) bool {
+// affects reports whether a drain applies to a server.
+func affects(x Drain, service string, b BackendServer, region string) bool {
 	switch {
 	case x.Server != "":
 		return x.Server == service+"/"+b.Name
--- a/internal/core/document/diff_test.go
+++ b/internal/core/document/diff_test.go
@@ -13,49 +13,49 @@
 )
 
 func TestDiff(t *testing.T) {
-	datadriven.RunTest(t, "testdata/diff/plain", func(t *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, "testdata/diff/effects", func(t *testing.T, d *datadriven.TestData) string {
 		var old *Document
 		if d.Cmd == "diff" {
-			old = parsed(t, baseText(t))
+			old = mustParseText(t, baseText(t))
 		}
 		var b strings.Builder
-		for _, e := range Diff(old, parsed(t, edit(t, d.Input))) {
+		for _, e := range Diff(old, mustParseText(t, editBase(t, d.Input))) {
 			fmt.Fprintf(&b, "%s %s: %s\n", e.Severity, e.Kind, e.Text)
 		}
 		return b.String()
 	})
 }
 
-// field is one value in a document that can be changed on its own.
-type field struct {
+// leafField is one value in a document that can be changed separately.
+type leafField struct {
 	path  string
 	value reflect.Value
 }
 
-// fields returns the values under v, with the first item of each list.
-func fields(t testing.TB, path string, v reflect.Value) []field {
+// leafFields returns the values under v, with only the first item of each list.
+func leafFields(t testing.TB, path string, v reflect.Value) []leafField {
 	switch v.Interface().(type) {
 	case Address, Prefix, time.Time:
-		return []field{{path, v}}
+		return []leafField{{path, v}}
 	}
-	var out []field
+	var out []leafField
 	switch v.Kind() {
 	case reflect.Struct:
 		for i := range v.NumField() {
-			out = append(out, fields(t, joinKey(path, yamlName(v.Type().Field(i))), v.Field(i))...)
+			out = append(out, leafFields(t, joinKey(path, yamlKey(v.Type().Field(i))), v.Field(i))...)
 		}
 	case reflect.Slice:
 		if v.Len() == 0 {
-			t.Fatalf("the base document has nothing in %s", path)
+			t.Fatalf("the base document has no items in %s", path)
 		}
-		return fields(t, path+"[0]", v.Index(0))
+		return leafFields(t, path+"[0]", v.Index(0))
 	default:
-		return []field{{path, v}}
+		return []leafField{{path, v}}
 	}
 	return out
 }
 
-// mutate gives a value another value.
+// mutate changes a value to a different one.
 func mutate(v reflect.Value) {
 	switch x := v.Addr().Interface().(type) {
 	case *Address:
@@ -80,65 +80,70 @@
 	}
 }
 
-// untold returns the paths of values whose change a diff does not tell.
-func untold(t testing.TB, diff func(old, now *Document) []Effect) []string {
-	base := parsed(t, baseText(t))
+// unreportedChanges changes each value of the base document in turn and returns
+// the paths of the values whose change diff does not report.
+func unreportedChanges(t testing.TB, diff func(old, next *Document) []Effect) []string {
+	base := mustParseText(t, baseText(t))
 	var out []string
-	for i := range fields(t, "", reflect.ValueOf(base).Elem()) {
-		now := parsed(t, baseText(t))
-		l := fields(t, "", reflect.ValueOf(now).Elem())[i]
-		mutate(l.value)
-		told := slices.ContainsFunc(diff(base, now), func(e Effect) bool { return e.Kind != EffectOrder })
-		if !told {
-			out = append(out, l.path)
+	for i := range leafFields(t, "", reflect.ValueOf(base).Elem()) {
+		next := mustParseText(t, baseText(t))
+		f := leafFields(t, "", reflect.ValueOf(next).Elem())[i]
+		mutate(f.value)
+		reported := slices.ContainsFunc(diff(base, next), func(e Effect) bool { return e.Kind != EffectOrder })
+		if !reported {
+			out = append(out, f.path)
 		}
-		if again := diff(now, now); len(again) > 0 {
-			out = append(out, l.path+": told without a change")
+		if again := diff(next, next); len(again) > 0 {
+			out = append(out, f.path+": reported without a change")
 		}
 	}
 	return out
 }
 
-func TestDiffTellsEveryChange(t *testing.T) {
-	if got := untold(t, Diff); len(got) > 0 {
-		t.Errorf("changes not told: %v", got)
+// TestDiffReportsEveryChange guards against a new field whose changes Diff
+// ignores. The second half checks that the test notices such a field.
+func TestDiffReportsEveryChange(t *testing.T) {
+	if got := unreportedChanges(t, Diff); len(got) > 0 {
+		t.Errorf("changes not reported: %v", got)
 	}
-	forgetful := func(old, now *Document) []Effect {
-		now = rejoin(t, now)
-		now.Services[0].Classes[0].HedgeAfter = old.Services[0].Classes[0].HedgeAfter
-		return Diff(old, now)
+	incomplete := func(old, next *Document) []Effect {
+		next = divideAndJoin(t, next)
+		next.Services[0].Classes[0].HedgeAfter = old.Services[0].Classes[0].HedgeAfter
+		return Diff(old, next)
 	}
-	if got := untold(t, forgetful); !slices.Contains(got, "services[0].classes[0].hedgeAfter") {
-		t.Errorf("a diff that forgets hedgeAfter passes: %v", got)
+	if got := unreportedChanges(t, incomplete); !slices.Contains(got, "services[0].classes[0].hedgeAfter") {
+		t.Errorf("a diff that ignores hedgeAfter passes: %v", got)
 	}
 }
 
-// TestDiffOrder changes only the order of lists.
-func TestDiffOrder(t *testing.T) {
-	old, now := parsed(t, baseText(t)), parsed(t, baseText(t))
-	slices.Reverse(now.Services[0].Servers)
-	got := Diff(old, now)
+// TestDiffReportsReordering checks that a change of order only is reported as
+// one EffectOrder.
+func TestDiffReportsReordering(t *testing.T) {
+	old, next := mustParseText(t, baseText(t)), mustParseText(t, baseText(t))
+	slices.Reverse(next.Services[0].Servers)
+	got := Diff(old, next)
 	if len(got) != 1 || got[0].Kind != EffectOrder {
 		t.Errorf("effects = %v", got)
 	}
 }
 
-// TestDiffManyBlocks bounds the text of a change of thousands of blocks.
-func TestDiffManyBlocks(t *testing.T) {
-	old, now := parsed(t, baseText(t)), parsed(t, baseText(t))
+// TestDiffGroupsClientBlocks checks that equal changes of thousands of blocks
+// are described in one short sentence.
+func TestDiffGroupsClientBlocks(t *testing.T) {
+	old, next := mustParseText(t, baseText(t)), mustParseText(t, baseText(t))
 	for i := range 5000 {
 		b := Prefix{netip.PrefixFrom(netip.AddrFrom4([4]byte{11, byte(i >> 8), byte(i), 0}), 24)}
 		old.Clients = append(old.Clients, Client{Block: b, Regions: []string{"gulf", "delta"}})
-		now.Clients = append(now.Clients, Client{Block: b, Regions: []string{"delta", "gulf"}})
+		next.Clients = append(next.Clients, Client{Block: b, Regions: []string{"delta", "gulf"}})
 	}
-	got := Texts(Diff(old, now))
+	got := Texts(Diff(old, next))
 	want := "Moved: 5,000 client blocks to delta, then gulf, was gulf, then delta: 11.0.0.0/24, 11.0.1.0/24, 11.0.2.0/24 and 4,997 more."
 	if len(got) != 1 || got[0] != want {
 		t.Errorf("effects = %q", got)
 	}
 }
 
-func TestTextsAreBounded(t *testing.T) {
+func TestTextsLimitsSentences(t *testing.T) {
 	list := make([]Effect, 5000)
 	got := Texts(list)
 	if len(got) != maxTexts+1 || got[maxTexts] != "And 4,800 further effects." {
--- a/internal/core/document/document_test.go
+++ b/internal/core/document/document_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-const small = `
+const smallDocument = `
 weigh: latency
 lookup: {ttl: 10s, hosts: 3}
 regions:
@@ -32,7 +32,7 @@
 `
 
 func TestParse(t *testing.T) {
-	doc, err := Parse("small.yaml", []byte(small))
+	doc, err := Parse("small.yaml", []byte(smallDocument))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,7 +41,7 @@
 	}
 }
 
-func TestParseFaults(t *testing.T) {
+func TestParseReportsProblems(t *testing.T) {
 	for _, c := range []struct{ name, old, new, want string }{
 		{"unknown key", "slots: 9", "slotz: 9", "line 13: services[0].slotz: unknown key"},
 		{"wrong type", "slots: 9", "slots: nine", `line 13: services[0].slots: expected a whole number, got "nine"`},
@@ -53,10 +53,10 @@
 		{"bad share", "retries: 10%", "retries: 110%", "services[0].classes[0].retries:"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			_, err := Parse("small.yaml", []byte(strings.Replace(small, c.old, c.new, 1)))
+			_, err := Parse("small.yaml", []byte(strings.Replace(smallDocument, c.old, c.new, 1)))
 			var invalid *InvalidError
 			if !errors.As(err, &invalid) {
-				t.Fatalf("error %v is no InvalidError", err)
+				t.Fatalf("error %v is not an InvalidError", err)
 			}
 			if !strings.Contains(err.Error(), "small.yaml: "+c.want) && !strings.Contains(err.Error(), c.want) {
 				t.Fatalf("error %q lacks %q", err, c.want)
@@ -67,7 +67,7 @@
 
 func mustParse(t testing.TB) *Document {
 	t.Helper()
-	doc, err := Parse("small.yaml", []byte(small))
+	doc, err := Parse("small.yaml", []byte(smallDocument))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/core/document/errors.go
+++ b/internal/core/document/errors.go
@@ -1,21 +1,22 @@
 package document
 
-// sectionFault is a fault of a section that needs no further detail.
-type sectionFault string
+// sentinelError is a constant error about a section.
+type sentinelError string
 
-func (f sectionFault) Error() string { return string(f) }
+func (e sentinelError) Error() string { return string(e) }
 
-// Faults wrapped by SectionError.
+// Errors wrapped by SectionError.
 const (
-	ErrHash        sectionFault = "data does not match its hash"
-	ErrSectionSize sectionFault = "more than a megabyte"
+	ErrHash        sentinelError = "data does not match its hash"
+	ErrSectionSize sentinelError = "data is larger than one megabyte"
 )
 
-// Faults of a delta that does not lead to its head.
+// Errors of a delta that does not lead to its head.
 const (
-	// ErrDeltaBase means that the delta starts from another sequence.
-	ErrDeltaBase sectionFault = "delta starts from another sequence"
-	// ErrDeltaResult means that the delta gives other sections than the head
-	// names.
-	ErrDeltaResult sectionFault = "delta does not give the sections of its head"
+	// ErrDeltaBase means that the delta starts from a different sequence than
+	// that of the replica.
+	ErrDeltaBase sentinelError = "delta starts from a different sequence"
+	// ErrDeltaResult means that the delta produces different sections than its
+	// head refers to.
+	ErrDeltaResult sentinelError = "delta does not produce the sections of its head"
 )
--- a/internal/core/document/index.go
+++ b/internal/core/document/index.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Index is an immutable view of a document that answers the questions of a
-// request path without a search. It is shared by all goroutines.
+// Index is an immutable view of a document with maps for the lookups of the
+// request path. It is shared by all goroutines.
 type Index struct {
 	Doc      *Document
 	services map[string]*ServiceIndex
@@ -16,27 +16,27 @@
 	regions  map[string]*Region
 }
 
-// ServiceIndex is one service with its servers by failure domain.
+// ServiceIndex is a service with its servers grouped by failure domain.
 type ServiceIndex struct {
 	*Service
 	byDomain map[string][]BackendServer
 	domains  []string
 }
 
-// HostIndex is one entry host with its place.
+// HostIndex is an entry host with its failure domain and region.
 type HostIndex struct {
 	EntryHost
 	Domain string
 	Region string
 }
 
-// DomainIndex is one failure domain with its place.
+// DomainIndex is a failure domain with its region.
 type DomainIndex struct {
 	Domain
 	Region string
 }
 
-// NewIndex builds an index of a checked document.
+// NewIndex builds the index of a document that Check accepted.
 func NewIndex(doc *Document) *Index {
 	ix := &Index{
 		Doc:      doc,
@@ -89,7 +89,7 @@
 // Region returns a region, or nil.
 func (ix *Index) Region(name string) *Region { return ix.regions[name] }
 
-// Hosts returns every entry host of a failure domain.
+// Hosts returns the entry hosts of a failure domain.
 func (ix *Index) Hosts(domain string) []EntryHost {
 	d := ix.domains[domain]
 	if d == nil {
@@ -114,7 +114,7 @@
 // Domains returns the failure domains with servers of the service, sorted.
 func (s *ServiceIndex) Domains() []string { return s.domains }
 
-// Match returns the first class that takes a request, or nil.
+// Match returns the first class that matches a request, or nil.
 func (s *ServiceIndex) Match(method, path string) *Class {
 	for i := range s.Classes {
 		c := &s.Classes[i]
@@ -137,8 +137,9 @@
 	return out
 }
 
-// ServerDraining reports whether a drain names a server itself at a time. Such
-// a drain takes effect at once; those of regions and domains are paced.
+// ServerDraining reports whether a drain of this single server is active at a
+// time. Such a drain takes effect at once; drains of regions and failure
+// domains take effect gradually.
 func (ix *Index) ServerDraining(service string, b BackendServer, now time.Time) bool {
 	for _, d := range ix.Doc.Drains {
 		if d.Server == service+"/"+b.Name && !now.Before(d.At) && (d.Until.IsZero() || now.Before(d.Until)) {
@@ -148,7 +149,8 @@
 	return false
 }
 
-// Draining reports whether a server is in a planned drain at a time.
+// Draining reports whether a drain of a server, its failure domain or its
+// region is active at a time.
 func (ix *Index) Draining(service string, b BackendServer, now time.Time) bool {
 	region := ""
 	if d := ix.domains[b.Domain]; d != nil {
--- a/internal/core/document/parse.go
+++ b/internal/core/document/parse.go
@@ -10,9 +10,9 @@
 	"go.yaml.in/yaml/v3"
 )
 
-// Problem is one fault in a YAML file.
+// Problem is one error in a YAML file.
 type Problem struct {
-	// Line counts from 1; zero when the fault has no single place.
+	// Line counts from 1; zero if the problem has no single position.
 	Line int
 	// Key is the path of the value, such as "services[0].slots".
 	Key     string
@@ -31,7 +31,7 @@
 	return b.String()
 }
 
-// InvalidError lists what is wrong with a YAML file.
+// InvalidError lists the problems of a YAML file.
 type InvalidError struct {
 	File     string
 	Problems []Problem
@@ -45,15 +45,15 @@
 	return strings.Join(lines, "\n")
 }
 
-// MaxFile bounds a YAML file, in bytes.
+// MaxFile is the maximum size of a YAML file, in bytes.
 const MaxFile = 40 << 20
 
-// maxProblems bounds the faults that are reported of one file.
+// maxProblems is the maximum number of problems reported for one file.
 const maxProblems = 50
 
-// Decode reads one YAML document into out, a pointer to a struct, and refuses
-// unknown keys, keys given twice, and values of the wrong type. It returns the
-// line of every key by its path.
+// Decode parses one YAML document into out, a pointer to a struct, and rejects
+// unknown keys, duplicate keys and values of the wrong type. It returns the
+// line number of every key.
 //
 // Errors: *InvalidError.
 func Decode(file string, data []byte, out any) (Lines, error) {
@@ -68,13 +68,14 @@
 	d := decoder{lines: Lines{}}
 	d.value("", root, reflect.ValueOf(out).Elem())
 	if len(d.problems) > 0 {
-		return nil, invalid(file, d.problems)
+		return nil, newInvalidError(file, d.problems)
 	}
 	return d.lines, nil
 }
 
-// invalid returns an InvalidError with at most maxProblems faults.
-func invalid(file string, problems []Problem) *InvalidError {
+// newInvalidError returns an InvalidError with at most maxProblems problems
+// and, if there are more, one entry that counts the others.
+func newInvalidError(file string, problems []Problem) *InvalidError {
 	if rest := len(problems) - maxProblems; rest > 0 {
 		more := Problem{Message: fmt.Sprintf("and %d more faults", rest)}
 		problems = append(problems[:maxProblems:maxProblems], more)
@@ -82,8 +83,8 @@
 	return &InvalidError{File: file, Problems: problems}
 }
 
-// readNode returns the content of the one YAML document in data. The YAML
-// library may panic on hostile input; that is a fault of the file.
+// readNode returns the root node of the only YAML document in data. The YAML
+// library can panic on malformed input; a panic is reported as an InvalidError.
 func readNode(file string, data []byte) (node *yaml.Node, err error) {
 	defer func() {
 		if r := recover(); r != nil {
@@ -106,11 +107,11 @@
 	return nil, &InvalidError{File: file, Problems: []Problem{p}}
 }
 
-// Lines maps the path of a key to its line.
+// Lines maps the path of a key to its line number.
 type Lines map[string]int
 
-// At returns the line of a key, or of the nearest key above it; for a missing
-// key at the top it is where the mapping begins.
+// At returns the line number of a key, or that of its nearest parent in the
+// file. For a missing top-level key it is the line where the mapping starts.
 func (l Lines) At(key string) int {
 	for key != "" {
 		if n, ok := l[key]; ok {
@@ -138,26 +139,28 @@
 	return &InvalidError{File: file, Problems: []Problem{p}}
 }
 
-// syntaxLine corrects the line of a syntax error. The YAML library counts from
-// 1 in errors of its scanner and from 0 in those of its parser; the latter
-// mark where a list or mapping begins, but for one that begins on the first
-// line, where they mark its end.
+// syntaxLine corrects the line number of a syntax error. The YAML library
+// counts from 1 in errors of its scanner and from 0 in those of its parser.
+// Parser errors refer to the line where a list or mapping starts, except for
+// one that starts on the first line: there they refer to the line where it
+// ends.
 func syntaxLine(data []byte, line int, message string) int {
 	if !strings.HasPrefix(message, "did not find expected") {
 		return line
 	}
 	inBrackets := strings.Contains(message, "',' or")
-	if inBrackets && !opens(lineAt(data, line+1)) {
+	if inBrackets && !opensBracket(lineAt(data, line+1)) {
 		return line
 	}
 	return line + 1
 }
 
-// opens reports whether a line opens more brackets than it closes.
-func opens(line string) bool {
+// opensBracket reports whether a line opens more brackets than it closes.
+func opensBracket(line string) bool {
 	return strings.Count(line, "[")+strings.Count(line, "{") > strings.Count(line, "]")+strings.Count(line, "}")
 }
 
+// lineAt returns the n-th line of data, counting from 1, or an empty string.
 func lineAt(data []byte, n int) string {
 	for l := range bytes.Lines(data) {
 		if n--; n == 0 {
@@ -167,9 +170,9 @@
 	return ""
 }
 
-// Parse reads a document and checks it.
+// Parse decodes a document and checks it.
 //
-// Errors: *InvalidError with the line and key of every fault.
+// Errors: *InvalidError with the line and key of every problem.
 func Parse(file string, data []byte) (*Document, error) {
 	doc := new(Document)
 	lines, err := Decode(file, data, doc)
@@ -177,7 +180,7 @@
 		return nil, err
 	}
 	if problems := Check(doc, lines); len(problems) > 0 {
-		return nil, invalid(file, problems)
+		return nil, newInvalidError(file, problems)
 	}
 	return doc, nil
 }
--- a/internal/core/document/replica.go
+++ b/internal/core/document/replica.go
@@ -7,54 +7,57 @@
 	"strings"
 )
 
-// Replica is one process's copy of an environment: the newest head it has
-// accepted with all of its sections. It only moves forward. It is not safe for
-// concurrent use; the Index it gives out is immutable.
+// Replica is the copy of an environment that a process keeps: the newest head
+// that it has accepted, with all sections of that head. It never goes back to a
+// lower sequence. It is not safe for concurrent use; the Index that it returns
+// is immutable.
 //
-// A step costs the sections it changes, plus a walk over the references of the
-// sections of client blocks.
+// Moving to a new head costs time proportional to the changed sections, plus
+// one pass over the references to the sections of client blocks.
 type Replica struct {
 	head     Head
-	sections map[Hash]heldSection
-	parts    map[string]Section // sections other than of client blocks, by name
-	leaves   []clientLeaf       // sections of client blocks, by key
+	sections map[Hash]refCountedSection
+	parts    map[string]Section // sections without client blocks, by name
+	leaves   []clientLeaf       // sections of client blocks, sorted by key
 	pages    map[string]page    // pages of client blocks, by name
 	index    *Index
-	recent   []Delta // newest deltas, without a gap, up to head
+	recent   []Delta // most recent deltas up to head, without gaps
 
-	recentBytes int // sum of the sizes of recent
+	recentBytes int // sum of Delta.approxSize over recent
 }
 
-// heldSection counts the names under which a section is in force.
-type heldSection struct {
+// refCountedSection counts the names under which the current document refers to
+// a section.
+type refCountedSection struct {
 	Section
-	names int
+	refs int
 }
 
-// recentBytes bounds the deltas that a replica keeps for its followers, in
-// bytes of Delta.size.
-const recentBytes = 1 << 20
+// maxRecentBytes limits the deltas that a replica keeps for its followers, as
+// the sum of Delta.approxSize.
+const maxRecentBytes = 1 << 20
 
-// NewReplica returns a replica with no document.
+// NewReplica returns a replica without a document.
 func NewReplica() *Replica {
-	return &Replica{sections: map[Hash]heldSection{}, parts: map[string]Section{}, pages: map[string]page{}}
+	return &Replica{sections: map[Hash]refCountedSection{}, parts: map[string]Section{}, pages: map[string]page{}}
 }
 
-// Head returns the head in force, without deltas; its sequence is zero before
-// the first.
+// Head returns the current head without its deltas. Its sequence is zero before
+// the first head.
 func (r *Replica) Head() Head { return r.head }
 
-// Index returns the index of the document in force, or nil before the first.
-// Its document has no client blocks.
+// Index returns the index of the current document, or nil before the first
+// head. The document of the index has no client blocks.
 func (r *Replica) Index() *Index { return r.index }
 
-// Find returns the section in force with a hash.
+// Find returns the section of the current document with a hash.
 func (r *Replica) Find(h Hash) (Section, bool) {
 	s, ok := r.sections[h]
 	return s.Section, ok
 }
 
-// Clients goes through all client blocks in force, in no useful order.
+// Clients iterates over all client blocks of the current document, in
+// unspecified order.
 func (r *Replica) Clients() iter.Seq[Client] {
 	return func(yield func(Client) bool) {
 		for _, l := range r.leaves {
@@ -71,8 +74,8 @@
 	}
 }
 
-// DeltaFrom returns the changes from a sequence up to the head in force as one
-// delta, or false when the replica does not remember so far back.
+// DeltaFrom returns the changes from a sequence to the current head as one
+// delta, or false if the replica no longer has all of them.
 func (r *Replica) DeltaFrom(base uint64) (Delta, bool) {
 	i := slices.IndexFunc(r.recent, func(d Delta) bool { return d.Base == base })
 	if i < 0 {
@@ -81,9 +84,10 @@
 	return MergeDeltas(r.recent[i:]), true
 }
 
-// Missing returns sections of a head that neither the replica nor arrived has.
-// A missing page hides what it lists, so callers ask again with what they got,
-// until nothing is missing.
+// Missing returns references to sections of a head that are neither in the
+// replica nor in arrived. The sections that a missing page lists are not
+// included, so callers fetch what is returned and call Missing again until
+// nothing is missing.
 func (r *Replica) Missing(h Head, arrived ...Section) []Ref {
 	_, missing, err := r.compare(h, arrived)
 	if err != nil {
@@ -92,8 +96,8 @@
 	return missing
 }
 
-// compare finds what a head changes. Sections that are not at hand are
-// returned apart, and the difference is then incomplete.
+// compare returns what a head changes, and references to the sections that are
+// not available. If there are any, the difference is incomplete.
 func (r *Replica) compare(h Head, arrived []Section) (TreeDiff, []Ref, error) {
 	byHash := make(map[Hash]Section, len(arrived))
 	for _, s := range arrived {
@@ -108,14 +112,14 @@
 			return s.Section, nil
 		}
 		missing = append(missing, ref)
-		return Section{}, errAbsent
+		return Section{}, errSectionUnavailable
 	})
 	return diff, missing, err
 }
 
-// Advance puts a head in force that is reached by sections, and returns what
-// changed. A head that is not newer is ignored: the result is nil. It changes
-// nothing when it fails.
+// Advance moves the replica to a head, using the sections that have arrived,
+// and returns what changed. A head that is not newer is ignored: the result is
+// nil. On error the replica is unchanged.
 //
 // Errors: *MissingError, *SectionError.
 func (r *Replica) Advance(h Head, arrived []Section) (*Delta, error) {
@@ -141,13 +145,13 @@
 	return r.commit(h, diff, d)
 }
 
-// Apply puts a head in force that is reached by a delta, and returns what
-// changed. A head that is not newer is ignored: the result is nil. It changes
-// nothing when it fails.
+// Apply moves the replica to a head by a delta, and returns what changed. A
+// head that is not newer is ignored: the result is nil. On error the replica is
+// unchanged.
 //
-// Errors: *SectionError with ErrDeltaBase when the replica is at another
-// sequence than the delta starts from, or ErrDeltaResult when the delta does
-// not give the very sections that the head names.
+// Errors: *SectionError with ErrDeltaBase if the delta does not start from the
+// replica's sequence, or with ErrDeltaResult if it does not produce exactly the
+// sections that the head refers to.
 func (r *Replica) Apply(h Head, d Delta) (*Delta, error) {
 	if h.Sequence <= r.head.Sequence {
 		return nil, nil
@@ -155,11 +159,11 @@
 	if d.Base != r.head.Sequence || r.index == nil {
 		return nil, &SectionError{Name: pageClients, Err: ErrDeltaBase}
 	}
-	made, err := r.sectionsOf(d)
+	changed, err := r.changedSections(d)
 	if err != nil {
 		return nil, err
 	}
-	diff, missing, err := r.compare(h, made)
+	diff, missing, err := r.compare(h, changed)
 	if err != nil {
 		return nil, err
 	}
@@ -169,8 +173,9 @@
 	return r.commit(h, diff, d)
 }
 
-// sectionsOf returns the sections that a delta changes, as it leaves them.
-func (r *Replica) sectionsOf(d Delta) ([]Section, error) {
+// changedSections returns the sections that a delta changes, in their new
+// state.
+func (r *Replica) changedSections(d Delta) ([]Section, error) {
 	if len(d.Set) == 0 && len(d.Removed) == 0 {
 		return d.Parts, nil
 	}
@@ -178,7 +183,7 @@
 	if err := t.apply(d); err != nil {
 		return nil, err
 	}
-	leaves, err := t.write()
+	leaves, err := t.changedSections()
 	if err != nil {
 		return nil, err
 	}
@@ -189,8 +194,8 @@
 	return slices.Concat(d.Parts, leaves, pages), nil
 }
 
-// commit puts a complete difference in force. Everything that can fail comes
-// before the first write.
+// commit moves the replica to a head by a complete difference. All steps that
+// can fail come before the first modification.
 func (r *Replica) commit(h Head, diff TreeDiff, d Delta) (*Delta, error) {
 	parts, partsChanged := r.nextParts(diff)
 	index := r.index
@@ -209,15 +214,17 @@
 		}
 		pages[s.Name] = refs
 	}
-	r.hold(diff)
-	r.place(diff, pages)
-	r.remember(d)
+	r.updateSections(diff)
+	r.updateClientIndex(diff, pages)
+	r.appendRecent(d)
 	r.parts, r.index = parts, index
 	r.head = h
 	r.head.Deltas = nil
 	return &d, nil
 }
 
+// nextParts returns the sections without client blocks after a difference, and
+// whether any of them changed.
 func (r *Replica) nextParts(diff TreeDiff) (map[string]Section, bool) {
 	next := make(map[string]Section, len(r.parts))
 	for name, s := range r.parts {
@@ -239,35 +246,37 @@
 	return next, changed
 }
 
-// hold counts sections in and out.
-func (r *Replica) hold(diff TreeDiff) {
+// updateSections adjusts the reference counts of sections and deletes those
+// that are no longer used.
+func (r *Replica) updateSections(diff TreeDiff) {
 	for _, s := range diff.Added {
-		held := r.sections[s.Hash]
-		held.Section = s
-		held.names++
-		r.sections[s.Hash] = held
+		counted := r.sections[s.Hash]
+		counted.Section = s
+		counted.refs++
+		r.sections[s.Hash] = counted
 	}
 	for _, s := range diff.Removed {
-		held := r.sections[s.Hash]
-		held.names--
-		if held.names > 0 {
-			r.sections[s.Hash] = held
+		counted := r.sections[s.Hash]
+		counted.refs--
+		if counted.refs > 0 {
+			r.sections[s.Hash] = counted
 		} else {
 			delete(r.sections, s.Hash)
 		}
 	}
 }
 
-// place updates the order of the sections of client blocks, and their pages.
-func (r *Replica) place(diff TreeDiff, children map[string][]Ref) {
-	gone := map[Ref]bool{}
+// updateClientIndex updates the sorted references to the sections of client
+// blocks, and their pages.
+func (r *Replica) updateClientIndex(diff TreeDiff, children map[string][]Ref) {
+	removed := map[Ref]bool{}
 	for _, s := range diff.Removed {
-		gone[s.Ref()] = true
+		removed[s.Ref()] = true
 		if p, ok := r.pages[s.Name]; ok && p.Hash == s.Hash {
 			delete(r.pages, s.Name)
 		}
 	}
-	r.leaves = slices.DeleteFunc(r.leaves, func(l clientLeaf) bool { return gone[l.ref] })
+	r.leaves = slices.DeleteFunc(r.leaves, func(l clientLeaf) bool { return removed[l.ref] })
 	added := 0
 	for _, s := range diff.Added {
 		switch {
@@ -283,17 +292,18 @@
 	}
 }
 
-// remember keeps a delta for followers, and forgets the oldest. A delta that is
-// large by itself is not kept: followers take sections then.
-func (r *Replica) remember(d Delta) {
+// appendRecent keeps a delta for followers and drops the oldest ones above
+// maxRecentBytes. A delta that exceeds the limit alone is dropped with all
+// others: followers then read sections.
+func (r *Replica) appendRecent(d Delta) {
 	if r.head.Sequence == 0 {
 		return
 	}
 	r.recent = append(r.recent, d)
-	r.recentBytes += d.size()
+	r.recentBytes += d.approxSize()
 	drop := 0
-	for r.recentBytes > recentBytes {
-		r.recentBytes -= r.recent[drop].size()
+	for r.recentBytes > maxRecentBytes {
+		r.recentBytes -= r.recent[drop].approxSize()
 		drop++
 	}
 	r.recent = slices.Delete(r.recent, 0, drop)
--- a/internal/core/document/replica_test.go
+++ b/internal/core/document/replica_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 )
 
-// mustDivide returns a head of a document with its sections.
+// mustDivide returns a head for a document, and its sections.
 func mustDivide(t testing.TB, seq uint64, doc *Document) (Head, []Section) {
 	t.Helper()
 	sections, err := Divide(doc)
@@ -23,14 +23,14 @@
 	return Head{Sequence: seq, ChangeID: fmt.Sprint(seq), Sections: Refs(sections)}, sections
 }
 
-// version returns a variant of the small document.
-func version(t testing.TB, seq uint64, slots int) (Head, []Section) {
+// smallVersion returns a version of the small document with a number of slots.
+func smallVersion(t testing.TB, seq uint64, slots int) (Head, []Section) {
 	doc := mustParse(t)
 	doc.Services[0].Slots = slots
 	return mustDivide(t, seq, doc)
 }
 
-// testClient is the i-th block, with one of three orders of regions.
+// testClient returns the i-th block, with one of three lists of regions.
 func testClient(i, order int) Client {
 	a := netip.AddrFrom4([4]byte{byte(i >> 16), byte(i >> 8), byte(i), 0})
 	regions := [][]string{{"gulf", "delta"}, {"delta", "gulf"}, {"gulf"}}
@@ -45,7 +45,7 @@
 	return out
 }
 
-// replicaOf returns a replica at a document.
+// replicaOf returns a replica that contains a document.
 func replicaOf(t testing.TB, seq uint64, doc *Document) *Replica {
 	t.Helper()
 	r := NewReplica()
@@ -56,23 +56,25 @@
 	return r
 }
 
-// assignReplica is the naive replica: it takes whatever head arrives last.
-type assignReplica struct{ head Head }
+// lastWriteReplica is a naive implementation that accepts every head, including
+// older ones.
+type lastWriteReplica struct{ head Head }
 
-func (r *assignReplica) Advance(h Head, _ []Section) (*Delta, error) {
+func (r *lastWriteReplica) Advance(h Head, _ []Section) (*Delta, error) {
 	r.head = h
 	return &Delta{}, nil
 }
 
-func (r *assignReplica) Head() Head { return r.head }
+func (r *lastWriteReplica) Head() Head { return r.head }
 
 type advancer interface {
 	Advance(Head, []Section) (*Delta, error)
 	Head() Head
 }
 
-// reverts delivers heads late, twice and with sections missing, and reports
-// whether the sequence in force ever went down.
+// reverts delivers heads out of order, more than once and with sections
+// missing, and reports whether the sequence of the replica ever differs from
+// the highest one that it accepted.
 func reverts(rt *rapid.T, r advancer, heads []Head, sections [][]Section) bool {
 	var highest uint64
 	for range rapid.IntRange(1, 30).Draw(rt, "deliveries") {
@@ -96,32 +98,34 @@
 	return false
 }
 
+// TestReplicaNeverReverts checks that the sequence of a replica never
+// decreases. It also checks that the property fails for a naive implementation.
 func TestReplicaNeverReverts(t *testing.T) {
 	var heads []Head
 	var sections [][]Section
 	for seq := 1; seq <= 10; seq++ {
-		h, s := version(t, uint64(seq), seq)
+		h, s := smallVersion(t, uint64(seq), seq)
 		heads, sections = append(heads, h), append(sections, s)
 	}
 	rapid.Check(t, func(rt *rapid.T) {
 		r := NewReplica()
 		if reverts(rt, r, heads, sections) {
-			rt.Fatal("the sequence in force went down")
+			rt.Fatal("the sequence decreased")
 		}
 		if seq := r.Head().Sequence; seq > 0 && r.Index().Service("rodsheet").Slots != int(seq) {
 			rt.Fatalf("index shows %d slots at %d", r.Index().Service("rodsheet").Slots, seq)
 		}
 	})
 	found := false
-	rapid.Check(t, func(rt *rapid.T) { found = reverts(rt, &assignReplica{}, heads, sections) || found })
+	rapid.Check(t, func(rt *rapid.T) { found = reverts(rt, &lastWriteReplica{}, heads, sections) || found })
 	if !found {
-		t.Fatal("the property does not find the naive replica's fault")
+		t.Fatal("the property does not detect the naive replica")
 	}
 }
 
-// TestApplyGivesDivision changes blocks by deltas and expects the very sections
-// of the document divided anew.
-func TestApplyGivesDivision(t *testing.T) {
+// TestApplyMatchesDivide changes blocks by deltas and checks that the sections
+// are the same as those of dividing the resulting document.
+func TestApplyMatchesDivide(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.SampledFrom([]int{0, 1, 127, 129, 300}).Draw(rt, "blocks")
 		doc := mustParse(t)
@@ -158,13 +162,13 @@
 				rt.Fatalf("step %d with %d blocks: %v", seq, len(have), err)
 			}
 			if got := len(slices.Collect(r.Clients())); got != len(have) {
-				rt.Fatalf("%d blocks in force, want %d", got, len(have))
+				rt.Fatalf("%d blocks, want %d", got, len(have))
 			}
 		}
 	})
 }
 
-func TestApplyRefusesForgedDelta(t *testing.T) {
+func TestApplyRejectsWrongDelta(t *testing.T) {
 	doc := mustParse(t)
 	doc.Clients = testClients(500)
 	r := replicaOf(t, 1, doc)
@@ -184,15 +188,15 @@
 	}
 	sections[0].Data = append(slices.Clone(sections[0].Data), ' ')
 	if _, err := r.Advance(h, sections); !errors.Is(err, ErrHash) {
-		t.Errorf("forged section: error %v", err)
+		t.Errorf("modified section: error %v", err)
 	}
 	if _, err := r.Apply(h, Delta{Base: 1, Set: doc.Clients[7:8]}); err != nil {
-		t.Errorf("true delta: %v", err)
+		t.Errorf("correct delta: %v", err)
 	}
 }
 
-// TestMissingFindsEverything fetches what is missing, level by level.
-func TestMissingFindsEverything(t *testing.T) {
+// TestMissingFindsAllSections fetches the missing sections level by level.
+func TestMissingFindsAllSections(t *testing.T) {
 	doc := mustParse(t)
 	doc.Clients = testClients(20_000)
 	h, sections := mustDivide(t, 1, doc)
@@ -227,7 +231,7 @@
 func TestMergeDeltas(t *testing.T) {
 	doc := mustParse(t)
 	doc.Clients = testClients(300)
-	r, late := replicaOf(t, 1, doc), replicaOf(t, 1, doc)
+	r, follower := replicaOf(t, 1, doc), replicaOf(t, 1, doc)
 	var h Head
 	for seq := uint64(2); seq <= 9; seq++ {
 		i := int(seq) % 3
@@ -241,20 +245,21 @@
 	}
 	d, ok := r.DeltaFrom(1)
 	if !ok {
-		t.Fatal("the deltas are forgotten")
+		t.Fatal("the replica has no delta from sequence 1")
 	}
-	if _, err := late.Apply(h, d); err != nil {
+	if _, err := follower.Apply(h, d); err != nil {
 		t.Fatal(err)
 	}
 	if _, ok := r.DeltaFrom(0); ok {
-		t.Fatal("a delta from before the first head")
+		t.Fatal("the replica returns a delta from before its first head")
 	}
 }
 
-// TestDivideKeepsEveryField fills every field of a document.
+// TestDivideKeepsEveryField sets every field of a document and checks that it
+// is unchanged after Divide and Join.
 func TestDivideKeepsEveryField(t *testing.T) {
 	doc := new(Document)
-	fill(reflect.ValueOf(doc).Elem())
+	fillFields(reflect.ValueOf(doc).Elem())
 	sections, err := Divide(doc)
 	if err != nil {
 		t.Fatal(err)
@@ -270,7 +275,8 @@
 	}
 }
 
-func fill(v reflect.Value) {
+// fillFields sets v and all fields and items below it to non-zero values.
+func fillFields(v reflect.Value) {
 	switch x := v.Addr().Interface().(type) {
 	case *Prefix:
 		*x = testClient(1, 1).Block
@@ -285,14 +291,14 @@
 	switch v.Kind() {
 	case reflect.Struct:
 		for i := range v.NumField() {
-			fill(v.Field(i))
+			fillFields(v.Field(i))
 		}
 	case reflect.Slice:
 		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
-		fill(v.Index(0))
+		fillFields(v.Index(0))
 	case reflect.Pointer:
 		v.Set(reflect.New(v.Type().Elem()))
-		fill(v.Elem())
+		fillFields(v.Elem())
 	case reflect.String:
 		v.SetString("x")
 	case reflect.Bool:
@@ -306,15 +312,15 @@
 	}
 }
 
-func TestJoinRefusesWrongHash(t *testing.T) {
-	_, sections := version(t, 1, 9)
+func TestJoinRejectsWrongHash(t *testing.T) {
+	_, sections := smallVersion(t, 1, 9)
 	sections[2].Data = []byte("[]")
 	if _, err := Join(sections); !errors.Is(err, ErrHash) {
 		t.Fatalf("error = %v", err)
 	}
 }
 
-func TestDivideRefusesLargeSection(t *testing.T) {
+func TestDivideRejectsLargeSection(t *testing.T) {
 	doc := mustParse(t)
 	for i := range 20_000 {
 		b := doc.Services[0].Servers[0]
--- a/internal/core/document/scalars.go
+++ b/internal/core/document/scalars.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// ScalarError is a value that is not of the kind its key needs.
+// ScalarError is a value that does not have the format that its key expects.
 type ScalarError struct {
 	Value    string
 	Expected string
@@ -18,7 +18,7 @@
 	return fmt.Sprintf("%q is not %s", e.Value, e.Expected)
 }
 
-// UnmarshalText parses a span like "250ms".
+// UnmarshalText parses a duration such as "250ms".
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
 	if err != nil || v < 0 {
@@ -28,14 +28,14 @@
 	return nil
 }
 
-// MarshalText writes the span like "250ms".
+// MarshalText formats the duration as in "250ms".
 func (d Duration) MarshalText() ([]byte, error) {
 	return []byte(time.Duration(d).String()), nil
 }
 
 func (d Duration) String() string { return time.Duration(d).String() }
 
-// UnmarshalText parses a share like "30%".
+// UnmarshalText parses a percentage such as "30%".
 func (p *Percent) UnmarshalText(text []byte) error {
 	bad := &ScalarError{Value: string(text), Expected: `a share such as "30%"`}
 	digits, ok := strings.CutSuffix(string(text), "%")
@@ -50,7 +50,7 @@
 	return nil
 }
 
-// MarshalText writes the share like "30%".
+// MarshalText formats the percentage as in "30%".
 func (p Percent) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
 
 func (p Percent) String() string {
@@ -63,7 +63,7 @@
 	mebibyte = 1 << 20
 )
 
-// UnmarshalText parses a size like "64KiB", "1MiB" or "512B".
+// UnmarshalText parses a size such as "64KiB", "1MiB" or "512B".
 func (s *Size) UnmarshalText(text []byte) error {
 	bad := &ScalarError{Value: string(text), Expected: `a size such as "64KiB"`}
 	digits, unit := string(text), int64(0)
@@ -84,7 +84,7 @@
 	return nil
 }
 
-// MarshalText writes the size in the largest unit that divides it.
+// MarshalText formats the size in the largest unit that divides it.
 func (s Size) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
 func (s Size) String() string {
@@ -97,7 +97,7 @@
 	return strconv.FormatInt(int64(s), 10) + "B"
 }
 
-// UnmarshalText parses "ip:port"; names are refused.
+// UnmarshalText parses "ip:port"; host names are rejected.
 func (a *Address) UnmarshalText(text []byte) error {
 	v, err := netip.ParseAddrPort(string(text))
 	if err != nil || v.Port() == 0 {
@@ -107,10 +107,10 @@
 	return nil
 }
 
-// IsZero reports whether the address is absent; YAML leaves it out then.
+// IsZero reports whether the address is not set; encoders then omit it.
 func (a Address) IsZero() bool { return !a.IsValid() }
 
-// UnmarshalText parses a CIDR block without host bits.
+// UnmarshalText parses a block in CIDR notation without host bits.
 func (p *Prefix) UnmarshalText(text []byte) error {
 	v, err := netip.ParsePrefix(string(text))
 	if err != nil || v != v.Masked() {
--- a/internal/core/document/sections.go
+++ b/internal/core/document/sections.go
@@ -9,14 +9,14 @@
 	"strings"
 )
 
-// HashSize is the length of a section's hash in bytes.
+// HashSize is the length of a section hash in bytes.
 const HashSize = 16
 
-// MaxSection bounds the data of a section, in bytes, so that each is one value
-// of the platform's key-value service.
+// MaxSection is the maximum size of a section's data, in bytes, so that a
+// section fits into one value of the platform's key-value service.
 const MaxSection = 1_000_000
 
-// Hash names a section by its content: the first HashSize bytes of the
+// Hash identifies a section by its content: the first HashSize bytes of the
 // SHA-256 of its data.
 type Hash [HashSize]byte
 
@@ -28,21 +28,22 @@
 	return Hash(sum[:HashSize])
 }
 
-// Section is a part of a document that is stored and sent on its own. A page
-// is a section that lists other sections.
+// Section is a part of a document that is stored and sent separately. A page is
+// a section that lists other sections.
 type Section struct {
 	// Name is unique within a document.
 	Name string
 	Hash Hash
-	// Data is the section's content in JSON.
+	// Data is the content of the section in JSON.
 	Data []byte
 }
 
-// Ref returns the section's reference.
+// Ref returns a reference to the section.
 func (s Section) Ref() Ref { return Ref{Name: s.Name, Hash: s.Hash} }
 
-// Names of sections. A head refers to the sections named in full; the pages
-// among them refer to the rest.
+// Names of sections and, for those with a variable part, prefixes of names. A
+// head refers to the sections whose full names are listed here; the pages among
+// them refer to all others.
 const (
 	sectionSettings = "settings"
 	sectionLinks    = "links"
@@ -58,32 +59,34 @@
 	pageClients  = "page/clients"
 )
 
-var topNames = []string{
+// headSections are the names of the sections that a head refers to directly.
+var headSections = []string{
 	sectionSettings, sectionLinks, sectionCaps, sectionDrains, pageRegions, pageServices, pageClients,
 }
 
 // IsPage reports whether a section lists other sections.
 func IsPage(name string) bool { return strings.HasPrefix(name, pagePrefix) }
 
-// isClients reports whether a section holds client blocks or lists sections
-// that do.
+// isClients reports whether a section contains client blocks or is a page of
+// sections that do.
 func isClients(name string) bool {
 	return strings.HasPrefix(name, clientsPrefix) || strings.HasPrefix(name, pageClients)
 }
 
-// Refs returns the references of a head: those of the sections that no page
+// Refs returns the references of a head: those to the sections that no page
 // lists.
 func Refs(sections []Section) []Ref {
 	var out []Ref
 	for _, s := range sections {
-		if slices.Contains(topNames, s.Name) {
+		if slices.Contains(headSections, s.Name) {
 			out = append(out, s.Ref())
 		}
 	}
 	return out
 }
 
-// Children returns the references that a page lists; other sections have none.
+// Children returns the references that a page lists, and none for a section
+// that is not a page.
 //
 // Errors: *SectionError.
 func Children(s Section) ([]Ref, error) {
@@ -102,10 +105,10 @@
 	Lookup Lookup `json:"lookup"`
 }
 
-// Divide splits a document into sections in a stable order. The division
-// depends on the document alone: equal documents have equal sections.
+// Divide splits a document into sections in a stable order. The result depends
+// only on the document: equal documents have equal sections.
 //
-// Errors: *SectionError, also for a part that is over MaxSection.
+// Errors: *SectionError, including for a part that exceeds MaxSection.
 func Divide(doc *Document) ([]Section, error) {
 	d := new(divider)
 	d.add(sectionSettings, settingsSection{Weigh: doc.Weigh, Lookup: doc.Lookup})
@@ -132,7 +135,7 @@
 	return append(d.sections, clients...), nil
 }
 
-// divider collects sections until the first failure.
+// divider collects sections and keeps the first error.
 type divider struct {
 	sections []Section
 	err      error
@@ -168,7 +171,7 @@
 
 func (e *SectionError) Unwrap() error { return e.Err }
 
-// Join puts a document together from all of its sections, pages included.
+// Join reassembles a document from all of its sections, pages included.
 //
 // Errors: *SectionError for data that does not match its hash or its type.
 func Join(sections []Section) (*Document, error) {
@@ -197,8 +200,8 @@
 	return doc, nil
 }
 
-// joinParts puts a document together without its client blocks. Parts that
-// are not there stay empty.
+// joinParts reassembles a document without its client blocks. Parts that find
+// does not return stay empty.
 func joinParts(find func(name string) (Section, bool)) (*Document, error) {
 	doc := new(Document)
 	var set settingsSection
@@ -221,7 +224,7 @@
 	return doc, j.err
 }
 
-// joiner reads sections until the first failure.
+// joiner decodes sections until the first error.
 type joiner struct {
 	find func(name string) (Section, bool)
 	err  error
--- a/internal/core/document/tree.go
+++ b/internal/core/document/tree.go
@@ -5,20 +5,20 @@
 	"fmt"
 )
 
-// errAbsent makes CompareTrees go on without a section.
-const errAbsent sectionFault = "section is not at hand"
+// errSectionUnavailable makes CompareTrees continue without a section.
+const errSectionUnavailable sentinelError = "section is not available"
 
-// TreeDiff holds the sections that only one of two trees has.
+// TreeDiff contains the sections that are in only one of two trees.
 type TreeDiff struct {
 	Added   []Section
 	Removed []Section
 }
 
-// MissingError is a head whose sections are not all at hand.
+// MissingError is a head of which some sections are not available.
 type MissingError struct {
 	Sequence uint64
-	// Refs are some of the missing sections. A missing page hides what it
-	// lists.
+	// Refs are some of the missing sections. Sections that a missing page lists
+	// are not included.
 	Refs []Ref
 }
 
@@ -26,28 +26,28 @@
 	return fmt.Sprintf("head %d: %d sections are missing", e.Sequence, len(e.Refs))
 }
 
-// CompareTrees walks two trees of sections from their tops and stops wherever
-// they agree, so that the cost follows the difference. It calls get only for
-// sections that differ.
+// CompareTrees compares two trees of sections level by level and skips the
+// subtrees that are equal, so that the cost is proportional to the difference.
+// It calls get only for sections that differ.
 //
 // Errors: those of get, and *SectionError for a malformed page.
 func CompareTrees(old, next []Ref, get func(Ref) (Section, error)) (TreeDiff, error) {
 	var diff TreeDiff
 	for len(old) > 0 || len(next) > 0 {
 		oldSet, nextSet := refSet(old), refSet(next)
-		removed, below, err := expand(old, nextSet, get)
+		removed, oldBelow, err := expandDiff(old, nextSet, get)
 		if err != nil {
 			return TreeDiff{}, err
 		}
-		added, nextBelow, err := expand(next, oldSet, get)
+		added, nextBelow, err := expandDiff(next, oldSet, get)
 		if err != nil {
 			return TreeDiff{}, err
 		}
 		diff.Removed = append(diff.Removed, removed...)
 		diff.Added = append(diff.Added, added...)
-		old, next = below, nextBelow
+		old, next = oldBelow, nextBelow
 	}
-	return diff.reduced(), nil
+	return diff.withoutCommon(), nil
 }
 
 func refSet(refs []Ref) map[Ref]bool {
@@ -58,14 +58,15 @@
 	return set
 }
 
-// expand gets the sections that the other side lacks, and what they list.
-func expand(refs []Ref, other map[Ref]bool, get func(Ref) (Section, error)) (sections []Section, below []Ref, err error) {
+// expandDiff returns the sections of refs that other does not contain, and the
+// references that they list.
+func expandDiff(refs []Ref, other map[Ref]bool, get func(Ref) (Section, error)) (sections []Section, nextLevel []Ref, err error) {
 	for _, ref := range refs {
 		if other[ref] {
 			continue
 		}
 		s, err := get(ref)
-		if errors.Is(err, errAbsent) {
+		if errors.Is(err, errSectionUnavailable) {
 			continue
 		}
 		if err != nil {
@@ -77,13 +78,13 @@
 			return nil, nil, err
 		}
 		sections = append(sections, s)
-		below = append(below, children...)
+		nextLevel = append(nextLevel, children...)
 	}
-	return sections, below, nil
+	return sections, nextLevel, nil
 }
 
-// reduced drops sections that stand on both sides, at different heights.
-func (d TreeDiff) reduced() TreeDiff {
+// withoutCommon drops the sections that are in both trees at different depths.
+func (d TreeDiff) withoutCommon() TreeDiff {
 	count := make(map[Ref]int, len(d.Removed))
 	for _, s := range d.Removed {
 		count[s.Ref()]++
