--- a/internal/daemon/gateway/fixtures_test.go
+++ b/internal/daemon/gateway/fixtures_test.go
@@ -18,6 +18,10 @@
 	"cassiatray/internal/port"
 )
 
+// drainBound is the shortest bound of the users' sites on work for a leaving
+// server.
+const drainBound = 2500 * time.Millisecond
+
 // plainDialect uses headers with unprefixed names.
 type plainDialect struct{}
 
--- a/internal/daemon/gateway/sync_test.go
+++ b/internal/daemon/gateway/sync_test.go
@@ -19,10 +19,6 @@
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
-// drainBound is the shortest bound of the users' sites on work for a leaving
-// server.
-const drainBound = 2500 * time.Millisecond
-
 // play runs fn with a settled world of gateways and servers on virtual time.
 func play(t *testing.T, perDomain int, fn func(w *testCluster)) {
 	synctest.Test(t, func(t *testing.T) {
