Send a new configuration once on a page

Each page with a new configuration carried it twice: as a record of the store, and as the one in force, which added for gateways that start after the store came back from a copy.

The configuration in force goes along only when the page's records lack it.

--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -73,7 +74,7 @@
 			page.Records = append(page.Records, recordMessage(r, now))
 		}
 	}
-	if k.config != nil && k.config.Version > req.ConfigVersion {
+	if k.config != nil && k.config.Version > req.ConfigVersion && !carries(page, k.configRecord) {
 		page.Config = recordMessage(k.configRecord, now)
 	}
 	for _, h := range k.heard {
@@ -85,6 +86,11 @@
 	return page, k.changed
 }
 
+// carries reports whether a record is among those of a page.
+func carries(page *peerv1.MirrorPage, r mirror.Record) bool {
+	return slices.ContainsFunc(page.Records, func(m *peerv1.StoreRecord) bool { return m.Key == r.Key && m.Revision == r.Revision })
+}
+
 func recordMessage(r mirror.Record, now time.Time) *peerv1.StoreRecord {
 	return &peerv1.StoreRecord{
 		Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted, AgeMicros: now.Sub(r.Read).Microseconds(),
--- a/internal/daemon/gateway/restore_test.go
+++ b/internal/daemon/gateway/restore_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/mirror"
+	"cassiatray/internal/port"
+	peerv1 "cassiatray/proto/peer/v1"
 )
 
 // restored takes the store away for a second and has it come back from a copy.
@@ -279,3 +282,27 @@
 		w.waitFor(drainBound, "version 3 is in force", func() bool { return h.version() == 3 })
 	})
 }
+
+// storedConfig is a configuration's record in a test.
+func storedConfig(version, era, revision uint64) mirror.Record {
+	return mirror.Record{Key: "config", Value: encode(plainConfig{Version: version}), Revision: port.RevisionIn(era, revision), Read: time.Now()}
+}
+
+// TestPageCarriesConfigurationOnce guards against pages that carry a new configuration
+// twice, as a record of the store and as the one in force.
+func TestPageCarriesConfigurationOnce(t *testing.T) {
+	k := NewKeeper(testSettings("x", "a1", 1), plainSchema{}, discardLog())
+	now := time.Now()
+	k.Replace([]mirror.Record{storedConfig(1, 0, 4)}, port.RevisionIn(0, 4), "store", now)
+	k.Apply([]mirror.Record{storedConfig(2, 0, 5)}, port.RevisionIn(0, 5), "store", now)
+	for _, have := range []uint64{0, 4} {
+		page, _ := k.page(1, &peerv1.MirrorPull{Have: have, ConfigVersion: min(have, 1)}, now)
+		if len(page.Records) != 1 || page.Config != nil {
+			t.Errorf("page from revision %d: %d records, configuration beside them %t", have, len(page.Records), page.Config != nil)
+		}
+	}
+	k.Replace([]mirror.Record{storedConfig(1, 1, 4)}, port.RevisionIn(1, 4), "store", now)
+	if page, _ := k.page(1, &peerv1.MirrorPull{ConfigVersion: 1}, now); page.Config == nil {
+		t.Error("page lacks the configuration in force, which the copy of the store lacks")
+	}
+}
