Notice a restore of the store in a gateway's first listing

A gateway that starts while the store comes back from a copy, and hears of its peers before its own first listing is in, took that listing as news: its revisions are of a later era. It would send to servers that leave or are gone, and callers would lose requests with them.

TestFirstListingFromACopyIsNoNews was red.

--- a/internal/daemon/gateway/restore_test.go
+++ b/internal/daemon/gateway/restore_test.go
@@ -306,3 +306,21 @@
 		t.Error("page lacks the configuration in force, which the copy of the store lacks")
 	}
 }
+
+// TestFirstListingFromACopyIsNoNews guards against a gateway that starts while the store
+// comes back from a copy and takes its first listing, which comes late, for newer than what
+// its peers have told it: it would send to servers that leave.
+func TestFirstListingFromACopyIsNoNews(t *testing.T) {
+	k := NewKeeper(testSettings("x", "a1", 1), plainSchema{}, discardLog())
+	now := time.Now()
+	stored := func(state fleet.State, beat int64, revision uint64) mirror.Record {
+		r := fleet.Record{ID: "i", Service: "s", Domain: "a1", Slots: 1, State: state, Born: 100, Beat: beat}
+		return mirror.Record{Key: "server/i", Value: encode(r), Revision: revision, Read: now}
+	}
+	leaving := recordMessage(stored(fleet.Draining, 30, port.RevisionIn(0, 8)), now)
+	k.TakePage(&peerv1.MirrorPage{Records: []*peerv1.StoreRecord{leaving}, Complete: port.RevisionIn(0, 8), Snapshot: true}, "hub", now)
+	k.Load([]mirror.Record{stored(fleet.Ready, 10, port.RevisionIn(1, 6))}, port.RevisionIn(1, 6), now)
+	if s := k.servers["i"]; s.rec().State != fleet.Draining {
+		t.Error("the copy of the store undid a drain")
+	}
+}
--- a/internal/daemon/gateway/start.go
+++ b/internal/daemon/gateway/start.go
@@ -88,6 +88,7 @@
 func (k *Keeper) Load(records []mirror.Record, revision uint64, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.noteRestore(revision, now)
 	k.take(k.mirror.Replace("", records, revision, now), "store, stale", now)
 	k.loaded = now
 }
