Take a configuration that the store's copy lacks from peers at a start

A gateway that starts after the store came back from a copy without any configuration (one that is older than the operators' first) did not take the one that its peers serve by, and turned callers away until the operators had written again.

--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -134,7 +134,7 @@
 		k.take(k.mirror.ApplyForwarded(records), source, now)
 		k.mirror.Complete(page.Complete)
 	}
-	if c := page.Config; c != nil && !c.Deleted && k.config != nil {
+	if c := page.Config; c != nil && !c.Deleted {
 		k.takeLaterConfig(recordOf(c, now), source, now)
 	}
 	k.logPage(page, source, have, k.mirror.Counts().Sub(before))
--- a/internal/daemon/gateway/restore.go
+++ b/internal/daemon/gateway/restore.go
@@ -119,11 +119,11 @@
 }
 
 // takeLaterConfig takes in the configuration that is in force at a source, if it is later than
-// the one here. The caller holds k.mu.
+// the one here or there is none here. The caller holds k.mu.
 func (k *Keeper) takeLaterConfig(r mirror.Record, source string, now time.Time) {
-	version := k.config.Version
+	held := k.config
 	k.takeConfig(r, logrus.Fields{"key": r.Key, "revision": r.Revision, "source": source, "age_ms": now.Sub(r.Read).Milliseconds()})
-	if k.config.Version > version {
+	if k.config != held {
 		k.placementChanged = true
 		k.wake()
 		k.publish(now)
--- a/internal/daemon/gateway/restore_test.go
+++ b/internal/daemon/gateway/restore_test.go
@@ -324,3 +324,15 @@
 		t.Error("the copy of the store undid a drain")
 	}
 }
+
+// TestConfigurationThatACopyLacksIsTaken guards against a gateway that starts after the store
+// came back from a copy without any configuration, and waits for the operators although its
+// peers serve by one.
+func TestConfigurationThatACopyLacksIsTaken(t *testing.T) {
+	k := NewKeeper(testSettings("x", "a1", 1), plainSchema{}, discardLog())
+	now := time.Now()
+	k.TakePage(&peerv1.MirrorPage{Complete: port.RevisionIn(1, 6), Snapshot: true, Config: recordMessage(storedConfig(2, 0, 9), now)}, "hub", now)
+	if got := k.configVersion(); got != 2 {
+		t.Errorf("version %d in force, want 2", got)
+	}
+}
