Check during restores that gateways unlearn nothing

TestRestoresWhileGatewaysFail looked at the end of each history only, and the operators wrote again at once, so that a gateway that followed the copy for a moment went unseen.

--- a/internal/daemon/gateway/restore_test.go
+++ b/internal/daemon/gateway/restore_test.go
@@ -196,9 +196,44 @@
 	})
 }
 
+// knownFacts are what gateways have known and may not unlearn.
+type knownFacts struct {
+	versions map[*testHost]uint64
+	// left holds the draining servers that a gateway has stopped routing to, by their start.
+	left map[*testHost]map[string]int64
+}
+
+// unlearned returns what a gateway knew before and no longer acts on: the version of a
+// configuration, or that a server drains.
+func (f *knownFacts) unlearned(h *testHost, servers map[string]fleet.Record) string {
+	if v := h.version(); v < f.versions[h] {
+		return fmt.Sprintf("version %d after %d", v, f.versions[h])
+	}
+	f.versions[h] = h.version()
+	left := f.left[h]
+	if left == nil {
+		left = map[string]int64{}
+		f.left[h] = left
+	}
+	for _, r := range servers {
+		switch routes := h.routesTo(r.ID); {
+		case r.State != fleet.Draining:
+			delete(left, r.ID)
+		case !routes && h.keeper.server(r.ID, r.Born) != nil:
+			left[r.ID] = r.Born
+		case routes && left[r.ID] == r.Born:
+			return "routes to " + r.ID + " again, which drains"
+		}
+	}
+	return ""
+}
+
 // TestRestoresWhileGatewaysFail plays restores from copies of any age while gateways are
-// killed, started and cut off: at the end all agree with the store.
+// killed, started and cut off: none unlearns what it knew, and at the end all agree with
+// the store.
 func TestRestoresWhileGatewaysFail(t *testing.T) {
+	// rewrittenAfter is the time until operators and servers write again.
+	const rewrittenAfter = time.Second
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			play(t, 2, func(w *testCluster) {
@@ -206,6 +241,7 @@
 				copies := []storeCopy{w.store.copy()}
 				state := map[string]fleet.Record{}
 				version := uint64(1)
+				known := knownFacts{versions: map[*testHost]uint64{}, left: map[*testHost]map[string]int64{}}
 				for step := range 40 {
 					d := testDomains[random.IntN(len(testDomains))].Domain
 					switch random.IntN(7) {
@@ -226,6 +262,7 @@
 						copies = append(copies, w.store.copy())
 					case 5:
 						w.restored(copies[random.IntN(len(copies))])
+						w.always(rewrittenAfter, "what is known", func(h *testHost) string { return known.unlearned(h, state) })
 						w.setConfig(version)
 						for _, r := range state {
 							w.setServer(r)
@@ -246,7 +283,8 @@
 							w.store.turnAway(false, cut)
 						})
 					}
-					time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+					span := time.Duration(random.IntN(1500)) * time.Millisecond
+					w.always(span, "what is known", func(h *testHost) string { return known.unlearned(h, state) })
 				}
 				time.Sleep(2*restoreSettle + drainBound)
 				for name, h := range w.hosts {
