--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -21,6 +21,7 @@
 	limited  *prometheus.CounterVec
 	permits  *prometheus.CounterVec
 	signals  *prometheus.CounterVec
+	unknown  *prometheus.CounterVec
 }
 
 // latencyBuckets cover the latencies that routes aim for, in seconds.
@@ -60,7 +61,10 @@
 	m.signals = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_server_signals_total", Help: "What responses of backend servers said of them: leaving, pause or unreadable.",
 	}, []string{"signal"})
-	reg.MustRegister(m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals)
+	m.unknown = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_unknown_headers_total", Help: "Responses of backend servers with a header that this version does not know, by its name.",
+	}, []string{"header"})
+	reg.MustRegister(m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown)
 	return m
 }
 
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -53,9 +53,10 @@
 	// more requests.
 	stopping, refusing atomic.Bool
 
-	permitPeers  permitPeers
-	serviceTimes serviceTimes
-	bounds       atomic.Pointer[Bounds]
+	permitPeers    permitPeers
+	serviceTimes   serviceTimes
+	unknownHeaders unknownHeaders
+	bounds         atomic.Pointer[Bounds]
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.Window
--- a/internal/daemon/gateway/signals.go
+++ b/internal/daemon/gateway/signals.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,6 +24,8 @@
 	// leavingTTL is how long the word of a server that leaves is remembered beyond its
 	// record: longer than any server serves on.
 	leavingTTL = 10 * time.Minute
+	// maxUnknownHeaders bounds the names of unknown headers that are told apart.
+	maxUnknownHeaders = 32
 )
 
 // leavingWord is a server's word that its process leaves.
@@ -38,6 +41,9 @@
 		return
 	}
 	id := s.rec().ID
+	for _, name := range meta.Unknown {
+		n.recordUnknownHeader(name, id)
+	}
 	for _, err := range meta.SignalErrors {
 		n.metrics.signals.WithLabelValues("unreadable").Inc()
 		n.log.WithField("server", id).WithError(err).Warn("Header of a server cannot be read; it says nothing.")
@@ -55,6 +61,37 @@
 	}
 }
 
+// unknownHeaders are the names of headers that were met and that this version does not know.
+type unknownHeaders struct {
+	mu    sync.Mutex
+	names map[string]bool
+}
+
+// add returns the name to count a header by, and whether it was not met before.
+func (u *unknownHeaders) add(name string) (label string, first bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case u.names[name]:
+		return name, false
+	case len(u.names) >= maxUnknownHeaders:
+		return "other", false
+	case u.names == nil:
+		u.names = map[string]bool{}
+	}
+	u.names[name] = true
+	return name, true
+}
+
+// recordUnknownHeader leaves a trace of what servers say and nobody here listens to.
+func (n *Node) recordUnknownHeader(name, server string) {
+	label, first := n.unknownHeaders.add(name)
+	n.metrics.unknown.WithLabelValues(label).Inc()
+	if first {
+		n.log.WithFields(logrus.Fields{"header": name, "server": server}).Warn("Servers send a header that this version does not know.")
+	}
+}
+
 // leave records that the server said that it leaves. It reports whether that is new.
 func (s *server) leave(now time.Time) bool {
 	s.mu.Lock()
--- a/internal/daemon/gateway/signals_test.go
+++ b/internal/daemon/gateway/signals_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
+
 	"cassiatray/internal/core/fleet"
 	"cassiatray/internal/core/mirror"
 	"cassiatray/internal/port"
@@ -229,3 +231,32 @@
 		}
 	})
 }
+
+// TestUnknownHeadersLeaveATrace guards against words of servers that nobody reads and that
+// show nowhere, however many names there are.
+func TestUnknownHeadersLeaveATrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, servers := signalFixture()
+		count := func(label string) float64 {
+			var m dto.Metric
+			if err := f.node.metrics.unknown.WithLabelValues(label).Write(&m); err != nil {
+				t.Fatal(err)
+			}
+			return m.GetCounter().GetValue()
+		}
+		servers.say("i-a1", port.ServerMeta{Unknown: []string{"Server-Mood"}})
+		start := time.Now()
+		f.spread(60)
+		if got, want := count("Server-Mood"), float64(servers.got("i-a1", start.Add(-1))); got != want || want == 0 {
+			t.Errorf("%v responses counted, want %v", got, want)
+		}
+		var many []string
+		for i := range 2 * maxUnknownHeaders {
+			many = append(many, fmt.Sprint("Server-", i))
+		}
+		f.node.recordSignals(f.keeper.server("i-a1", 0), port.ServerMeta{Unknown: many}, time.Now())
+		if got := count("other"); got != maxUnknownHeaders+1 {
+			t.Errorf("%v names beyond the bound counted together, want %d", got, maxUnknownHeaders+1)
+		}
+	})
+}
--- a/internal/port/dialect.go
+++ b/internal/port/dialect.go
@@ -49,6 +49,9 @@
 	Pause time.Duration
 	// SignalErrors are what of Leaving and Pause cannot be read.
 	SignalErrors []error
+	// Unknown are the names of headers that servers have for gateways, and that this one
+	// does not know.
+	Unknown []string
 }
 
 // HeaderError is a header of a response that cannot be read.
