--- /dev/null
+++ b/internal/daemon/gateway/records.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/mirror"
+	"cassiatray/internal/core/routing"
+	"cassiatray/internal/port"
+	peerv1 "cassiatray/proto/peer/v1"
+)
+
+// take acts on changed records. The caller holds k.mu.
+func (k *Keeper) take(records []mirror.Record, source string, now time.Time) {
+	if len(records) == 0 {
+		return
+	}
+	for _, r := range records {
+		k.takeOne(r, source, now)
+	}
+	k.wake()
+	k.publish(now)
+}
+
+// takeOne acts on a changed record. The caller holds k.mu.
+func (k *Keeper) takeOne(r mirror.Record, source string, now time.Time) {
+	kind, name := k.schema.Kind(r.Key)
+	k.placementChanged = k.placementChanged || kind != port.RecordMember
+	fields := logrus.Fields{"key": r.Key, "revision": r.Revision, "source": source, "age_ms": now.Sub(r.Read).Milliseconds()}
+	delete(k.restore.doubted, r.Key)
+	if _, lapsed := k.lapsed[r.Key]; lapsed && r.Deleted {
+		// Each hub that lists the store gives what a copy lacks a revision of its own.
+		return
+	}
+	delete(k.lapsed, r.Key)
+	switch kind {
+	case port.RecordConfig:
+		k.takeConfig(r, fields)
+	case port.RecordEvacuation:
+		if k.isMissingInCopy(r) {
+			k.lapse(r, restoreSettle, fields, now)
+			return
+		}
+		k.log.WithFields(fields).WithField("evacuated", !r.Deleted).Info("Evacuation changed.")
+	case port.RecordServer:
+		k.takeServer(name, r, fields, now)
+	case port.RecordMember:
+		k.takeMember(name, r, fields, now)
+	}
+}
+
+// remove acts on the removal of a server's, a gateway's or an evacuation's record. The caller
+// holds k.mu.
+func (k *Keeper) remove(r mirror.Record, fields logrus.Fields, now time.Time) {
+	delete(k.lapsed, r.Key)
+	switch kind, name := k.schema.Kind(r.Key); kind {
+	case port.RecordServer:
+		if old := k.servers[name]; old != nil {
+			k.restore.depart(r.Key, departure{at: now, born: old.rec().Born})
+		}
+		delete(k.servers, name)
+		k.log.WithFields(fields).Info("Server gone.")
+	case port.RecordMember:
+		delete(k.stored, name)
+		k.log.WithFields(fields).Info("Gateway's record gone.")
+	case port.RecordEvacuation:
+		k.log.WithFields(fields).WithField("evacuated", false).Info("Evacuation changed.")
+	}
+}
+
+func (k *Keeper) takeConfig(r mirror.Record, fields logrus.Fields) {
+	if r.Deleted {
+		k.log.WithFields(fields).Warn("Configuration removed; the last one stays in force.")
+		return
+	}
+	c, err := k.schema.Config(r.Value)
+	if err != nil {
+		k.log.WithFields(fields).WithError(err).Error("Configuration refused; the last one stays in force.")
+		return
+	}
+	if k.config != nil && c.Version <= k.config.Version {
+		k.log.WithFields(fields).WithField("version", c.Version).Warn("Configuration is not newer; the last one stays in force.")
+		return
+	}
+	k.config, k.configRecord = c, r
+	k.splits, k.levels = map[*routing.Route]*lockedSplit{}, c.Levels()
+	c.EachRoute(func(route *routing.Route) {
+		if len(route.Parts) > 1 {
+			k.splits[route] = &lockedSplit{split: routing.NewSplit(route.Parts)}
+		}
+	})
+	k.log.WithFields(fields).WithFields(logrus.Fields{"version": c.Version, "routes": c.Routes()}).Info("Configuration in force.")
+}
+
+func (k *Keeper) takeServer(id string, r mirror.Record, fields logrus.Fields, now time.Time) {
+	old := k.servers[id]
+	if r.Deleted {
+		switch {
+		case old != nil && k.isMissingInCopy(r):
+			k.lapse(r, lapseGrace, fields, now)
+		case old != nil && now.Before(k.graceUntil):
+			k.lapse(r, k.graceUntil.Sub(now), fields, now)
+		default:
+			k.remove(r, fields, now)
+		}
+		return
+	}
+	rec, err := k.schema.Server(id, r.Value)
+	if err != nil {
+		delete(k.servers, id)
+		k.log.WithFields(fields).WithError(err).Warn("Server's record refused.")
+		return
+	}
+	if k.isOutdatedServer(old, rec, r) {
+		k.restore.doubt(r.Key)
+		k.log.WithFields(fields).Info("Server's record in the copy is older than what is known.")
+		return
+	}
+	s := old
+	switch {
+	case old == nil:
+		s = newServer(rec, k.cfg.regionOf(rec.Domain))
+		if k.restore.isCopied(r) {
+			// It may be gone since before this gateway started.
+			s.withHealth(func(h *fleet.Health) bool { return h.Suspect(now) })
+		}
+	case old.rec().SameLife(rec):
+		s.record.Store(&rec)
+	default:
+		s = old.successor(rec, k.cfg.regionOf(rec.Domain))
+	}
+	if rec.Cold > 0 {
+		until := r.Read.Add(rec.Cold)
+		s.withHealth(func(h *fleet.Health) bool { h.Cold(until); return true })
+	}
+	if k.saidToLeave(&rec) {
+		s.leave(now)
+	}
+	k.servers[id] = s
+	fields["service"], fields["state"], fields["cold_ms"] = rec.Service, rec.State.String(), rec.Cold.Milliseconds()
+	k.log.WithFields(fields).Info("Server changed.")
+}
+
+func (k *Keeper) takeMember(host string, r mirror.Record, fields logrus.Fields, now time.Time) {
+	if r.Deleted {
+		if k.isMissingInCopy(r) && k.stored[host] != nil {
+			k.lapse(r, restoreSettle, fields, now)
+			return
+		}
+		k.remove(r, fields, now)
+		return
+	}
+	m := new(peerv1.GatewayMember)
+	if err := proto.Unmarshal(r.Value, m); err != nil || m.Host != host {
+		k.log.WithFields(fields).WithError(err).Warn("Gateway's record refused.")
+		return
+	}
+	if isCopiedMember(m, r) {
+		k.log.WithFields(fields).Info("Gateway's record is of before the store came back from a copy.")
+		return
+	}
+	k.stored[host] = m
+	k.log.WithFields(fields).WithField("incarnation", m.Incarnation).Info("Gateway known.")
+}
