Keep a doubt of a cold server until a check settles it

Cause: in an outage of the store a check that goes unanswered makes all gateways doubt the server (0.265 s after it turned cold). A response ended the doubt, whichever request it was to: the three runs that had filled the slots were answered at 0.48 s, and their gateways sent six more by 0.9 s. A rejection for want of a slot ended it likewise, and kept a gateway from taking the doubt.

Ruled out: checks that come late (the first one was sent 0.12 s after), several owners.

Change: while nothing but checks tells which servers are cold, a response counts for a doubt only if its request is younger, and a rejection does not; one that says how long the server is cold counts as ever. Health checks had that rule for rejections.

--- a/internal/core/fleet/health.go
+++ b/internal/core/fleet/health.go
@@ -23,7 +23,9 @@
 	// peerReported is set while the server counts as unreachable only because
 	// another gateway reported it.
 	peerReported bool
-	lastAnswer   time.Time
+	// doubtedAt is when another gateway's report last made it so.
+	doubtedAt  time.Time
+	lastAnswer time.Time
 	checking     bool
 	nextCheck    time.Time
 	failures     int
@@ -65,9 +67,18 @@
 		return false
 	}
 	h.down, h.peerReported, h.checking, h.nextCheck = true, true, false, now
+	h.doubtedAt = now
 	return true
 }
 
+// DoubtedSince reports whether another gateway's report made the server count as
+// unreachable after a time.
+func (h *Health) DoubtedSince(t time.Time) bool { return h.Doubted() && !h.doubtedAt.Before(t) }
+
+// Alive records a response that shows that the process runs, and not whether it is cold: a
+// doubt stays until a check settles it.
+func (h *Health) Alive() { h.failures, h.brokenInRow = 0, 0 }
+
 // Suspect records that the server's process may have been replaced. It gets no requests
 // until a check succeeds, which is due immediately. Suspect reports whether that changed
 // the state.
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -65,7 +65,8 @@
 		n.recordFailure(req, s, err)
 	} else {
 		result.Status, result.New = a.Status, a.Opened
-		s.recordAnswer(a.Meta, ownRequests, time.Now())
+		now := time.Now()
+		s.recordAnswer(a.Meta, ownRequests, started.at, n.coldUnseen(req.view, req.service, now), now)
 		n.recordLimit(s, a.Meta, time.Now())
 		n.recordSignals(s, a.Meta, time.Now())
 		if !a.Meta.NotRun {
@@ -141,6 +142,12 @@
 	return v.config != nil && v.config.Services[service] != nil && v.config.Services[service].ColdRate > 0
 }
 
+// coldUnseen reports whether nothing but health checks tells which servers of a service are
+// cold: it limits the requests to them, and the store, which else says so, is out of reach.
+func (n *Node) coldUnseen(v *view, service string, now time.Time) bool {
+	return n.limitsColdServers(v, service) && n.syncer.outage(now)
+}
+
 // checkForRestart checks a server that closed its connections before it gets further
 // requests: a new process is cold, and the store may not say so yet.
 func (n *Node) checkForRestart(req *inflightRequest, s *server, err error, now time.Time) {
--- a/internal/daemon/gateway/coldslots_test.go
+++ b/internal/daemon/gateway/coldslots_test.go
@@ -27,6 +27,8 @@
 	// coldFrom is when the servers of coldDomain turn cold; zero for not yet.
 	coldFrom time.Time
 	arrivals map[string][]time.Time
+	// probes are the health checks that servers have not answered, also those given up.
+	probes sync.WaitGroup
 }
 
 const (
@@ -78,7 +80,7 @@
 // Probe implements port.Prober.
 func (s *coldSlots) Probe(ctx context.Context, address, _ string) (port.ServerMeta, int, error) {
 	done := make(chan port.ServerMeta, 1)
-	go func() {
+	s.probes.Go(func() {
 		if !s.takeSlot(address) {
 			done <- port.ServerMeta{NotRun: true}
 			return
@@ -86,7 +88,7 @@
 		time.Sleep(time.Millisecond)
 		load := s.freeSlot(address)
 		done <- port.ServerMeta{Cold: s.cold(address), Load: load}
-	}()
+	})
 	select {
 	case meta := <-done:
 		if meta.NotRun {
@@ -121,59 +123,80 @@
 	return most
 }
 
-// TestServersThatTurnColdInOutageAreNotFlooded guards against a flood of servers that turn
-// cold while the store is away: cold runs take all their slots, so that the health check
-// that would show it is not answered for up to a second.
-func TestServersThatTurnColdInOutageAreNotFlooded(t *testing.T) {
+// coldRateInTest is how many requests a second cold servers of the cluster's service take,
+// and allowedWhenCold how many they may get in any second.
+const (
+	coldRateInTest  = 6
+	allowedWhenCold = coldRateInTest*1.5 + 5
+)
+
+// playColdInOutage turns the servers of a domain cold while the store is away, and returns the
+// most requests that one of them then gets in a second.
+func playColdInOutage(t *testing.T, seed uint64) (most int) {
 	const (
-		coldRate  = 6
-		allowed   = coldRate*1.5 + 5
 		slots     = 3
 		coldRun   = 240 * time.Millisecond
 		perServer = 18 // requests a second
 		perDomain = 3
 	)
+	synctest.Test(t, func(t *testing.T) {
+		servers := &coldSlots{simulatedServers: newSimulatedServers(slots, 80, coldRun), arrivals: map[string][]time.Time{}}
+		w := newTestCluster(t)
+		w.forwarder = func(string) forwardProber { return servers }
+		w.setConfig(1)
+		n := 0
+		for _, d := range testDomains {
+			for i := range 3 {
+				n++
+				w.setServer(fleet.Record{ID: fmt.Sprintf("i-%s-%d", d.Domain, i), Domain: d.Domain, Slots: slots, Born: 7})
+			}
+		}
+		w.addPerDomain(perDomain)
+		defer synctest.Wait()
+		defer servers.probes.Wait()
+		defer w.stopAll()
+		time.Sleep(3 * time.Second)
+		random := rand.New(rand.NewPCG(seed, 7))
+		var wg sync.WaitGroup
+		send := func(span time.Duration) {
+			for end := time.Now().Add(span); time.Now().Before(end); {
+				time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(n*perServer)))
+				host := w.anyHost(random)
+				r := httptest.NewRequest(http.MethodGet, "/x", strings.NewReader(""))
+				r.Host = "h"
+				r.Header.Set("Left", "1.2s")
+				r.Header.Set("Object", fmt.Sprint(random.IntN(100)))
+				wg.Go(func() { host.node.ServeHTTP(httptest.NewRecorder(), r) })
+			}
+		}
+		send(6 * time.Second)
+		w.store.turnAway(true)
+		send(5 * time.Second)
+		servers.turnCold()
+		send(coldSpell)
+		wg.Wait()
+		most = servers.most()
+	})
+	return most
+}
+
+// TestServersThatTurnColdInOutageAreNotFlooded guards against a flood of servers that turn
+// cold while the store is away: cold runs take all their slots, so that the health check
+// that would show it is not answered for up to a second.
+func TestServersThatTurnColdInOutageAreNotFlooded(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				servers := &coldSlots{simulatedServers: newSimulatedServers(slots, 80, coldRun), arrivals: map[string][]time.Time{}}
-				w := newTestCluster(t)
-				w.forwarder = func(string) forwardProber { return servers }
-				w.setConfig(1)
-				n := 0
-				for _, d := range testDomains {
-					for i := range 3 {
-						n++
-						w.setServer(fleet.Record{ID: fmt.Sprintf("i-%s-%d", d.Domain, i), Domain: d.Domain, Slots: slots, Born: 7})
-					}
-				}
-				w.addPerDomain(perDomain)
-				defer synctest.Wait()
-				defer w.stopAll()
-				time.Sleep(3 * time.Second)
-				random := rand.New(rand.NewPCG(seed, 7))
-				var wg sync.WaitGroup
-				send := func(span time.Duration) {
-					for end := time.Now().Add(span); time.Now().Before(end); {
-						time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(n*perServer)))
-						host := w.anyHost(random)
-						r := httptest.NewRequest(http.MethodGet, "/x", strings.NewReader(""))
-						r.Host = "h"
-						r.Header.Set("Left", "1.2s")
-						r.Header.Set("Object", fmt.Sprint(random.IntN(100)))
-						wg.Go(func() { host.node.ServeHTTP(httptest.NewRecorder(), r) })
-					}
-				}
-				send(6 * time.Second)
-				w.store.turnAway(true)
-				send(5 * time.Second)
-				servers.turnCold()
-				send(coldSpell)
-				wg.Wait()
-				if most := servers.most(); float64(most) > allowed {
-					t.Errorf("a cold server got %d requests in a second, %v are allowed", most, allowed)
-				}
-			})
+			if most := playColdInOutage(t, seed); float64(most) > allowedWhenCold {
+				t.Errorf("a cold server got %d requests in a second, %v are allowed", most, allowedWhenCold)
+			}
 		})
 	}
 }
+
+// TestBurstAtServerThatTurnsColdInOutage guards against the same when more requests than
+// usual come for one server while the gateways do not know yet.
+func TestBurstAtServerThatTurnsColdInOutage(t *testing.T) {
+	if most := playColdInOutage(t, 22); float64(most) > allowedWhenCold {
+		t.Errorf("a cold server got %d requests in a second, %v are allowed", most, allowedWhenCold)
+	}
+}
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -283,7 +283,7 @@
 	log := n.log.WithFields(logrus.Fields{"server": rec.ID, "address": rec.Address, "status": status})
 	// A server without a free slot also rejects health checks, but it is alive.
 	alive := err == nil && (status == 200 || meta.NotRun) && (meta.Instance == "" || meta.Instance == rec.ID)
-	if alive && meta.NotRun && n.limitsColdServers(n.keeper.View(), rec.Service) && n.syncer.outage(now) && s.withHealth((*fleet.Health).Doubted) {
+	if alive && meta.NotRun && n.coldUnseen(n.keeper.View(), rec.Service, now) && s.withHealth((*fleet.Health).Doubted) {
 		// It may be full because it is cold.
 		s.withHealth(func(h *fleet.Health) bool { h.CheckRejected(now); return false })
 		return
@@ -307,8 +307,10 @@
 	log.WithError(err).Debug("Server still unreachable.")
 }
 
-// recordAnswer updates the server's load and health from a response.
-func (s *server) recordAnswer(meta port.ServerMeta, ownRequests int, now time.Time) {
+// recordAnswer updates the server's load and health from the response to a request that was
+// sent at a time. With coldUnseen nothing but checks tells that the server has turned cold: a
+// rejection, and a response to a request that is older than a doubt, do not end the doubt.
+func (s *server) recordAnswer(meta port.ServerMeta, ownRequests int, sent time.Time, coldUnseen bool, now time.Time) {
 	s.recordLoad(meta.Load, ownRequests, now)
 	s.withHealth(func(h *fleet.Health) bool {
 		s.losses.Answered()
@@ -321,6 +323,10 @@
 		if meta.OtherInstance {
 			return h.Unreachable(now)
 		}
+		if coldUnseen && meta.Cold == 0 && (meta.NotRun || h.DoubtedSince(sent)) {
+			h.Alive()
+			return false
+		}
 		return h.Reached(now)
 	})
 }
