Keep all bounds of servers that leave and are a service's last

Cause: a server that says that it leaves is used for half of the drain bound if no other can take a request, and was then taken as it is, with none of the checks of other servers: its coldness and owner, a pause that it asked for, its limit, its health and its queue. In the trace i-5 crashed at 19 s, came back cold, said at 20 s that it leaves, and got 137 requests in that second, none with cold_ms, while the service's other server was no choice.

Change: such a server is evaluated as any other, and is a choice only if nothing else speaks against it. TestLastServersThatLeaveKeepTheirBounds was red: 42 requests in a second at a cold one, 255 at one that had asked for a pause, 6 allowed. Also the formatting of health.go.

--- a/internal/core/fleet/health.go
+++ b/internal/core/fleet/health.go
@@ -26,9 +26,9 @@
 	// doubtedAt is when another gateway's report last made it so.
 	doubtedAt  time.Time
 	lastAnswer time.Time
-	checking     bool
-	nextCheck    time.Time
-	failures     int
+	checking   bool
+	nextCheck  time.Time
+	failures   int
 	// brokenInRow counts the consecutive exchanges that broke without a
 	// response.
 	brokenInRow int
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -90,7 +90,7 @@
 				limited = c
 			case reason == reasonPaused && (paused.server == nil || c.wait < paused.wait):
 				paused = c
-			case reason == reasonLeaving && leaving.server == nil && s.leftFor(now) < n.lastUse():
+			case reason == reasonLeaving && leaving.server == nil:
 				leaving = c
 			}
 			continue
@@ -172,24 +172,33 @@
 
 // evaluateServer returns the server as a candidate, or the reason why it cannot
 // be used. It returns both for a server that is unreachable only by other
-// gateways' reports, and for one that is at its limit, with the time until a permit
-// may be asked for.
+// gateways' reports, for one that is at its limit or paused, with the time until it
+// may be asked, and for one that leaves and that nothing else speaks against.
 func (n *Node) evaluateServer(v *view, req *inflightRequest, s *server, serviceTime time.Duration, now time.Time) (candidate, rejectReason) {
 	switch {
 	case !req.route.AllowsRegion(s.region):
 		return candidate{}, reasonNoServer
 	case req.excluded[s]:
 		return candidate{}, reasonAllTried
+	case !s.isLeaving():
+		return n.evaluateStaying(v, s, len(req.permitAsks), serviceTime, now)
+	case s.leftFor(now) < n.lastUse():
+		if c, reason := n.evaluateStaying(v, s, len(req.permitAsks), serviceTime, now); reason == reasonNone {
+			return c, reasonLeaving
+		}
 	}
-	if s.isLeaving() {
-		return candidate{server: s}, reasonLeaving
-	}
+	return candidate{}, reasonLeaving
+}
+
+// evaluateStaying evaluates a server as one that does not leave, for a request that has asked
+// for permits some times.
+func (n *Node) evaluateStaying(v *view, s *server, permitAsks int, serviceTime time.Duration, now time.Time) (candidate, rejectReason) {
 	if left, oneAtATime := s.pauseLeft(now); left > 0 || oneAtATime && s.inFlight() > 0 {
 		return candidate{server: s, wait: left}, reasonPaused
 	}
 	limit := s.limit()
 	if limit.Named {
-		if pause := s.permitPause(now); pause > 0 || len(req.permitAsks) >= maxPermitAsks {
+		if pause := s.permitPause(now); pause > 0 || permitAsks >= maxPermitAsks {
 			return candidate{server: s, wait: pause}, reasonLimited
 		}
 	}
--- a/internal/daemon/gateway/signals_test.go
+++ b/internal/daemon/gateway/signals_test.go
@@ -15,6 +15,7 @@
 	"cassiatray/internal/core/fleet"
 	"cassiatray/internal/core/mirror"
 	"cassiatray/internal/port"
+	peerv1 "cassiatray/proto/peer/v1"
 )
 
 // signallingServers answer with what each server says of itself.
@@ -155,6 +156,45 @@
 	})
 }
 
+// TestLastServersThatLeaveKeepTheirBounds guards against a flood of cold servers that say that
+// they leave, and of ones that ask for a pause, because no other server is left.
+func TestLastServersThatLeaveKeepTheirBounds(t *testing.T) {
+	const coldRate = 6
+	for name, say := range map[string]port.ServerMeta{
+		"cold":   {Leaving: true},
+		"paused": {Leaving: true, NotRun: true, Pause: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, servers := signalFixture()
+				f.node.bounds.Store(&Bounds{Drain: 2500 * 1e6})
+				var records []mirror.Record
+				for i, d := range testDomains {
+					servers.say("i-"+d.Domain, say)
+					r := fleet.Record{ID: "i-" + d.Domain, Domain: d.Domain, Born: 7}
+					if name == "cold" {
+						r.Cold = 3 * time.Second
+					}
+					records = append(records, f.serverRecord(r, uint64(20+i)))
+				}
+				f.keeper.Apply(records, 30, "store", time.Now())
+				f.node.syncer.state.Store(int32(peerv1.HostState_HOST_STATE_SERVING))
+				f.keeper.Hear(f.node.syncer.self(), time.Now(), time.Now())
+				start := time.Now()
+				for i := 0; time.Since(start) < time.Second; i++ {
+					f.do(http.MethodGet, "/get/", "Object", fmt.Sprint(i))
+					time.Sleep(2 * time.Millisecond)
+				}
+				for _, d := range testDomains {
+					if n := servers.got("i-"+d.Domain, time.Time{}); n > coldRate {
+						t.Errorf("%d requests reached i-%s, which is %s and leaves, in a second; at most %d are allowed", n, d.Domain, name, coldRate)
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestServerThatAsksForAPauseGetsNoRequests guards against requests to a server that has
 // turned one away and said for how long it wants none.
 func TestServerThatAsksForAPauseGetsNoRequests(t *testing.T) {
