--- a/internal/daemon/gateway/coldcheck.go
+++ b/internal/daemon/gateway/coldcheck.go
@@ -35,8 +35,14 @@
 func (n *Node) checkColdServers(ctx context.Context) {
 	var checked *view
 	var own []*server
+	checking := false
 	for sleep.For(ctx, coldCheckInterval) {
-		if !n.syncer.outage(time.Now()) {
+		if outage := n.syncer.outage(time.Now()); outage != checking {
+			checking = outage
+			n.log.WithFields(logrus.Fields{"checking": checking, "view_age_ms": time.Since(n.keeper.Synced()).Milliseconds()}).
+				Info("Checks of servers for coldness begin or end.")
+		}
+		if !checking {
 			continue
 		}
 		if v := n.keeper.View(); v != checked {
