--- a/internal/daemon/gateway/coldslots_test.go
+++ b/internal/daemon/gateway/coldslots_test.go
@@ -130,9 +130,27 @@
 	allowedWhenCold = coldRateInTest*1.5 + 5
 )
 
+// coldOutage is an outage of the store in which servers turn cold.
+type coldOutage struct {
+	// silent is set when the store leaves calls unanswered and does not refuse them.
+	silent bool
+	// coldAfter is how long the store has been away when the servers turn cold.
+	coldAfter time.Duration
+	// evacuated is set when their domain is evacuated until the store is back.
+	evacuated bool
+	// inReach is set when only the servers' writes are lost, and the store can be read.
+	inReach bool
+	// returnsAfter is when the store is back after that; zero for not within the cold spell.
+	// rewrittenAfter is when servers then write their records again.
+	returnsAfter, rewrittenAfter time.Duration
+}
+
+// longOutage is one that lasts from long before the cold spell until its end.
+var longOutage = coldOutage{coldAfter: 5 * time.Second}
+
 // playColdInOutage turns the servers of a domain cold while the store is away, and returns the
 // most requests that one of them then gets in a second.
-func playColdInOutage(t *testing.T, seed uint64) (most int) {
+func playColdInOutage(t *testing.T, seed uint64, o coldOutage) (most int) {
 	const (
 		slots     = 3
 		coldRun   = 240 * time.Millisecond
@@ -144,11 +162,12 @@
 		w := newTestCluster(t)
 		w.forwarder = func(string) forwardProber { return servers }
 		w.setConfig(1)
-		n := 0
+		var records []fleet.Record
 		for _, d := range testDomains {
 			for i := range 3 {
-				n++
-				w.setServer(fleet.Record{ID: fmt.Sprintf("i-%s-%d", d.Domain, i), Domain: d.Domain, Slots: slots, Born: 7})
+				r := fleet.Record{ID: fmt.Sprintf("i-%s-%d", d.Domain, i), Domain: d.Domain, Slots: slots, Born: 7}
+				records = append(records, r)
+				w.setServer(r)
 			}
 		}
 		w.addPerDomain(perDomain)
@@ -160,7 +179,7 @@
 		var wg sync.WaitGroup
 		send := func(span time.Duration) {
 			for end := time.Now().Add(span); time.Now().Before(end); {
-				time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(n*perServer)))
+				time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(len(records)*perServer)))
 				host := w.anyHost(random)
 				r := httptest.NewRequest(http.MethodGet, "/x", strings.NewReader(""))
 				r.Host = "h"
@@ -170,10 +189,29 @@
 			}
 		}
 		send(6 * time.Second)
-		w.store.turnAway(true)
-		send(5 * time.Second)
+		if o.evacuated {
+			w.store.set("evacuate/"+coldDomain, []byte("{}"), "")
+			send(time.Second)
+		}
+		w.store.setSilent(o.silent)
+		w.store.turnAway(!o.inReach)
+		send(o.coldAfter)
 		servers.turnCold()
-		send(coldSpell)
+		left := coldSpell
+		if o.returnsAfter > 0 {
+			send(o.returnsAfter)
+			w.store.turnAway(false)
+			w.store.set("evacuate/"+coldDomain, nil, "")
+			send(o.rewrittenAfter)
+			left -= o.returnsAfter + o.rewrittenAfter
+			for _, r := range records {
+				if r.Domain == coldDomain {
+					r.Beat, r.Cold = 10, left
+					w.setServer(r)
+				}
+			}
+		}
+		send(left)
 		wg.Wait()
 		most = servers.most()
 	})
@@ -186,7 +224,7 @@
 func TestServersThatTurnColdInOutageAreNotFlooded(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			if most := playColdInOutage(t, seed); float64(most) > allowedWhenCold {
+			if most := playColdInOutage(t, seed, longOutage); float64(most) > allowedWhenCold {
 				t.Errorf("a cold server got %d requests in a second, %v are allowed", most, allowedWhenCold)
 			}
 		})
@@ -196,7 +234,57 @@
 // TestBurstAtServerThatTurnsColdInOutage guards against the same when more requests than
 // usual come for one server while the gateways do not know yet.
 func TestBurstAtServerThatTurnsColdInOutage(t *testing.T) {
-	if most := playColdInOutage(t, 22); float64(most) > allowedWhenCold {
+	if most := playColdInOutage(t, 22, longOutage); float64(most) > allowedWhenCold {
 		t.Errorf("a cold server got %d requests in a second, %v are allowed", most, allowedWhenCold)
 	}
 }
+
+// TestServersThatTurnColdBeforeTheStoreReturnsAreNotFlooded guards against a flood of servers
+// that turn cold while the store is away, after it has come back: their records in it are
+// those of before until they write them again. Those of an evacuated domain get requests
+// again only then.
+func TestServersThatTurnColdBeforeTheStoreReturnsAreNotFlooded(t *testing.T) {
+	for _, evacuated := range []bool{false, true} {
+		for seed := range uint64(6) {
+			for _, after := range []time.Duration{time.Millisecond, 200 * time.Millisecond, time.Second} {
+				t.Run(fmt.Sprintf("evacuated %t, seed %d, back after %v", evacuated, seed, after), func(t *testing.T) {
+					o := coldOutage{coldAfter: longOutage.coldAfter, evacuated: evacuated, returnsAfter: after, rewrittenAfter: 1500 * time.Millisecond}
+					if most := playColdInOutage(t, seed, o); float64(most) > allowedWhenCold {
+						t.Errorf("a cold server got %d requests in a second, %v are allowed", most, allowedWhenCold)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestServersTakenBackColdAreNotFlooded guards against a flood of servers that turn cold while
+// their domain is evacuated, when it is taken back before their records say so.
+func TestServersTakenBackColdAreNotFlooded(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			o := coldOutage{coldAfter: time.Second, evacuated: true, inReach: true, returnsAfter: 500 * time.Millisecond, rewrittenAfter: 2 * time.Second}
+			if most := playColdInOutage(t, seed, o); float64(most) > allowedWhenCold {
+				t.Errorf("a cold server got %d requests in a second, %v are allowed", most, allowedWhenCold)
+			}
+		})
+	}
+}
+
+// TestServersThatTurnColdEarlyInAnOutageAreNotFlooded guards against a flood of servers that
+// turn cold just after the store has gone away, when gateways still take what they know for
+// current.
+func TestServersThatTurnColdEarlyInAnOutageAreNotFlooded(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		for seed := range uint64(6) {
+			for _, after := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 1500 * time.Millisecond} {
+				t.Run(fmt.Sprintf("silent %t, seed %d, cold after %v", silent, seed, after), func(t *testing.T) {
+					o := coldOutage{silent: silent, coldAfter: after}
+					if most := playColdInOutage(t, seed, o); float64(most) > allowedWhenCold {
+						t.Errorf("a cold server got %d requests in a second, %v are allowed", most, allowedWhenCold)
+					}
+				})
+			}
+		}
+	}
+}
