Check servers for coldness as long as their records may be out of date

Cause: gateways check servers for coldness themselves only while what they know of the store is older than 2.1 s. The class: the age of a view is taken for the age of what it shows.

Ruled out: evacuated servers that are not checked as the only cause (red without an evacuation), several owners (no attempt has cold_ms).

Change: a call of the store that fails or is overdue makes the records count as lagging, for as long as servers take to write again after the last such sign. Hubs tell it with their pages, so that all gateways know within a pull; word of a longer lag is taken only if it is longer by more than it grows on the way, so that gateways do not prolong each other's. While records lag, servers are checked and reports are passed on at once, as in an outage before.

--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -145,7 +145,7 @@
 // coldUnseen reports whether nothing but health checks tells which servers of a service are
 // cold: it limits the requests to them, and the store, which else says so, is out of reach.
 func (n *Node) coldUnseen(v *view, service string, now time.Time) bool {
-	return n.limitsColdServers(v, service) && n.syncer.outage(now)
+	return n.limitsColdServers(v, service) && n.syncer.recordsLag(now)
 }
 
 // checkForRestart checks a server that closed its connections before it gets further
--- a/internal/daemon/gateway/coldcheck.go
+++ b/internal/daemon/gateway/coldcheck.go
@@ -37,8 +37,8 @@
 	var own []*server
 	checking := false
 	for sleep.For(ctx, coldCheckInterval) {
-		if outage := n.syncer.outage(time.Now()); outage != checking {
-			checking = outage
+		if lag := n.syncer.recordsLag(time.Now()); lag != checking {
+			checking = lag
 			n.log.WithFields(logrus.Fields{"checking": checking, "view_age_ms": time.Since(n.keeper.Synced()).Milliseconds()}).
 				Info("Checks of servers for coldness begin or end.")
 		}
@@ -125,7 +125,7 @@
 func (n *Node) learnCold(s *server, cold time.Duration, now time.Time) {
 	known := s.remainingCold(now) > 0
 	s.withHealth(func(h *fleet.Health) bool { h.Cold(now.Add(cold)); return true })
-	if !known && n.syncer.outage(now) {
+	if !known && n.syncer.recordsLag(now) {
 		n.keeper.ReportCold(s.rec().ID, cold, now)
 	}
 }
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -27,8 +27,9 @@
 			continue
 		}
 		m, steady := order[rank], s.steadySources()
-		// Once the store is away for all, the second loop waits for reports.
-		await := rank > 0 && stale >= seekQuickly
+		// While reports are all that gateways have of the servers, the second loop waits for
+		// them at the usual source, also when another one has the store.
+		await := rank > 0 && (stale >= seekQuickly || s.keeper.RecordLag(time.Now()) > 0)
 		switch {
 		case await:
 			m = steady[0]
@@ -67,6 +68,8 @@
 		}
 		stale = 0
 		switch {
+		case await:
+			sleep.For(ctx, gatherReports)
 		case rank > 0:
 			sleep.For(ctx, times.spareEvery)
 		case wait == 0:
@@ -156,7 +159,7 @@
 	defer cancel()
 	pull := &peerv1.MirrorPull{
 		Have: s.keeper.Have(), WaitMicros: o.wait.Microseconds(), Self: s.self(), NoReports: with == nil, AwaitReports: o.awaitReports,
-		ConfigVersion: s.keeper.configVersion(),
+		ConfigVersion: s.keeper.configVersion(), LagMicros: s.keeper.RecordLag(time.Now()).Microseconds(),
 	}
 	var told uint64
 	if with != nil {
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -78,6 +78,8 @@
 	graceUntil time.Time
 	lapsed     map[string]lapsedRecord
 	restore    restore
+	// lagUntil is until when servers' records may be out of date.
+	lagUntil time.Time
 	// leaving holds the servers that said that they leave, by ID.
 	leaving map[string]leavingWord
 	// storeLost is since when the store has failed this gateway; zero while it does not.
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -39,7 +39,8 @@
 	for {
 		page, changed := k.page(epoch, req, time.Now())
 		lost := page.AgeMicros < 0 && !req.AwaitReports
-		if len(page.Records) > 0 || len(page.Reports) > 0 || lost || req.WaitMicros <= 0 {
+		lag := page.LagMicros-req.LagMicros > lagNews.Microseconds()
+		if len(page.Records) > 0 || len(page.Reports) > 0 || lost || lag || req.WaitMicros <= 0 {
 			return page
 		}
 		select {
@@ -59,7 +60,7 @@
 func (k *Keeper) page(epoch uint64, req *peerv1.MirrorPull, now time.Time) (*peerv1.MirrorPage, chan struct{}) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	page := &peerv1.MirrorPage{Complete: k.mirror.Revision(), AgeMicros: -1, ReportsEpoch: epoch}
+	page := &peerv1.MirrorPage{Complete: k.mirror.Revision(), AgeMicros: -1, ReportsEpoch: epoch, LagMicros: k.lag(now).Microseconds()}
 	if !req.NoReports {
 		page.Reports, page.ReportsNext = k.reportsSince(req.ReportsFrom, now)
 	}
@@ -137,6 +138,9 @@
 	if c := page.Config; c != nil && !c.Deleted {
 		k.takeLaterConfig(recordOf(c, now), source, now)
 	}
+	if lag := time.Duration(page.LagMicros) * time.Microsecond; lag-k.lag(now) > lagNews {
+		k.extendLag(lag, source, now)
+	}
 	k.logPage(page, source, have, k.mirror.Counts().Sub(before))
 	k.mu.Unlock()
 	k.takeReports(page.Reports, now)
--- a/internal/daemon/gateway/restore.go
+++ b/internal/daemon/gateway/restore.go
@@ -57,6 +57,7 @@
 		return
 	}
 	k.restore.at, k.restore.revision = now, revision
+	k.extendLag(recordLag, "restore", now)
 	for key, r := range k.lapsed {
 		r.until = now.Add(r.grace)
 		k.lapsed[key] = r
--- a/internal/daemon/gateway/sync.go
+++ b/internal/daemon/gateway/sync.go
@@ -83,7 +83,7 @@
 // NewSyncer returns a syncer that has not started.
 func NewSyncer(cfg *Settings, id peer.Identity, k *Keeper, store port.Registry, schema port.Schema, pool port.PeerCaller, log *logrus.Entry, m *Metrics) *Syncer {
 	s := &Syncer{
-		cfg: cfg, identity: id, keeper: k, store: store, schema: schema, pool: pool, log: log, metrics: m,
+		cfg: cfg, identity: id, keeper: k, store: &observedStore{Registry: store, keeper: k}, schema: schema, pool: pool, log: log, metrics: m,
 		failed: map[string]time.Time{}, started: time.Now(), loaded: make(chan struct{}),
 	}
 	s.state.Store(int32(peerv1.HostState_HOST_STATE_STARTING))
--- a/internal/daemon/gateway/tell.go
+++ b/internal/daemon/gateway/tell.go
@@ -28,7 +28,7 @@
 		sleep.For(ctx, gatherReports)
 		reported = s.keeper.Reported()
 		steady := s.steadySources()
-		if len(steady) == 0 || !s.outage(time.Now()) {
+		if len(steady) == 0 || !s.recordsLag(time.Now()) {
 			continue
 		}
 		m := steady[0]
