Take servers of a domain that is taken back for cold until they are checked

Cause: servers of an evacuated domain often turn cold just before it is taken back, and get no requests and no checks until then; whatever delays their records, all gateways send to them at once as to warm ones.

Ruled out: an outage of the store (every watch was answered).

Change: when an evacuation ends, the servers of its domain count as cold for a second, so that only the owner of each sends to it, at the rate of a cold one. A server that is warm loses at most a second.

--- a/internal/daemon/gateway/lag.go
+++ b/internal/daemon/gateway/lag.go
@@ -17,6 +17,9 @@
 const (
 	// recordLag is how long records may be out of date after the store failed a call.
 	recordLag = lapseGrace
+	// takenBackLag is the same after an evacuation has ended: servers may have turned cold
+	// just before. A check, and word of it to every gateway, take half of it.
+	takenBackLag = time.Second
 	// callOverdue is by how much a call of the store may exceed its wait before the store
 	// counts as failing: a slow round trip between regions.
 	callOverdue = 250 * time.Millisecond
@@ -57,6 +60,17 @@
 	return k.lag(now)
 }
 
+// takeBack has the servers of a domain whose evacuation has ended taken for cold until checks
+// would have shown it. The caller holds k.mu.
+func (k *Keeper) takeBack(domain string, now time.Time) {
+	for _, s := range k.servers {
+		if s.rec().Domain == domain {
+			s.distrustUntil(now.Add(takenBackLag))
+		}
+	}
+	k.extendLag(takenBackLag, "evacuation", now)
+}
+
 // recordsLag reports whether servers' records may be out of date: the store is out of reach,
 // or was a moment ago.
 func (s *Syncer) recordsLag(now time.Time) bool {
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -209,7 +209,7 @@
 			return candidate{}, reasonUnreachable
 		}
 	}
-	c := candidate{server: s, load: s.estimatedRequests(now, serviceTime), coldFor: s.remainingCold(now), limit: limit}
+	c := candidate{server: s, load: s.estimatedRequests(now, serviceTime), coldFor: s.coldFor(now), limit: limit}
 	if c.coldFor > 0 && !(n.ownsColdServer(v, s) && n.hasColdPermit(v, s, now)) {
 		return candidate{}, reasonCold
 	}
--- a/internal/daemon/gateway/records.go
+++ b/internal/daemon/gateway/records.go
@@ -45,6 +45,9 @@
 			return
 		}
 		k.log.WithFields(fields).WithField("evacuated", !r.Deleted).Info("Evacuation changed.")
+		if r.Deleted {
+			k.takeBack(name, now)
+		}
 	case port.RecordServer:
 		k.takeServer(name, r, fields, now)
 	case port.RecordMember:
@@ -68,6 +71,7 @@
 		k.log.WithFields(fields).Info("Gateway's record gone.")
 	case port.RecordEvacuation:
 		k.log.WithFields(fields).WithField("evacuated", false).Info("Evacuation changed.")
+		k.takeBack(name, now)
 	}
 }
 
--- a/internal/daemon/gateway/server.go
+++ b/internal/daemon/gateway/server.go
@@ -41,6 +41,8 @@
 	// none since.
 	pausedUntil time.Time
 	resuming    bool
+	// distrustedUntil is until when the server is taken for cold although it does not say so.
+	distrustedUntil time.Time
 	// capacityShare is the fraction of the work of its slots that the server takes under
 	// its limit, as the placement of objects takes it; zero for all.
 	capacityShare float64
@@ -213,7 +215,7 @@
 func (s *server) holdColdPermits(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.health.ColdUntil().After(now) {
+	if !s.health.ColdUntil().After(now) && !s.distrustedUntil.After(now) {
 		s.coldLimiter.Hold(now)
 	}
 }
@@ -225,6 +227,20 @@
 	return max(0, s.health.ColdUntil().Sub(now))
 }
 
+// distrustUntil has the server taken for cold until a time, whatever it says.
+func (s *server) distrustUntil(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.distrustedUntil = until
+}
+
+// coldFor returns how much longer the server is to be taken for cold.
+func (s *server) coldFor(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(0, s.health.ColdUntil().Sub(now), s.distrustedUntil.Sub(now))
+}
+
 // hasColdPermit reports whether the rate limit of the cold server allows a request.
 func (s *server) hasColdPermit(now time.Time, rate float64) bool {
 	s.mu.Lock()
