Notice busy servers that turn cold while they run older requests

Ruled out: word that travels slowly (0.06 s to every gateway of the region).

Change: while servers' records may be out of date, only the run of a request that came after the check shows a free slot. Checks each 100 ms in place of 150, and one service time beyond the estimated queue in place of one and a half: three slots free one in a third of that.

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -168,6 +168,23 @@
 	}
 }
 
+// TestOldRunsShowNoFreeSlot guards against a cold server that is taken for warm because a run
+// that had its slot already ended after a check had been left waiting.
+func TestOldRunsShowNoFreeSlot(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h Health
+	h.Ran(now.Add(-time.Second))
+	h.Reached(now.Add(time.Second))
+	if !h.DoubtWarm(now.Add(2*time.Second), now) {
+		t.Error("the end of an older run kept a server from being doubted")
+	}
+	h = Health{}
+	h.Ran(now.Add(time.Millisecond))
+	if h.DoubtWarm(now.Add(2*time.Second), now) {
+		t.Error("doubted although it ran a request that came after the check")
+	}
+}
+
 func TestConsecutiveBrokenExchanges(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var h Health
--- a/internal/core/fleet/health.go
+++ b/internal/core/fleet/health.go
@@ -26,9 +26,11 @@
 	// doubtedAt is when another gateway's report last made it so.
 	doubtedAt  time.Time
 	lastAnswer time.Time
-	checking   bool
-	nextCheck  time.Time
-	failures   int
+	// lastRun is when the latest request that the server has run to its end was sent.
+	lastRun   time.Time
+	checking  bool
+	nextCheck time.Time
+	failures  int
 	// brokenInRow counts the consecutive exchanges that broke without a
 	// response.
 	brokenInRow int
@@ -62,8 +64,14 @@
 // time. Unless this gateway has had a response since, the server counts as
 // unreachable and is due for an immediate check. It reports whether that
 // changed the state.
-func (h *Health) Doubt(now, at time.Time) bool {
-	if h.down || h.lastAnswer.After(at) {
+func (h *Health) Doubt(now, at time.Time) bool { return h.doubt(now, h.lastAnswer.After(at)) }
+
+// DoubtWarm is Doubt where the server may have turned cold and only its slots tell: the end
+// of a request that was sent before the given time, and a rejection, show no free slot.
+func (h *Health) DoubtWarm(now, at time.Time) bool { return h.doubt(now, h.lastRun.After(at)) }
+
+func (h *Health) doubt(now time.Time, answered bool) bool {
+	if h.down || answered {
 		return false
 	}
 	h.down, h.peerReported, h.checking, h.nextCheck = true, true, false, now
@@ -71,6 +79,13 @@
 	return true
 }
 
+// Ran records that the server has run a request that was sent at the given time.
+func (h *Health) Ran(sent time.Time) {
+	if sent.After(h.lastRun) {
+		h.lastRun = sent
+	}
+}
+
 // DoubtedSince reports whether another gateway's report made the server count as
 // unreachable after a time.
 func (h *Health) DoubtedSince(t time.Time) bool { return h.Doubted() && !h.doubtedAt.Before(t) }
--- a/internal/daemon/gateway/coldcheck.go
+++ b/internal/daemon/gateway/coldcheck.go
@@ -15,14 +15,14 @@
 // coldCheckInterval is how often a server is checked for having turned cold in an outage of
 // the store. Until all gateways know, it gets requests as a warm one; the bounds on
 // requests to cold servers hold for any second.
-const coldCheckInterval = 150 * time.Millisecond
+const coldCheckInterval = 100 * time.Millisecond
 
 // A check that is not answered although a warm server would have had a free slot by then is
 // a sign of a cold server, whose runs take several times as long and all its slots:
 // checkRunTimes is how many service times a check may wait beyond the estimated queue, and
 // checkSlack the time for the response.
 const (
-	checkRunTimes = 1.5
+	checkRunTimes = 1.0
 	checkSlack    = 30 * time.Millisecond
 )
 
@@ -112,7 +112,7 @@
 // suspectCold has every gateway that got no response from a server since a time check it
 // before it sends there again.
 func (n *Node) suspectCold(s *server, since, now time.Time) {
-	if !s.withHealth(func(h *fleet.Health) bool { return h.Doubt(now, since) }) {
+	if !s.withHealth(func(h *fleet.Health) bool { return h.DoubtWarm(now, since) }) {
 		return
 	}
 	id := s.rec().ID
--- a/internal/daemon/gateway/coldslots_test.go
+++ b/internal/daemon/gateway/coldslots_test.go
@@ -132,6 +132,8 @@
 
 // coldOutage is an outage of the store in which servers turn cold.
 type coldOutage struct {
+	// burst is by how much more requests than usual come; zero for as usual.
+	burst float64
 	// silent is set when the store leaves calls unanswered and does not refuse them.
 	silent bool
 	// coldAfter is how long the store has been away when the servers turn cold.
@@ -154,7 +156,7 @@
 	const (
 		slots     = 3
 		coldRun   = 240 * time.Millisecond
-		perServer = 18 // requests a second
+		perServer = 18 // requests a second, as usual
 		perDomain = 3
 	)
 	synctest.Test(t, func(t *testing.T) {
@@ -179,7 +181,7 @@
 		var wg sync.WaitGroup
 		send := func(span time.Duration) {
 			for end := time.Now().Add(span); time.Now().Before(end); {
-				time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(len(records)*perServer)))
+				time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / (float64(len(records)*perServer) * max(1, o.burst))))
 				host := w.anyHost(random)
 				r := httptest.NewRequest(http.MethodGet, "/x", strings.NewReader(""))
 				r.Host = "h"
@@ -258,6 +260,21 @@
 	}
 }
 
+// TestServersThatTurnColdInABurstAreNotFlooded guards against a flood of busy servers that turn
+// cold while the store is away: responses to older requests were taken for signs that the
+// server still has free slots.
+func TestServersThatTurnColdInABurstAreNotFlooded(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			o := longOutage
+			o.burst = 1.8
+			if most := playColdInOutage(t, seed, o); float64(most) > allowedWhenCold {
+				t.Errorf("a cold server got %d requests in a second, %v are allowed", most, allowedWhenCold)
+			}
+		})
+	}
+}
+
 // TestServersTakenBackColdAreNotFlooded guards against a flood of servers that turn cold while
 // their domain is evacuated, when it is taken back before their records say so.
 func TestServersTakenBackColdAreNotFlooded(t *testing.T) {
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -323,6 +323,9 @@
 	s.recordLoad(meta.Load, ownRequests, now)
 	s.withHealth(func(h *fleet.Health) bool {
 		s.losses.Answered()
+		if !meta.NotRun {
+			h.Ran(sent)
+		}
 		if meta.Cold > 0 {
 			h.Cold(now.Add(meta.Cold))
 		}
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -113,7 +113,7 @@
 			k.takeColdReport(s, rep, now)
 			continue
 		}
-		if s != nil && s.withHealth(func(h *fleet.Health) bool { return h.Doubt(now, rep.At) }) {
+		if s != nil && s.withHealth(func(h *fleet.Health) bool { return k.doubt(h, rep, now) }) {
 			k.log.WithFields(logrus.Fields{"server": r.Server, "source": r.Origin, "age_ms": now.Sub(rep.At).Milliseconds()}).
 				Info("Server reported unreachable.")
 		}
@@ -128,6 +128,14 @@
 	}
 }
 
+// doubt has a server doubted that another gateway could not reach. The caller holds k.mu.
+func (k *Keeper) doubt(h *fleet.Health, rep fleet.Report, now time.Time) bool {
+	if k.lag(now) > 0 || now.Sub(k.mirror.Synced()) > outageGap {
+		return h.DoubtWarm(now, rep.At)
+	}
+	return h.Doubt(now, rep.At)
+}
+
 // takeColdReport takes in that a server, or nil, says that it is cold. The caller holds k.mu.
 func (k *Keeper) takeColdReport(s *server, rep fleet.Report, now time.Time) {
 	left := rep.Cold - now.Sub(rep.At)
