Exchange reports at once when servers' records begin to lag

Cause, from its trace: the check's sign came 0.3 s after the server had turned cold, and two of six gateways of the region did not hear of it for 0.4 s more. The loop that waits for reports pulls once a second while the store is well, and began to wait for them only after that second.

Change: the beginning of a lag ends that sleep.

--- a/internal/daemon/gateway/coldcheck_test.go
+++ b/internal/daemon/gateway/coldcheck_test.go
@@ -86,3 +86,86 @@
 		}
 	})
 }
+
+// TestServersThatTurnColdAroundOutageAreKnown guards against gateways that take a server for
+// warm because the store can be reached, or could be a moment ago, although the server's
+// record is out of date: each went on sending as to a warm server until it was written.
+func TestServersThatTurnColdAroundOutageAreKnown(t *testing.T) {
+	const (
+		// settle is how long the cluster runs before a case, beyond what a start takes.
+		settle = 8 * time.Second
+		known  = time.Second/2 + coldCheckInterval
+	)
+	for _, c := range []struct {
+		name string
+		// play calls cold when the server is to turn cold, and returns when gateways are to
+		// notice it.
+		play func(w *testCluster, cold func())
+	}{
+		{"just after the store has gone away", func(w *testCluster, cold func()) {
+			w.store.turnAway(true)
+			time.Sleep(200 * time.Millisecond)
+			cold()
+		}},
+		{"just before the store returns", func(w *testCluster, cold func()) {
+			w.store.turnAway(true)
+			time.Sleep(5 * time.Second)
+			cold()
+			w.store.turnAway(false)
+		}},
+		{"just after the store has returned", func(w *testCluster, cold func()) {
+			w.store.turnAway(true)
+			time.Sleep(5 * time.Second)
+			w.store.turnAway(false)
+			time.Sleep(retryMax)
+			cold()
+		}},
+		{"before its domain is taken back", func(w *testCluster, cold func()) {
+			w.store.set("evacuate/"+coldDomain, []byte("{}"), "")
+			time.Sleep(time.Second)
+			cold()
+			w.store.set("evacuate/"+coldDomain, nil, "")
+			time.Sleep(2 * watchPause)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestCluster(t)
+				var until time.Time
+				w.forwarder = func(string) forwardProber {
+					return coldLink{checks: new(atomic.Int32), until: func(address string) time.Time {
+						w.mu.Lock()
+						defer w.mu.Unlock()
+						if address == "i-"+coldDomain+":1" {
+							return until
+						}
+						return time.Time{}
+					}}
+				}
+				w.setConfig(1)
+				for _, d := range testDomains {
+					w.setServer(fleet.Record{ID: "i-" + d.Domain, Domain: d.Domain})
+				}
+				w.addPerDomain(4)
+				defer synctest.Wait()
+				// Checks under way end.
+				defer time.Sleep(checkTimeout)
+				defer w.stopAll()
+				time.Sleep(settle)
+				c.play(w, func() {
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					until = time.Now().Add(coldSpell)
+				})
+				w.waitFor(known, "all gateways know that i-"+coldDomain+" is cold", func() bool {
+					for _, h := range w.hosts {
+						if h.keeper.server("i-"+coldDomain, 0).remainingCold(time.Now()) == 0 {
+							return false
+						}
+					}
+					return true
+				})
+			})
+		})
+	}
+}
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -27,6 +27,7 @@
 			continue
 		}
 		m, steady := order[rank], s.steadySources()
+		lagged := s.keeper.Lagged()
 		// While reports are all that gateways have of the servers, the second loop waits for
 		// them at the usual source, also when another one has the store.
 		await := rank > 0 && (stale >= seekQuickly || s.keeper.RecordLag(time.Now()) > 0)
@@ -71,13 +72,23 @@
 		case await:
 			sleep.For(ctx, gatherReports)
 		case rank > 0:
-			sleep.For(ctx, times.spareEvery)
+			sleepUnless(ctx, times.spareEvery, lagged)
 		case wait == 0:
 			sleep.For(ctx, seekPause)
 		}
 	}
 }
 
+// sleepUnless sleeps for a time, or until interrupted is closed.
+func sleepUnless(ctx context.Context, d time.Duration, interrupted <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-interrupted:
+	}
+}
+
 // seekAfter is the pause after a number of sources in a row that have lost the
 // store. Once those that are likely to have it were asked, it is away for all
 // of them, and asking often brings nothing but load.
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -59,6 +59,8 @@
 	// changed is closed and replaced with each change that peers need, reported with each
 	// new report.
 	changed, reported chan struct{}
+	// lagged is closed and replaced when servers' records begin to lag.
+	lagged chan struct{}
 	// placementChanged is set when the servers that may get work, or what places objects on
 	// them, may have changed since the view was made.
 	placementChanged bool
@@ -98,7 +100,7 @@
 // NewKeeper returns a keeper that knows nothing.
 func NewKeeper(cfg *Settings, schema port.Schema, log *logrus.Entry) *Keeper {
 	k := &Keeper{
-		cfg: cfg, schema: schema, log: log, born: time.Now(), changed: make(chan struct{}), reported: make(chan struct{}),
+		cfg: cfg, schema: schema, log: log, born: time.Now(), changed: make(chan struct{}), reported: make(chan struct{}), lagged: make(chan struct{}),
 		servers: map[string]*server{}, stored: map[string]*peerv1.GatewayMember{},
 		heard: map[string]heardMember{}, lapsed: map[string]lapsedRecord{}, leaving: map[string]leavingWord{},
 		origin: cfg.Host + "/" + strconv.FormatUint(rand.Uint64(), 36),
--- a/internal/daemon/gateway/lag.go
+++ b/internal/daemon/gateway/lag.go
@@ -43,6 +43,8 @@
 	}
 	k.lagUntil = now.Add(lag)
 	if before == 0 {
+		close(k.lagged)
+		k.lagged = make(chan struct{})
 		k.log.WithFields(logrus.Fields{"source": source, "lag_ms": lag.Milliseconds()}).Info("Servers' records may be out of date.")
 	}
 	if lag-before > lagNews {
@@ -71,6 +73,13 @@
 	k.extendLag(takenBackLag, "evacuation", now)
 }
 
+// Lagged returns a channel that is closed when the records begin to lag.
+func (k *Keeper) Lagged() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lagged
+}
+
 // recordsLag reports whether servers' records may be out of date: the store is out of reach,
 // or was a moment ago.
 func (s *Syncer) recordsLag(now time.Time) bool {
