Take servers' records for lagging after a start

Cause: a gateway that starts knows of no outage, and takes the first view for current.

It does not tell others: they know better, and a hub that restarts would otherwise have the whole fleet check.

--- a/internal/daemon/gateway/coldslots_test.go
+++ b/internal/daemon/gateway/coldslots_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -142,6 +143,8 @@
 	evacuated bool
 	// inReach is set when only the servers' writes are lost, and the store can be read.
 	inReach bool
+	// restarted is set when all gateways start anew just as the store is back.
+	restarted bool
 	// returnsAfter is when the store is back after that; zero for not within the cold spell.
 	// rewrittenAfter is when servers then write their records again.
 	returnsAfter, rewrittenAfter time.Duration
@@ -150,6 +153,21 @@
 // longOutage is one that lasts from long before the cold spell until its end.
 var longOutage = coldOutage{coldAfter: 5 * time.Second}
 
+// restartTime is how long a process that was killed takes to start again.
+const restartTime = 500 * time.Millisecond
+
+// restartAll kills all gateways and starts them again.
+func (w *testCluster) restartAll() {
+	hosts := maps.Clone(w.hosts)
+	for name := range hosts {
+		w.kill(name)
+	}
+	time.Sleep(restartTime)
+	for name, h := range hosts {
+		w.add(name, h.cfg.Domain)
+	}
+}
+
 // playColdInOutage turns the servers of a domain cold while the store is away, and returns the
 // most requests that one of them then gets in a second.
 func playColdInOutage(t *testing.T, seed uint64, o coldOutage) (most int) {
@@ -204,6 +222,9 @@
 			send(o.returnsAfter)
 			w.store.turnAway(false)
 			w.store.set("evacuate/"+coldDomain, nil, "")
+			if o.restarted {
+				w.restartAll()
+			}
 			send(o.rewrittenAfter)
 			left -= o.returnsAfter + o.rewrittenAfter
 			for _, r := range records {
@@ -288,6 +309,19 @@
 	}
 }
 
+// TestStartedGatewaysDoNotFloodColdServers guards against a flood of servers that turn cold
+// while the store is away, from gateways that start when it is back and know of no outage.
+func TestStartedGatewaysDoNotFloodColdServers(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			o := coldOutage{coldAfter: longOutage.coldAfter, restarted: true, returnsAfter: 500 * time.Millisecond, rewrittenAfter: 1500 * time.Millisecond}
+			if most := playColdInOutage(t, seed, o); float64(most) > allowedWhenCold {
+				t.Errorf("a cold server got %d requests in a second, %v are allowed", most, allowedWhenCold)
+			}
+		})
+	}
+}
+
 // TestServersThatTurnColdEarlyInAnOutageAreNotFlooded guards against a flood of servers that
 // turn cold just after the store has gone away, when gateways still take what they know for
 // current.
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -80,8 +80,9 @@
 	graceUntil time.Time
 	lapsed     map[string]lapsedRecord
 	restore    restore
-	// lagUntil is until when servers' records may be out of date.
-	lagUntil time.Time
+	// lagUntil is until when servers' records may be out of date, and startLagUntil the same
+	// for what only this gateway may have missed.
+	lagUntil, startLagUntil time.Time
 	// leaving holds the servers that said that they leave, by ID.
 	leaving map[string]leavingWord
 	// storeLost is since when the store has failed this gateway; zero while it does not.
@@ -157,7 +158,13 @@
 
 // noteGap starts the grace of lapsed records when an outage ends.
 func (k *Keeper) noteGap(now time.Time) {
-	if last := k.mirror.Synced(); !last.IsZero() && now.Sub(last) > outageGap {
+	last := k.mirror.Synced()
+	if last.IsZero() {
+		// The store may have been away until a moment ago.
+		k.startLagUntil = now.Add(recordLag)
+		return
+	}
+	if now.Sub(last) > outageGap {
 		k.graceUntil = now.Add(lapseGrace)
 		k.log.WithFields(logrus.Fields{"gap_ms": now.Sub(last).Milliseconds(), "revision": k.mirror.Revision()}).Info("Store view regained.")
 	}
--- a/internal/daemon/gateway/lag.go
+++ b/internal/daemon/gateway/lag.go
@@ -52,14 +52,16 @@
 	}
 }
 
-// lag returns how much longer the records may be out of date. The caller holds k.mu.
+// lag returns how much longer the records may be out of date, as all gateways are to know.
+// The caller holds k.mu.
 func (k *Keeper) lag(now time.Time) time.Duration { return max(0, k.lagUntil.Sub(now)) }
 
-// RecordLag returns how much longer the records may be out of date.
+// RecordLag returns how much longer the records may be out of date as far as this gateway
+// knows, which may just have started.
 func (k *Keeper) RecordLag(now time.Time) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.lag(now)
+	return max(k.lag(now), k.startLagUntil.Sub(now))
 }
 
 // takeBack has the servers of a domain whose evacuation has ended taken for cold until checks
