Keep gateways in each other's lists over the end of an outage

Gateways came back into the lists after up to 8 s: a write under a lease that has ended was only tried again, with a new lease, at the next attempt, up to 4 s later.

Ruled out: checks that come late (the signs came after 0.2 and 0.3 s; nobody heard of them).

Change: the record of a gateway that lapses while records lag, or just after an outage, counts for 5.3 s more, as servers' records do for 2.2 s; a gateway writes under a new lease at once. Tried, not landed: counting gateways longer that were heard of in the outage (those whose records the store had were not passed on, and are not heard of).

--- a/internal/daemon/gateway/announce.go
+++ b/internal/daemon/gateway/announce.go
@@ -64,20 +64,20 @@
 		}
 		lease = ""
 	}
-	if lease == "" {
-		id, err := s.store.GrantLease(ctx, leaseTTL)
-		s.metrics.call("grant", err)
-		if err != nil {
+	if lease != "" {
+		err := s.put(ctx, lease)
+		if !port.IsStoreCode(err, port.StoreNotFound) {
 			return err
 		}
-		lease = id
+		// It has lapsed, and with it the record.
+		s.hold("", era)
 	}
-	value, err := proto.Marshal(s.self())
+	lease, err := s.store.GrantLease(ctx, leaseTTL)
+	s.metrics.call("grant", err)
 	if err != nil {
 		return err
 	}
-	err = s.store.Put(ctx, s.schema.MemberKey(s.cfg.Host), value, lease)
-	s.metrics.call("put", err)
+	err = s.put(ctx, lease)
 	if port.IsStoreCode(err, port.StoreNotFound) {
 		lease = ""
 	}
@@ -85,6 +85,17 @@
 	return err
 }
 
+// put writes this gateway's record under a lease.
+func (s *Syncer) put(ctx context.Context, lease port.LeaseID) error {
+	value, err := proto.Marshal(s.self())
+	if err != nil {
+		return err
+	}
+	err = s.store.Put(ctx, s.schema.MemberKey(s.cfg.Host), value, lease)
+	s.metrics.call("put", err)
+	return err
+}
+
 // held returns the lease of this gateway's record, or "".
 func (s *Syncer) held() port.LeaseID {
 	s.mu.Lock()
@@ -148,12 +159,7 @@
 	}
 	// The record says that this gateway leaves, and lapses with its lease: a
 	// record that is only removed may have been taken away from a live one.
-	value, err := proto.Marshal(s.self())
-	if err == nil {
-		err = s.store.Put(ctx, s.schema.MemberKey(s.cfg.Host), value, lease)
-		s.metrics.call("put", err)
-	}
-	if err != nil {
+	if err := s.put(ctx, lease); err != nil {
 		s.log.WithError(err).Warn("Cannot say in the store that this gateway leaves; peers hear it.")
 	}
 }
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -30,6 +30,9 @@
 	// lapseGrace is how long after an outage records that lapsed meanwhile
 	// still count: their owners write them again within about two seconds.
 	lapseGrace = 2200 * time.Millisecond
+	// memberGrace is the same for records of gateways: those that are no hubs try to renew
+	// their lease up to retryAside apart.
+	memberGrace = retryAside + renewEvery
 )
 
 // heardMember is a gateway that was heard from, itself or through others, and when it was
--- a/internal/daemon/gateway/records.go
+++ b/internal/daemon/gateway/records.go
@@ -150,11 +150,15 @@
 
 func (k *Keeper) takeMember(host string, r mirror.Record, fields logrus.Fields, now time.Time) {
 	if r.Deleted {
-		if k.isMissingInCopy(r) && k.stored[host] != nil {
+		switch {
+		case k.isMissingInCopy(r) && k.stored[host] != nil:
 			k.lapse(r, restoreSettle, fields, now)
-			return
+		case k.stored[host] != nil && (now.Before(k.graceUntil) || k.lag(now) > 0):
+			// The lease of a gateway that lives on lapses while it cannot renew it.
+			k.lapse(r, memberGrace, fields, now)
+		default:
+			k.remove(r, fields, now)
 		}
-		k.remove(r, fields, now)
 		return
 	}
 	m := new(peerv1.GatewayMember)
--- a/internal/daemon/gateway/restore_test.go
+++ b/internal/daemon/gateway/restore_test.go
@@ -196,6 +196,28 @@
 	})
 }
 
+// TestGatewaysKnowEachOtherAfterOutage guards against gateways that drop all others when the
+// store is back, because their leases have lapsed and they were heard of too long ago: each
+// then takes itself for the owner of every cold server, and tells its reports to few.
+func TestGatewaysKnowEachOtherAfterOutage(t *testing.T) {
+	for _, outage := range []time.Duration{leaseTTL + time.Second, 3 * leaseTTL} {
+		t.Run(fmt.Sprint(outage), func(t *testing.T) {
+			play(t, 3, func(w *testCluster) {
+				time.Sleep(2 * time.Second)
+				w.store.turnAway(true)
+				time.Sleep(outage)
+				w.store.turnAway(false)
+				w.always(2*restoreSettle, "all gateways known", func(h *testHost) string {
+					if n := len(h.keeper.View().members); n < len(w.hosts) {
+						return fmt.Sprintf("knows %d of %d gateways", n, len(w.hosts))
+					}
+					return ""
+				})
+			})
+		})
+	}
+}
+
 // knownFacts are what gateways have known and may not unlearn.
 type knownFacts struct {
 	versions map[*testHost]uint64
