--- a/internal/daemon/gateway/coldcheck_test.go
+++ b/internal/daemon/gateway/coldcheck_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -35,22 +36,18 @@
 	return port.ServerMeta{Cold: max(0, time.Until(l.until(address)))}, 200, nil
 }
 
-// TestServersThatTurnColdInOutageAreKnown checks that all gateways know within half a
-// second that servers have turned cold while the store is away, or after one more check if
-// one is lost, also in other regions than the gateway that finds it out: each went on
-// sending as to warm servers until the store was back.
-func TestServersThatTurnColdInOutageAreKnown(t *testing.T) {
-	// The bound on requests to a cold server is one for any second.
-	const known = time.Second/2 + coldCheckInterval
+// playColdLinks plays with four gateways and a server in each failure domain. turnCold makes
+// the health checks of the servers at some addresses say that they are cold.
+func playColdLinks(t *testing.T, addresses []string, play func(w *testCluster, turnCold func())) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newTestCluster(t)
-		var cold time.Time
+		var until time.Time
 		w.forwarder = func(string) forwardProber {
 			return coldLink{checks: new(atomic.Int32), until: func(address string) time.Time {
 				w.mu.Lock()
 				defer w.mu.Unlock()
-				if address == "i-a1:1" || address == "i-c2:1" {
-					return cold
+				if slices.Contains(addresses, address) {
+					return until
 				}
 				return time.Time{}
 			}}
@@ -61,14 +58,30 @@
 		}
 		w.addPerDomain(4)
 		defer synctest.Wait()
+		// Checks under way end.
+		defer time.Sleep(checkTimeout)
 		defer w.stopAll()
 		time.Sleep(8 * time.Second)
+		play(w, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			until = time.Now().Add(coldSpell)
+		})
+	})
+}
+
+// TestServersThatTurnColdInOutageAreKnown checks that all gateways know within half a
+// second that servers have turned cold while the store is away, or after one more check if
+// one is lost, also in other regions than the gateway that finds it out: each went on
+// sending as to warm servers until the store was back.
+func TestServersThatTurnColdInOutageAreKnown(t *testing.T) {
+	// The bound on requests to a cold server is one for any second.
+	const known = time.Second/2 + coldCheckInterval
+	playColdLinks(t, []string{"i-a1:1", "i-c2:1"}, func(w *testCluster, turnCold func()) {
 		w.store.turnAway(true, "")
 		for _, outage := range []time.Duration{4 * time.Second, 7 * time.Second, 20 * time.Second} {
 			time.Sleep(outage)
-			w.mu.Lock()
-			cold = time.Now().Add(3 * time.Second)
-			w.mu.Unlock()
+			turnCold()
 			took := w.waitFor(known, "all gateways know that i-a1 and i-c2 are cold", func() bool {
 				for _, h := range w.hosts {
 					for _, id := range []string{"i-a1", "i-c2"} {
@@ -91,11 +104,7 @@
 // warm because the store can be reached, or could be a moment ago, although the server's
 // record is out of date: each went on sending as to a warm server until it was written.
 func TestServersThatTurnColdAroundOutageAreKnown(t *testing.T) {
-	const (
-		// settle is how long the cluster runs before a case, beyond what a start takes.
-		settle = 8 * time.Second
-		known  = time.Second/2 + coldCheckInterval
-	)
+	const known = time.Second/2 + coldCheckInterval
 	for _, c := range []struct {
 		name string
 		// play calls cold when the server is to turn cold, and returns when gateways are to
@@ -129,34 +138,8 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				w := newTestCluster(t)
-				var until time.Time
-				w.forwarder = func(string) forwardProber {
-					return coldLink{checks: new(atomic.Int32), until: func(address string) time.Time {
-						w.mu.Lock()
-						defer w.mu.Unlock()
-						if address == "i-"+coldDomain+":1" {
-							return until
-						}
-						return time.Time{}
-					}}
-				}
-				w.setConfig(1)
-				for _, d := range testDomains {
-					w.setServer(fleet.Record{ID: "i-" + d.Domain, Domain: d.Domain})
-				}
-				w.addPerDomain(4)
-				defer synctest.Wait()
-				// Checks under way end.
-				defer time.Sleep(checkTimeout)
-				defer w.stopAll()
-				time.Sleep(settle)
-				c.play(w, func() {
-					w.mu.Lock()
-					defer w.mu.Unlock()
-					until = time.Now().Add(coldSpell)
-				})
+			playColdLinks(t, []string{"i-" + coldDomain + ":1"}, func(w *testCluster, turnCold func()) {
+				c.play(w, turnCold)
 				w.waitFor(known, "all gateways know that i-"+coldDomain+" is cold", func() bool {
 					for _, h := range w.hosts {
 						if h.keeper.server("i-"+coldDomain, 0).remainingCold(time.Now()) == 0 {
