--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -27,6 +28,9 @@
 	exitFailed = 2
 )
 
+// longest is how long a case may run.
+const longest = 110 * time.Second
+
 // Bounds of a small deployment, as the settings of the pages' example state them.
 const (
 	stableWindow = 4 * time.Second
@@ -52,6 +56,8 @@
 	file   *os.File
 	runs   []ranRequest
 	lastID atomic.Int64
+	// ending is never unlocked: who ends the case first decides its status.
+	ending sync.Mutex
 }
 
 // ranRequest is a request that a server began to run.
@@ -82,6 +88,7 @@
 
 // finish ends all processes that were started and exits.
 func (w *world) finish(status int) {
+	w.ending.Lock()
 	for _, g := range w.gates {
 		g.kill()
 	}
@@ -133,6 +140,16 @@
 		w.fatal("store: %v", err)
 	}
 	w.rec("trouble: %v", trouble)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case sig := <-stop:
+			w.fatal("stopped by %v", sig)
+		case <-time.After(longest):
+			w.fatal("not ended after %v", longest)
+		}
+	}()
 	return w
 }
 
@@ -198,23 +215,30 @@
 }
 
 func (g *gateway) start() {
+	if err := g.launch(); err != nil {
+		g.w.fatal("gateway %s: %v", g.name, err)
+	}
+	g.w.rec("gateway %s starts at %s", g.name, g.ip)
+}
+
+func (g *gateway) launch() error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out, err := os.OpenFile(g.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		g.w.fatal("%v", err)
+		return err
 	}
 	defer out.Close()
-	g.cmd = exec.Command(g.w.command[0], g.w.command[1:]...)
-	g.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CASSIATRAY_SETTINGS=" + g.settings}
-	g.cmd.Stdout, g.cmd.Stderr = out, out
-	if err := g.cmd.Start(); err != nil {
-		g.w.fatal("%v", err)
+	cmd := exec.Command(g.w.command[0], g.w.command[1:]...)
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CASSIATRAY_SETTINGS=" + g.settings}
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return err
 	}
-	g.exited = make(chan struct{})
-	cmd, exited := g.cmd, g.exited
+	exited := make(chan struct{})
 	go func() { cmd.Wait(); close(exited) }()
-	g.w.rec("gateway %s starts at %s", g.name, g.ip)
+	g.cmd, g.exited = cmd, exited
+	return nil
 }
 
 func (g *gateway) signal(sig syscall.Signal) {
