Try requests again under which servers crashed together

Cause: fleet.Reports counted crashes on distinct servers and refused a request from the third on. Only a run to its end cleared it, and a refused request has none. The entry process had left such a threshold for this reason; the gateway decided by a copy of its own.

Ruled out, by the lines of one run: reports taken twice, servers that stay unreachable, the pace of cold servers. The log lines did not name the request or whether it had run before; they do now.

Change: suspect.Judge decides for gateways. From the third crash on a request runs in trials, one copy at a time in the whole system, made by the first gateway in rendezvous order; the others hand it a copy as they relay requests. A trial that runs to its end clears the request everywhere, two that crash their servers refuse it. A request that no gateway knows to have run has one trial, a minute after the last crash. Crashes count from the time of the lost answer, so that a run after that clears them although the crash is found later.

Why it works: a lost domain and a crashing request look the same at the moment of the crash, and only a later run tells them apart; a trial is that run, at the price of one server.

Builds side by side: ServerReport.proven and .trial and RelayOffer.trial are new fields; an older build ignores them, refuses trials and is passed over, and hears of the run that clears a request as before.

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"cassiatray/internal/core/suspect"
 )
 
 // TestReportsConverge checks that gateways that exchange reports in any order
@@ -46,7 +48,7 @@
 				}
 				seen[name] = true
 			}
-			counts[fmt.Sprint(gateways[i].Crashes("r"))]++
+			counts[fmt.Sprint(gateways[i].Verdict("r", false).Crashes)]++
 		}
 		if len(counts) != 1 {
 			t.Fatalf("gateways disagree on the number of crashes: %v", counts)
@@ -57,17 +59,18 @@
 func TestCrashingRequestIsRefused(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var r Reports
-	for n := range crashLimit {
-		if r.Refused("bad") {
+	refused := func(request string) bool { return !r.Verdict(request, false).Runs() }
+	for n := range suspect.TrialThreshold {
+		if refused("bad") {
 			t.Fatalf("rejected after %d crashes", n)
 		}
 		r.Add(now, Report{Origin: "g", Number: uint64(n + 1), Server: fmt.Sprint(n), At: now, Request: "bad"})
 	}
-	if !r.Refused("bad") || r.Refused("good") {
+	if !refused("bad") || refused("good") {
 		t.Error("want only the crashing request rejected")
 	}
 	r.Add(now, Report{Origin: "h", Number: 1, At: now.Add(time.Second), Request: "bad", Cleared: true})
-	if r.Refused("bad") {
+	if refused("bad") {
 		t.Error("rejected after it completed")
 	}
 }
@@ -77,14 +80,14 @@
 func TestReportsOfOneCrashCountOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var r Reports
-	for n := range 2 * crashLimit {
-		r.Add(now, Report{Origin: fmt.Sprint(n), Number: 1, Server: "s", At: now.Add(time.Duration(n) * sameCrashWindow / 10), Request: "bad"})
+	for n := range 2 * suspect.TrialThreshold {
+		r.Add(now, Report{Origin: fmt.Sprint(n), Number: 1, Server: "s", At: now.Add(time.Duration(n) * time.Second / 10), Request: "bad"})
 	}
-	if n := r.Crashes("bad"); n != 1 {
+	if n := r.Verdict("bad", false).Crashes; n != 1 {
 		t.Errorf("%d crashes for reports of one crash, want 1", n)
 	}
-	r.Add(now, Report{Origin: "a", Number: 1, Server: "s", At: now.Add(3 * sameCrashWindow), Request: "bad"})
-	if n := r.Crashes("bad"); n != 2 {
+	r.Add(now, Report{Origin: "a", Number: 1, Server: "s", At: now.Add(3 * time.Second), Request: "bad"})
+	if n := r.Verdict("bad", false).Crashes; n != 2 {
 		t.Errorf("%d crashes after a second one, want 2", n)
 	}
 }
@@ -92,30 +95,30 @@
 func TestLosses(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var l Losses
-	if l.Lost(now, "a") != nil {
+	if l.Lost(now, InFlight{Request: "a"}) != nil {
 		t.Error("a lost response alone counted as a crash")
 	}
-	if got := l.Refused(now.Add(time.Second)); len(got) != 1 || got[0] != "a" {
+	if got := l.Refused(now.Add(time.Second)); len(got) != 1 || got[0].Request != "a" {
 		t.Errorf("refused connection after a loss: crash attributed to %v, want [a]", got)
 	}
-	if got := l.Lost(now.Add(time.Second), "b"); len(got) != 1 || got[0] != "b" {
+	if got := l.Lost(now.Add(time.Second), InFlight{Request: "b"}); len(got) != 1 || got[0].Request != "b" {
 		t.Errorf("loss after a refused connection: crash attributed to %v, want [b]", got)
 	}
 	l = Losses{}
-	l.Lost(now, "a")
+	l.Lost(now, InFlight{Request: "a"})
 	l.Answered(now.Add(time.Millisecond))
 	if l.Refused(now.Add(time.Second)) != nil {
 		t.Error("a loss followed by a response counted as a crash")
 	}
 	// Responses that a server had written as it crashed arrive after the loss.
 	l = Losses{}
-	l.Lost(now, "a")
+	l.Lost(now, InFlight{Request: "a"})
 	l.Answered(now.Add(-10 * time.Millisecond))
-	if got := l.Refused(now.Add(time.Second)); len(got) != 1 || got[0] != "a" {
+	if got := l.Refused(now.Add(time.Second)); len(got) != 1 || got[0].Request != "a" {
 		t.Errorf("refused connection after a loss and the response to an older request: crash attributed to %v, want [a]", got)
 	}
 	l = Losses{}
-	l.Lost(now.Add(10*time.Second), "a")
+	l.Lost(now.Add(10*time.Second), InFlight{Request: "a"})
 	if l.Refused(now.Add(20*time.Second)) != nil {
 		t.Error("a loss long before the refused connection counted as a crash")
 	}
@@ -141,7 +144,7 @@
 func TestUnreachableReportsKeepCrashes(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var r Reports
-	for n := range crashLimit {
+	for n := range suspect.TrialThreshold {
 		r.Add(now, Report{Origin: "a", Number: uint64(n + 1), Server: fmt.Sprint(n), At: now, Request: "bad"})
 	}
 	for n := range 4 * maxReports {
@@ -149,10 +152,10 @@
 	}
 	later := now.Add(2 * time.Minute)
 	r.Add(later, Report{Origin: "b", Number: 1e6, Server: "s", At: later})
-	if !r.Refused("bad") {
+	if r.Verdict("bad", false).Runs() {
 		t.Error("crash reports were evicted")
 	}
-	if list, _ := r.Since(later, 0); len(list) != crashLimit+1 {
+	if list, _ := r.Since(later, 0); len(list) != suspect.TrialThreshold+1 {
 		t.Errorf("%d reports are forwarded two minutes later", len(list))
 	}
 }
--- a/internal/core/fleet/reports.go
+++ b/internal/core/fleet/reports.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"cassiatray/internal/core/suspect"
 )
 
 // Report is an observation of one gateway about a server: that it was
@@ -19,6 +21,9 @@
 	// Request is the fingerprint of the request that was in flight when the
 	// server crashed; empty if the server was only unreachable.
 	Request string
+	// Proven is set if that request had run to completion before, as far as the reporting
+	// gateway knows, and Trial if it ran as a trial.
+	Proven, Trial bool
 	// Cleared is set when the request completed, which clears it of earlier
 	// crashes.
 	Cleared bool
@@ -37,16 +42,11 @@
 	// received it later would check the server because of outdated information.
 	unreachableTTL = 5 * time.Second
 	// crashTTL is how long a crash counts against a request.
-	crashTTL = 10 * time.Minute
+	crashTTL = suspect.Keep
 	// maxReports bounds the stored reports of each kind. The kinds are bounded
 	// separately so that the loss of a failure domain does not evict crash
 	// reports.
 	maxReports = 512
-	// crashLimit is the number of crashes after which a request is rejected.
-	crashLimit = 3
-	// sameCrashWindow is the time within which reports about one server are of
-	// one crash.
-	sameCrashWindow = time.Second
 )
 
 // storedReport is a report with its position in the order of arrival.
@@ -121,28 +121,24 @@
 }
 
 // Held reports whether a request is suspected of crashing a server.
-func (r *Reports) Held(request string) bool { return r.Crashes(request) > 0 }
+func (r *Reports) Held(request string) bool { return len(r.sightings(request)) > 0 }
+
+// Verdict says how a request is to be treated; proven is set if this gateway knows that it has
+// run to completion.
+func (r *Reports) Verdict(request string, proven bool) suspect.Verdict {
+	return suspect.Judge(r.sightings(request), proven)
+}
 
-// Crashes counts the server crashes attributed to a request since it last
-// completed.
-func (r *Reports) Crashes(request string) int {
-	lastCrash := map[string]time.Time{}
-	n := 0
+// sightings returns the crashes during which a request was in flight since it last completed.
+func (r *Reports) sightings(request string) []suspect.Sighting {
+	var out []suspect.Sighting
 	for _, k := range r.crashes {
-		if k.Request != request || k.Cleared || !k.At.After(r.lastCompleted[request]) {
-			continue
+		if k.Request == request && !k.Cleared && k.At.After(r.lastCompleted[request]) {
+			out = append(out, suspect.Sighting{Server: k.Server, At: k.At, Proven: k.Proven, Trial: k.Trial})
 		}
-		if at, ok := lastCrash[k.Server]; !ok || k.At.Sub(at).Abs() > sameCrashWindow {
-			n++
-		}
-		lastCrash[k.Server] = k.At
 	}
-	return n
+	return out
 }
 
-// Refused reports whether a request has crashed servers so often that it must
-// not run again.
-func (r *Reports) Refused(request string) bool { return r.Crashes(request) >= crashLimit }
-
 // Empty reports whether no crash reports are stored.
 func (r *Reports) Empty() bool { return len(r.crashes) == 0 }
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -119,7 +119,7 @@
 	}
 	now := time.Now()
 	n.recordSignals(s, be.Meta, now)
-	var crashRequests []string
+	var crashRequests []fleet.InFlight
 	switch {
 	case be.Code == port.BackendRestarted:
 		n.checkForRestart(req, s, err, now)
@@ -127,7 +127,7 @@
 	case be.Code == port.BackendRefused:
 		crashRequests = s.connectionRefused(now)
 	case be.Code == port.BackendBroken && be.Sent && req.unreadBody == nil:
-		crashRequests = s.connectionLost(now, req.fingerprint(req.method))
+		crashRequests = s.connectionLost(now, n.describeInFlight(req))
 	case be.Code != port.BackendConnect && be.Code != port.BackendBroken:
 		return
 	}
@@ -173,7 +173,7 @@
 
 // reportCrash reports the server's crash for each of the requests that were
 // running on it.
-func (n *Node) reportCrash(s *server, requests []string, now time.Time) {
+func (n *Node) reportCrash(s *server, requests []fleet.InFlight, now time.Time) {
 	for _, request := range requests {
 		n.keeper.ReportCrash(s.rec().ID, request, now)
 	}
--- /dev/null
+++ b/internal/daemon/gateway/crashes_test.go
@@ -0,0 +1,279 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/routing"
+	"cassiatray/internal/port"
+)
+
+const (
+	crashRunTime = 300 * time.Millisecond
+	crashAfter   = 200 * time.Millisecond
+	crashAway    = 4500 * time.Millisecond
+	// retriesAllowed is how many times a request may reach servers that is sent later than
+	// crashStable after it has crashed the third.
+	retriesAllowed = 3
+	crashStable    = 4 * time.Second
+)
+
+// crashServers are servers that take some time for each request. A crash breaks the
+// connections of a server, which then refuses others for crashAway.
+type crashServers struct {
+	connects
+	mu   sync.Mutex
+	back map[string]time.Time
+	// ended is closed with the crash of a server.
+	ended map[string]chan struct{}
+	// crashing reports whether a request crashes the servers that run it.
+	crashing func(uri string) bool
+	runs     []crashRun
+}
+
+// crashRun is a request that a server began to run.
+type crashRun struct {
+	uri string
+	at  time.Time
+}
+
+func (s *crashServers) down(address string) bool { return time.Now().Before(s.back[address]) }
+
+// Forward implements port.Forwarder.
+func (s *crashServers) Forward(_ context.Context, address string, req *port.ForwardRequest) (*port.ForwardAnswer, error) {
+	s.mu.Lock()
+	if s.down(address) {
+		s.mu.Unlock()
+		return nil, &port.BackendError{Code: port.BackendRefused, Address: address, Err: io.EOF}
+	}
+	s.runs = append(s.runs, crashRun{req.URI, time.Now()})
+	ended := s.ended[address]
+	if ended == nil {
+		ended = make(chan struct{})
+		s.ended[address] = ended
+	}
+	crashing := s.crashing(req.URI)
+	s.mu.Unlock()
+	if crashing {
+		time.AfterFunc(crashAfter, func() { s.crash(address) })
+	}
+	select {
+	case <-time.After(crashRunTime):
+		return okAnswer(), nil
+	case <-ended:
+		return nil, brokenError(true)
+	}
+}
+
+// Probe implements port.Prober.
+func (s *crashServers) Probe(_ context.Context, address, _ string) (port.ServerMeta, int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down(address) {
+		return port.ServerMeta{}, 0, &port.BackendError{Code: port.BackendRefused, Address: address, Err: io.EOF}
+	}
+	return port.ServerMeta{}, 200, nil
+}
+
+// crash ends the processes of servers.
+func (s *crashServers) crash(addresses ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range addresses {
+		if s.down(a) {
+			continue
+		}
+		s.back[a] = time.Now().Add(crashAway)
+		if c := s.ended[a]; c != nil {
+			close(c)
+			delete(s.ended, a)
+		}
+	}
+}
+
+// retries returns how many runs of a request came later than crashStable after its third crash.
+func (s *crashServers) retries(uri string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var third time.Time
+	runs, late := 0, 0
+	for _, r := range s.runs {
+		if r.uri != uri || !s.crashing(uri) {
+			continue
+		}
+		runs++
+		switch {
+		case runs == 3:
+			third = r.at.Add(crashAfter)
+		case runs > 3 && r.at.After(third.Add(crashStable)):
+			late++
+		}
+	}
+	return late
+}
+
+// crashWorld is a cluster of gateways before servers that crash: those of service "s" stand in
+// domain "a1", which may be lost, those of service "t" elsewhere.
+type crashWorld struct {
+	*linkWorld
+	servers *crashServers
+	lost    []string
+	// others are requests beside those of the test.
+	others sync.WaitGroup
+}
+
+// stop waits for all requests and ends the gateways.
+func (w *crashWorld) stop() {
+	w.others.Wait()
+	time.Sleep(2 * crashRunTime)
+	w.stopAll()
+}
+
+func newCrashWorld(t *testing.T, gateways int) *crashWorld {
+	w := &crashWorld{linkWorld: &linkWorld{testCluster: newTestCluster(t)}}
+	w.servers = &crashServers{back: map[string]time.Time{}, ended: map[string]chan struct{}{}, crashing: func(string) bool { return false }}
+	w.links = newServerLinks(w.servers)
+	w.forwarder = func(host string) forwardProber { return serverLink{w.links, host} }
+	w.store.set("config", encode(crashConfig()), "")
+	for i := range 4 {
+		rec := fleet.Record{ID: fmt.Sprint("i-a1-", i), Domain: "a1", Slots: 9}
+		w.setServer(rec)
+		w.lost = append(w.lost, rec.ID+":1")
+		w.setServer(fleet.Record{ID: fmt.Sprint("i-t-", i), Service: "t", Domain: testDomains[i%3+1].Domain, Slots: 9})
+	}
+	for i := range gateways {
+		d := testDomains[i%len(testDomains)].Domain
+		w.add(fmt.Sprintf("%s-%d", d, i), d)
+	}
+	time.Sleep(2 * introductionTime)
+	return w
+}
+
+// crashConfig has a route to each service.
+func crashConfig() plainConfig {
+	routes := testRoutes()[:1]
+	other := routes[0]
+	other.Name, other.Prefix, other.Parts = "other", "/other/", []routing.Part{{Service: "t", Weight: 1}}
+	return plainConfig{Version: 1, Services: []routing.Service{{Name: "s", ColdRate: 6}, {Name: "t", ColdRate: 6}}, Routes: append(routes, other)}
+}
+
+// ask sends a request every interval during a span, each to any gateway, and returns how many
+// of them were served and refused.
+func (w *crashWorld) ask(uri string, every, span time.Duration) (served, refused int) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for range int(span / every) {
+		h := w.anyHost(random)
+		wg.Go(func() {
+			code := h.sendFor(context.Background(), "", "GET", uri, nil).Code
+			mu.Lock()
+			defer mu.Unlock()
+			switch code {
+			case 200:
+				served++
+			case 503:
+				refused++
+			}
+		})
+		time.Sleep(every)
+	}
+	wg.Wait()
+	return served, refused
+}
+
+// Guards against a page that is refused for minutes because it was in flight at servers that
+// crashed together, and against one that crashes servers and is let through again and again.
+// The page is asked for 30 times a second.
+func TestRequestsInFlightAtCrashes(t *testing.T) {
+	const page, bad = "/get/page", "/other/bad"
+	always := func(uri string) func(string) bool { return func(u string) bool { return u == uri } }
+	for _, c := range []struct {
+		name     string
+		gateways int
+		// before is done while the page is asked for.
+		before func(w *crashWorld)
+		// served is whether the page is served afterwards.
+		served bool
+	}{
+		{"domain lost", 3, func(w *crashWorld) { w.servers.crash(w.lost...) }, true},
+		{"domain lost, many gateways", 18, func(w *crashWorld) { w.servers.crash(w.lost...) }, true},
+		{"domain lost three times", 3, func(w *crashWorld) {
+			for range 3 {
+				w.servers.crash(w.lost...)
+				time.Sleep(10 * time.Second)
+			}
+		}, true},
+		{"servers lost one after the other", 3, func(w *crashWorld) {
+			for _, s := range w.lost {
+				w.servers.crash(s)
+				time.Sleep(700 * time.Millisecond)
+			}
+		}, true},
+		{"domain lost beside a crashing request of another service", 3, func(w *crashWorld) {
+			w.servers.mu.Lock()
+			w.servers.crashing = always(bad)
+			w.servers.mu.Unlock()
+			w.others.Go(func() { w.ask(bad, 500*time.Millisecond, 20*time.Second) })
+			time.Sleep(time.Second)
+			w.servers.crash(w.lost...)
+		}, true},
+		{"domain lost, gateways of an older build", 6, func(w *crashWorld) {
+			w.refuseTrials("a1-0", "b1-2", "c1-4")
+			w.servers.crash(w.lost...)
+		}, true},
+		{"domain lost, keepers that do not reply", 6, func(w *crashWorld) {
+			w.setSilent(true, "a1-0", "b1-2")
+			w.servers.crash(w.lost...)
+		}, true},
+		{"page that begins to crash servers", 3, func(w *crashWorld) {
+			w.servers.mu.Lock()
+			defer w.servers.mu.Unlock()
+			w.servers.crashing = always(page)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newCrashWorld(t, c.gateways)
+				defer w.stop()
+				w.others.Go(func() { w.ask("/other/page", 33*time.Millisecond, 40*time.Second) })
+				time.AfterFunc(2*time.Second, func() { c.before(w) })
+				w.ask(page, 33*time.Millisecond, 40*time.Second)
+				served, refused := w.ask(page, 33*time.Millisecond, 10*time.Second)
+				if c.served && refused > 0 || !c.served && served > 0 {
+					t.Errorf("%d requests served and %d refused afterwards", served, refused)
+				}
+				for _, uri := range []string{page, bad} {
+					if n := w.servers.retries(uri); n > retriesAllowed {
+						t.Errorf("%s: %d retries reached servers", uri, n)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that crashes servers from its first run on and that reaches more of
+// them wave by wave: many callers send it at once, and the servers come back.
+func TestPopularCrashingRequestStaysRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newCrashWorld(t, 3)
+		defer w.stop()
+		w.servers.crashing = func(uri string) bool { return strings.HasSuffix(uri, "bad") }
+		w.others.Go(func() { w.ask("/other/page", 33*time.Millisecond, 40*time.Second) })
+		if served, _ := w.ask("/get/bad", 50*time.Millisecond, 40*time.Second); served > 0 {
+			t.Errorf("%d requests served", served)
+		}
+		if n := w.servers.retries("/get/bad"); n > 0 {
+			t.Errorf("%d retries reached servers", n)
+		}
+	})
+}
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -26,6 +26,7 @@
 	unknown  *prometheus.CounterVec
 	relays   *prometheus.CounterVec
 	relayed  *prometheus.CounterVec
+	trials   *prometheus.CounterVec
 }
 
 // latencyBuckets cover the latencies that routes aim for, in seconds.
@@ -74,7 +75,10 @@
 	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_relayed_requests_total", Help: "Requests that other gateways relayed here, by status; 0 when the caller left.",
 	}, []string{"status"})
-	reg.MustRegister(m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed)
+	m.trials = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_trials_total", Help: "Trials of requests under which servers crashed: completed, failed, or unsent when no server took them.",
+	}, []string{"result"})
+	reg.MustRegister(m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
 	return m
 }
 
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiatray/internal/core/retry"
+	"cassiatray/internal/core/suspect"
 	"cassiatray/internal/port"
 )
 
@@ -58,6 +59,8 @@
 	permitPeers    permitPeers
 	relays         *relayPeers
 	links          *linkWatch
+	trials         *trials
+	completed      suspect.Completed
 	serviceTimes   serviceTimes
 	unknownHeaders unknownHeaders
 	bounds         atomic.Pointer[Bounds]
@@ -72,7 +75,7 @@
 	n := &Node{
 		cfg: cfg, keeper: k, dialect: d, forwarder: f, prober: p, log: log, metrics: m,
 		ctx: ctx, cancel: cancel, retryBudgets: map[string]*retry.Window{},
-		permitPeers: permitPeers{pool: peers, unreachable: map[string]time.Time{}}, relays: newRelayPeers(relays), links: newLinkWatch(),
+		permitPeers: permitPeers{pool: peers, unreachable: map[string]time.Time{}}, relays: newRelayPeers(relays), links: newLinkWatch(), trials: newTrials(),
 	}
 	n.bounds.Store(&cfg.Bounds)
 	return n
@@ -138,10 +141,12 @@
 // forwardWithRetries sends the request to one server after another until one
 // responds, or until the deadline, the attempts or the retry budget are used up.
 func (n *Node) forwardWithRetries(w http.ResponseWriter, r *http.Request, req *inflightRequest) {
-	fingerprint := func() string { return req.fingerprint(r.Method) }
-	if req.unreadBody == nil && n.keeper.refused(fingerprint) {
-		n.writeError(w, req, http.StatusServiceUnavailable, "crashes servers")
-		return
+	if req.unreadBody == nil {
+		admitted, end := n.admitSuspect(w, r, req)
+		if !admitted {
+			return
+		}
+		defer end()
 	}
 	for {
 		if time.Until(req.deadline) < minTimeLeft {
@@ -180,7 +185,8 @@
 		if err == nil && !a.Meta.NotRun {
 			req.runs++
 			req.answeredBy = c.server.rec().ID
-			n.keeper.ran(fingerprint, now)
+			n.completed.Add(req.key())
+			n.keeper.ran(req.fingerprint, now)
 			if !n.shouldRetryAnswer(req, a) {
 				n.writeAnswer(w, req, a)
 				return
--- a/internal/daemon/gateway/peers_test.go
+++ b/internal/daemon/gateway/peers_test.go
@@ -91,6 +91,16 @@
 	}
 	go func() {
 		defer close(s.ended)
+		p.w.mu.Lock()
+		refuses := p.w.noTrials[to.cfg.Host]
+		p.w.mu.Unlock()
+		if offer := req.GetRelayOffer(); offer.GetTrial() && refuses {
+			answer := (*testServerStream)(s)
+			answer.Send(&peerv1.Reply{Body: &peerv1.Reply_RelayAccept{RelayAccept: &peerv1.RelayAccept{}}})
+			answer.Send(&peerv1.Reply{Body: &peerv1.Reply_RelayHead{RelayHead: &peerv1.RelayHead{Status: 503, Reason: string(reasonCrashesServers)}}})
+			answer.Send(&peerv1.Reply{Body: &peerv1.Reply_RelayChunk{RelayChunk: &peerv1.RelayChunk{Last: true}}})
+			return
+		}
 		if err := (&exchanges{node: to.node}).ServeStream(ctx, req, (*testServerStream)(s)); err != nil {
 			s.err = err
 		}
--- a/internal/daemon/gateway/relay.go
+++ b/internal/daemon/gateway/relay.go
@@ -177,6 +177,9 @@
 		n.writeRejection(w, req, req.rejection)
 		return true, false
 	}
+	if req.trial {
+		return n.trialRejected(w, req, head)
+	}
 	if n.linksWhole() {
 		n.relays.pauseService(req.service, now.Add(noRelayPause))
 	}
@@ -266,6 +269,7 @@
 	offer := &peerv1.RelayOffer{
 		Method: r.Method, Uri: req.uri, Host: r.Host, Headers: headersToWire(endToEndHeaders(r.Header)), Size: size,
 		Service: req.service, RunsLeft: uint32(max(1, req.maxRuns-req.runs)), Repeat: req.repeat,
+		Trial: req.trial,
 	}
 	for s := range req.excluded {
 		offer.Tried = append(offer.Tried, s.rec().ID)
--- a/internal/daemon/gateway/relay_test.go
+++ b/internal/daemon/gateway/relay_test.go
@@ -80,13 +80,18 @@
 	w.store.set("config", encode(plainConfig{Version: version, Services: []routing.Service{{Name: "s", ColdRate: 6}}, Routes: routes}), "")
 }
 
-// send sends a request to a gateway.
+// send sends a request for an object to a gateway.
 func (h *testHost) send(ctx context.Context, method, path string, body io.Reader) *httptest.ResponseRecorder {
+	return h.sendFor(ctx, "o", method, path, body)
+}
+
+// sendFor is send for a given object; without one any server may run the request.
+func (h *testHost) sendFor(ctx context.Context, object, method, path string, body io.Reader) *httptest.ResponseRecorder {
 	r := httptest.NewRequestWithContext(ctx, method, path, body)
 	r.Host = "h"
 	r.Header.Set("Id", "1")
 	r.Header.Set("Left", "1200ms")
-	r.Header.Set("Object", "o")
+	r.Header.Set("Object", object)
 	w := httptest.NewRecorder()
 	h.node.ServeHTTP(w, r)
 	return w
--- a/internal/daemon/gateway/relayed.go
+++ b/internal/daemon/gateway/relayed.go
@@ -146,6 +146,7 @@
 	req.setObject()
 	req.service = offer.Service
 	req.maxRuns = min(req.maxRuns, int(max(1, offer.RunsLeft)))
+	req.trial = offer.Trial
 	// Each request counts at one gateway for the retry budget.
 	req.counted, req.repeat = offer.Repeat, offer.Repeat
 	for _, id := range offer.Tried {
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/hex"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -41,12 +42,26 @@
 
 // ReportCrash tells the other gateways that a server crashed under a request: it refused
 // connections. A link that resets connections does the same.
-func (k *Keeper) ReportCrash(server, request string, now time.Time) {
+func (k *Keeper) ReportCrash(server string, f fleet.InFlight, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.reportOnceReached(fleet.Report{Server: server, Request: request, At: now}, now)
-	k.log.WithFields(logrus.Fields{"server": server, "source": k.origin, "crashes": k.reports.Crashes(request)}).
-		Warn("Server crashed under a request.")
+	rep := fleet.Report{Server: server, Request: f.Request, Proven: f.Proven, Trial: f.Trial, At: f.Lost}
+	k.reportOnceReached(rep, now)
+	k.logCrash(rep, k.origin)
+}
+
+// logCrash logs that a server crashed under a request. The caller holds k.mu.
+func (k *Keeper) logCrash(rep fleet.Report, source string) {
+	v := k.reports.Verdict(rep.Request, rep.Proven)
+	k.log.WithFields(logrus.Fields{
+		"server": rep.Server, "source": source, "fingerprint": shortPrint(rep.Request), "crashes": v.Crashes, "trials_failed": v.Failed,
+		"proven": rep.Proven, "trial": rep.Trial, "state": v.State.String(),
+	}).Warn("Server crashed under a request.")
+}
+
+// shortPrint returns the part of a fingerprint that logs show.
+func shortPrint(fingerprint string) string {
+	return hex.EncodeToString([]byte(fingerprint[:min(4, len(fingerprint))]))
 }
 
 // ReportCold tells the other gateways that a server says that it is cold.
@@ -93,7 +108,7 @@
 	news := false
 	for _, r := range list {
 		rep := fleet.Report{
-			Origin: r.Origin, Number: r.Number, Server: r.Server, Request: string(r.Fingerprint), Cleared: r.Cleared,
+			Origin: r.Origin, Number: r.Number, Server: r.Server, Request: string(r.Fingerprint), Proven: r.Proven, Trial: r.Trial, Cleared: r.Cleared,
 			Cold: time.Duration(r.ColdMicros) * time.Microsecond, Leaving: r.Leaving, Born: r.Born,
 			At: now.Add(-time.Duration(r.AgeMicros) * time.Microsecond),
 		}
@@ -118,8 +133,7 @@
 				Info("Server reported unreachable.")
 		}
 		if rep.Request != "" {
-			k.log.WithFields(logrus.Fields{"server": r.Server, "source": r.Origin, "crashes": k.reports.Crashes(rep.Request)}).
-				Warn("Server crashed under a request.")
+			k.logCrash(rep, r.Origin)
 		}
 	}
 	if news {
@@ -153,7 +167,7 @@
 	var out []*peerv1.ServerReport
 	for _, r := range list {
 		out = append(out, &peerv1.ServerReport{
-			Origin: r.Origin, Number: r.Number, Server: r.Server, AgeMicros: now.Sub(r.At).Microseconds(), Fingerprint: []byte(r.Request), Cleared: r.Cleared,
+			Origin: r.Origin, Number: r.Number, Server: r.Server, AgeMicros: now.Sub(r.At).Microseconds(), Fingerprint: []byte(r.Request), Proven: r.Proven, Trial: r.Trial, Cleared: r.Cleared,
 			ColdMicros: r.Cold.Microseconds(), Leaving: r.Leaving, Born: r.Born,
 		})
 	}
@@ -167,27 +181,45 @@
 	return k.reportsSince(sequence, now)
 }
 
-// refused reports whether a request has crashed too many servers to run again.
-// ran tells everyone when one that crashed servers ran to its end.
-func (k *Keeper) refused(request func() string) bool {
+// verdict says how to treat a request that servers may have crashed under; proven reports
+// whether it is known here to have run to completion.
+func (k *Keeper) verdict(request func() string, proven func() bool) suspect.Verdict {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return !k.reports.Empty() && k.reports.Refused(request())
+	if k.reports.Empty() {
+		return suspect.Verdict{}
+	}
+	v := k.reports.Verdict(request(), false)
+	if v.Runs() || !proven() {
+		return v
+	}
+	return k.reports.Verdict(request(), true)
 }
 
-func (k *Keeper) ran(request func() string, now time.Time) {
+// ran tells everyone when a request under which servers crashed, and that was sent after that,
+// has run to completion.
+func (k *Keeper) ran(request func() string, sent time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.reports.Empty() {
 		return
 	}
 	if f := request(); k.reports.Held(f) {
-		k.report(fleet.Report{Request: f, Cleared: true, At: now})
+		k.report(fleet.Report{Request: f, Cleared: true, At: sent})
+		k.log.WithFields(logrus.Fields{"fingerprint": shortPrint(f)}).Info("Request cleared: it ran to completion.")
 	}
 }
 
 // fingerprint identifies requests that do the same for the same caller.
-func (req *inflightRequest) fingerprint(method string) string {
-	f := suspect.Of(req.service, method, req.uri, req.caller.Object, req.body)
-	return string(f[:])
+func (req *inflightRequest) fingerprint() string {
+	if req.print == "" {
+		f := suspect.Of(req.service, req.method, req.uri, req.caller.Object, req.body)
+		req.print = string(f[:])
+	}
+	return req.print
+}
+
+// key is fingerprint for what is asked for every request.
+func (req *inflightRequest) key() uint64 {
+	return suspect.Key(req.body, req.service, req.method, req.uri, req.caller.Object)
 }
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -41,6 +41,10 @@
 	// runs is how many servers may have run the request, maxRuns how many may. tries counts
 	// the attempts that this gateway made at servers.
 	runs, maxRuns, tries int
+	// print is the request's fingerprint, once it was asked for.
+	print string
+	// trial is set while the request runs, or is to run elsewhere, as a trial.
+	trial bool
 	// mayHaveRun is set once a server may have started to run the request.
 	mayHaveRun bool
 	// counted is set once the request counts for the retry budget, repeat while the next
--- a/internal/daemon/gateway/server.go
+++ b/internal/daemon/gateway/server.go
@@ -195,13 +195,13 @@
 // connectionLost records that the connection broke during a request, and
 // connectionRefused that the server refused a connection. Both return the requests
 // during which the server crashed, if it did.
-func (s *server) connectionLost(now time.Time, request string) []string {
+func (s *server) connectionLost(now time.Time, request fleet.InFlight) []fleet.InFlight {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.losses.Lost(now, request)
 }
 
-func (s *server) connectionRefused(now time.Time) []string {
+func (s *server) connectionRefused(now time.Time) []fleet.InFlight {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.losses.Refused(now)
--- /dev/null
+++ b/internal/daemon/gateway/trial.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/links"
+	"cassiatray/internal/core/suspect"
+	peerv1 "cassiatray/proto/peer/v1"
+)
+
+// A request under which several servers crashed runs on in trials (suspect.Judge). All
+// gateways agree on one that makes them, its keeper: the first in rendezvous order of those
+// with links to servers. The others offer it the request when a trial is due. A keeper that
+// cannot be reached, or whose build knows no trials, is passed over for the next.
+
+const (
+	// trialAskPause is the time between two offers of a request by one gateway.
+	trialAskPause = 500 * time.Millisecond
+	// keeperPause is for how long a keeper is passed over that makes no trials.
+	keeperPause = 10 * time.Second
+	// maxKeepersAsked is how many keepers one request is offered to.
+	maxKeepersAsked = 3
+	// failedTrialPause is for how long a keeper makes no further trial after one that got no
+	// response: the crash, if it was one, may not be known yet.
+	failedTrialPause = 2 * time.Second
+	// maxTrialStates bounds the requests whose offers are remembered.
+	maxTrialStates = 1024
+)
+
+// Reasons for which a request under which servers crashed is rejected.
+const (
+	// reasonCrashesServers comes from gateways of builds that make no trials.
+	reasonCrashesServers rejectReason = "crashes servers"
+	reasonRefused        rejectReason = "crashed servers in trials"
+	reasonProbation      rejectReason = "servers crashed under it, no trial due"
+	reasonOnTrial        rejectReason = "servers crashed under it, trial under way"
+)
+
+// trials is the gateway's state of requests under which servers crashed.
+type trials struct {
+	mu sync.Mutex
+	// turns are those of the requests that this gateway keeps.
+	turns suspect.Turns
+	// started numbers the trials.
+	started int
+	// nextAsk is when requests may be offered to keepers again, and passedOver until when
+	// keepers are passed over.
+	nextAsk    map[string]time.Time
+	passedOver map[string]time.Time
+}
+
+func newTrials() *trials {
+	return &trials{nextAsk: map[string]time.Time{}, passedOver: map[string]time.Time{}}
+}
+
+// take takes the turn of a request until a time, and returns who has it; empty if another copy
+// has it.
+func (t *trials) take(now time.Time, f suspect.Fingerprint, until time.Time) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.started++
+	holder := strconv.Itoa(t.started)
+	if !t.turns.Take(now, f, holder, until) {
+		return ""
+	}
+	return holder
+}
+
+func (t *trials) end(f suspect.Fingerprint, holder string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.turns.End(f, holder)
+}
+
+// mayAsk reports whether a request may be offered to keepers now, and notes that it is.
+func (t *trials) mayAsk(now time.Time, f string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Before(t.nextAsk[f]) {
+		return false
+	}
+	if len(t.nextAsk) >= maxTrialStates {
+		clear(t.nextAsk)
+	}
+	t.nextAsk[f] = now.Add(trialAskPause)
+	return true
+}
+
+func (t *trials) passOver(host string, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.passedOver[host] = until
+}
+
+func (t *trials) isPassedOver(now time.Time, host string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.passedOver[host])
+}
+
+// describeInFlight returns what is told of the request if its server crashed.
+func (n *Node) describeInFlight(req *inflightRequest) fleet.InFlight {
+	return fleet.InFlight{Request: req.fingerprint(), Proven: n.completed.Has(req.key()), Trial: req.trial}
+}
+
+// admitSuspect decides whether a request may run here, if servers crashed under it. If so, end
+// is to be called after the run; otherwise the request has ended.
+func (n *Node) admitSuspect(w http.ResponseWriter, r *http.Request, req *inflightRequest) (admitted bool, end func()) {
+	v := n.keeper.verdict(req.fingerprint, func() bool { return n.completed.Has(req.key()) })
+	now := time.Now()
+	switch {
+	case v.Runs():
+		req.trial = false
+		return true, func() {}
+	case v.State == suspect.Refused:
+		n.rejectSuspect(w, req, reasonRefused, v.Until.Sub(now))
+		return false, nil
+	case now.Before(v.Until), req.origin != "" && !req.trial:
+		n.rejectSuspect(w, req, reasonProbation, v.Until.Sub(now))
+		return false, nil
+	case req.origin != "":
+		return n.startTrial(w, req, v, now)
+	}
+	return n.offerTrial(w, r, req, v, now)
+}
+
+// rejectSuspect ends a request that may not run for some time.
+func (n *Node) rejectSuspect(w http.ResponseWriter, req *inflightRequest, reason rejectReason, wait time.Duration) {
+	req.comeBackAfter = max(0, wait)
+	n.writeError(w, req, http.StatusServiceUnavailable, string(reason))
+}
+
+// offerTrial runs the request as a trial if this gateway is its keeper, and offers it to the
+// keeper otherwise.
+func (n *Node) offerTrial(w http.ResponseWriter, r *http.Request, req *inflightRequest, v suspect.Verdict, now time.Time) (admitted bool, end func()) {
+	req.trial, req.maxRuns = true, 1
+	view := n.keeper.View()
+	if len(view.hosts) == 0 {
+		return n.startTrial(w, req, v, now)
+	}
+	asked := 0
+	for _, host := range suspect.Keepers(req.suspectID(), view.hosts) {
+		if host == n.cfg.Host {
+			return n.startTrial(w, req, v, now)
+		}
+		keeper := view.helper(host)
+		if keeper == nil || !req.route.AllowsRegion(keeper.Region) || n.trials.isPassedOver(now, host) {
+			continue
+		}
+		if asked == maxKeepersAsked || !n.mayRelay(req) || asked == 0 && !n.trials.mayAsk(now, req.fingerprint()) {
+			break
+		}
+		asked++
+		if ended, _ := n.relayTo(w, r, req, keeper); ended {
+			return false, nil
+		}
+		n.trials.passOver(host, now.Add(keeperPause))
+	}
+	n.rejectSuspect(w, req, reasonOnTrial, 0)
+	return false, nil
+}
+
+// startTrial has the request run here as a trial unless one is under way. The turn of a trial
+// that may have failed lapses some time after its deadline.
+func (n *Node) startTrial(w http.ResponseWriter, req *inflightRequest, v suspect.Verdict, now time.Time) (admitted bool, end func()) {
+	f := req.suspectID()
+	holder := n.trials.take(now, f, req.deadline.Add(answerGrace+failedTrialPause))
+	if holder == "" {
+		n.rejectSuspect(w, req, reasonOnTrial, 0)
+		return false, nil
+	}
+	req.trial, req.maxRuns = true, 1
+	log := n.log.WithFields(logrus.Fields{
+		"request": req.caller.ID, "fingerprint": shortPrint(req.fingerprint()), "crashes": v.Crashes, "trials_failed": v.Failed,
+	})
+	log.Info("Trial of a request under which servers crashed.")
+	return true, func() {
+		result := "completed"
+		switch {
+		case req.answeredBy != "" && req.runs > 0:
+			n.trials.end(f, holder)
+		case !req.mayHaveRun:
+			result = "unsent"
+			n.trials.end(f, holder)
+		default:
+			result = "failed"
+		}
+		n.metrics.trials.WithLabelValues(result).Inc()
+		log.WithField("result", result).Info("Trial ended.")
+	}
+}
+
+// trialRejected handles that a keeper itself ended a request that was offered to it. It reports
+// whether the request has ended, and otherwise whether it may be offered to another gateway.
+func (n *Node) trialRejected(w http.ResponseWriter, req *inflightRequest, head *peerv1.RelayHead) (ended, again bool) {
+	if rejectReason(head.Reason) == reasonCrashesServers {
+		return false, true
+	}
+	n.writeRejection(w, req, req.rejection)
+	return true, false
+}
+
+// suspectID returns the fingerprint as suspect.Keepers and suspect.Turns take it.
+func (req *inflightRequest) suspectID() suspect.Fingerprint {
+	return suspect.Fingerprint([]byte(req.fingerprint()))
+}
+
+// helper returns the gateway of a host, or nil if it is not known.
+func (v *view) helper(host string) *links.Gateway {
+	for i := range v.helpers {
+		if v.helpers[i].Host == host {
+			return &v.helpers[i]
+		}
+	}
+	return nil
+}
--- a/internal/daemon/gateway/world_test.go
+++ b/internal/daemon/gateway/world_test.go
@@ -46,7 +46,9 @@
 	partitioned map[string]bool
 	// silent are gateways that do not reply to their peers.
 	silent map[string]bool
-	seeds  []string
+	// noTrials are gateways that reject trials as builds do that know none.
+	noTrials map[string]bool
+	seeds    []string
 	// numbers holds the number in the address of each gateway that was ever started.
 	numbers map[string]int
 	// forwarder returns a gateway's way to backend servers; nil if it has none.
@@ -62,7 +64,7 @@
 var testDomains = []DomainRegion{{"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"b2", "b"}, {"c1", "c"}, {"c2", "c"}}
 
 func newTestCluster(t *testing.T) *testCluster {
-	return &testCluster{t: t, store: newFakeStore(), hosts: map[string]*testHost{}, partitioned: map[string]bool{}, silent: map[string]bool{}, numbers: map[string]int{}, streams: map[string][]context.CancelFunc{}}
+	return &testCluster{t: t, store: newFakeStore(), hosts: map[string]*testHost{}, partitioned: map[string]bool{}, silent: map[string]bool{}, noTrials: map[string]bool{}, numbers: map[string]int{}, streams: map[string][]context.CancelFunc{}}
 }
 
 func testSettings(name, domain string, n int) *Settings {
@@ -150,6 +152,15 @@
 	}
 }
 
+// refuseTrials makes gateways reject trials.
+func (w *testCluster) refuseTrials(names ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range names {
+		w.noTrials[name] = true
+	}
+}
+
 // breakStreams breaks off the two-way exchanges with a gateway.
 func (w *testCluster) breakStreams(name string) {
 	w.mu.Lock()
