Bound replies of the product's store about one key

Cause: the client of the key-value service read up to 64 MiB of any reply, although a value is 1 MiB at most; a few such calls are under way at once, beside 256 MB for the process.

Change: 2 MiB for replies about one key or lease, *SizeError beyond; lists keep 64 MiB, one is read at a time.

--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -22,8 +22,13 @@
 // MaxValue bounds a value, in bytes.
 const MaxValue = 1 << 20
 
-// maxReply bounds a reply: a value in base64 with its fields, or a list.
-const maxReply = 64 << 20
+const (
+	// maxReply bounds a reply that is about one key or lease, in bytes: a value in base64 with
+	// its fields. Several are read at once.
+	maxReply = 2 << 20
+	// maxListReply bounds a list, in bytes.
+	maxListReply = 64 << 20
+)
 
 // maxReplyHead bounds the head of a reply, in bytes; it has a few hundred.
 const maxReplyHead = 64 << 10
@@ -86,8 +91,15 @@
 	body                  []byte
 	write                 bool
 	wait                  time.Duration
+	// list is set for a call whose reply is about many keys.
+	list bool
 }
 
+// SizeError is a reply over its limit, in bytes.
+type SizeError struct{ Limit int64 }
+
+func (e *SizeError) Error() string { return fmt.Sprintf("reply over %d bytes", e.Limit) }
+
 func (c *Client) do(ctx context.Context, k call) (int, []byte, error) {
 	limit := c.timeout
 	if k.wait > 0 {
@@ -113,7 +125,14 @@
 		return 0, nil, k.fail(k.lostCode(err), err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	most := int64(maxReply)
+	if k.list {
+		most = maxListReply
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
+	if err == nil && int64(len(body)) > most {
+		err = &SizeError{Limit: most}
+	}
 	if err != nil {
 		return 0, nil, k.fail(k.lostCode(err), err)
 	}
@@ -159,7 +178,7 @@
 
 // List implements port.Platform.
 func (c *Client) List(ctx context.Context, prefix string) ([]port.Entry, error) {
-	k := call{op: "list", method: http.MethodGet, path: kvPath(prefix), key: prefix, query: url.Values{"recurse": {"true"}}}
+	k := call{op: "list", method: http.MethodGet, path: kvPath(prefix), key: prefix, query: url.Values{"recurse": {"true"}}, list: true}
 	pairs, err := c.pairs(ctx, k)
 	if port.IsStoreCode(err, port.StoreNotFound) {
 		return nil, nil
