End a request's body once, also at the bound on what is left unread

Cause: the rest of a body is read on up to 256 KiB and one byte. When that byte is the last one, its read closed bodyRead as "read to the end", and drain gave the body up for its length, so that the exchange's end closed the channel again.

Change: requestBody.end alone marks a body as read or given up, once; drain asks whether it has ended instead of how much was read.

TestBodiesLeftUnread before: "panic: close of closed channel".

--- a/internal/adapter/callerconn/exchange.go
+++ b/internal/adapter/callerconn/exchange.go
@@ -82,8 +82,8 @@
 func (x *exchange) run() {
 	broken := true
 	defer func() {
-		if x.body != nil && !x.body.done {
-			x.body.done, x.body.failed = true, true
+		if x.body != nil {
+			x.body.end(true)
 		}
 		if x.held != nil {
 			x.held.Reset()
@@ -92,8 +92,8 @@
 		}
 		<-x.before
 		x.c.ended(x, broken)
-		if x.body != nil && x.body.failed {
-			close(x.bodyRead)
+		if x.body != nil {
+			x.body.release()
 		}
 	}()
 	if !x.handle() {
@@ -101,7 +101,7 @@
 	}
 	if x.body != nil && !x.body.drain() {
 		x.Header().Set("Connection", "close")
-		x.body.failed = true
+		x.body.end(true)
 	}
 	broken = x.finish() != nil
 	if x.body != nil && x.body.failed && !x.last {
--- a/internal/adapter/callerconn/read.go
+++ b/internal/adapter/callerconn/read.go
@@ -133,9 +133,28 @@
 type requestBody struct {
 	x    *exchange
 	from io.ReadCloser
-	done bool
-	// failed is set when the body broke off: nothing can follow it.
-	failed bool
+	// done is set once the body is read to its end or given up, failed in the
+	// second case: nothing can follow it. Both are set by end alone, once.
+	done, failed bool
+}
+
+// end notes that no more of the body is read. Only the first call counts.
+func (b *requestBody) end(failed bool) {
+	if b.done {
+		return
+	}
+	b.done, b.failed = true, failed
+	if !failed {
+		close(b.x.bodyRead)
+	}
+}
+
+// release lets the reader go on after a body that was given up, once the
+// connection's state says so.
+func (b *requestBody) release() {
+	if b.failed {
+		close(b.x.bodyRead)
+	}
 }
 
 // Read implements io.Reader.
@@ -144,11 +163,8 @@
 		return 0, err
 	}
 	n, err := b.from.Read(p)
-	if err != nil && !b.done {
-		b.done, b.failed = true, !errors.Is(err, io.EOF)
-		if !b.failed {
-			close(b.x.bodyRead)
-		}
+	if err != nil {
+		b.end(!errors.Is(err, io.EOF))
 	}
 	return n, err
 }
@@ -157,7 +173,7 @@
 func (b *requestBody) Close() error { return nil }
 
 // drain reads a small rest of the body, and reports whether the connection can
-// be kept.
+// be kept: the body is read to its end, of which the last byte may tell already.
 func (b *requestBody) drain() bool {
 	if b.done {
 		return !b.failed
@@ -166,6 +182,8 @@
 		// The caller was not told to send its body.
 		return false
 	}
-	n, err := io.CopyN(io.Discard, b, maxUnread+1)
-	return errors.Is(err, io.EOF) && n <= maxUnread
+	if _, err := io.CopyN(io.Discard, b, maxUnread+1); err != nil && !errors.Is(err, io.EOF) {
+		return false
+	}
+	return b.done && !b.failed
 }
