Notice crashes of servers in quiet hours

Cause: a gateway tells what it met at a server once another server has responded, so that one whose links are cut takes no servers from others. In quiet hours no response comes within 5 s and the report is dropped. Besides, nobody looks for a crash after a request that is retried or whose caller has left.

Ruled out: the health check after the loss (it finds the refused connection each time), reports lost on the way (none is sent: "crashes" stays 0 in the log).

Change: a held report of a crash has the gateway connect to up to three other servers after 0.2 s; a connection shows working links, as it does where links are checked. A gateway that had no response for a second checks the server after a request that it retries, and every gateway does after one whose caller left. Busy gateways send no more checks than before.

Open: an idempotent request is canceled when its caller leaves; a crash after that is not seen.

--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -174,14 +174,18 @@
 // reportCrash reports the server's crash for each of the requests that were
 // running on it.
 func (n *Node) reportCrash(s *server, requests []fleet.InFlight, now time.Time) {
+	held := false
 	for _, request := range requests {
-		n.keeper.ReportCrash(s.rec().ID, request, now)
+		held = !n.keeper.ReportCrash(s.rec().ID, request, now) || held
+	}
+	if held {
+		n.confirmLinks()
 	}
 }
 
-// checkForCrash probes a server whose connection broke during a request that is not
-// retried, to find out whether the server crashed. If it refuses connections, the
-// crash is reported.
+// checkForCrash probes a server whose connection broke during a request, to find out whether the
+// server crashed. If it refuses connections, the crash is reported. After a request that is
+// retried, other requests mostly show that.
 func (n *Node) checkForCrash(req *inflightRequest, s *server) {
 	rec := s.rec()
 	path := req.view.config.Services[rec.Service].HealthPath
--- a/internal/daemon/gateway/crashes_test.go
+++ b/internal/daemon/gateway/crashes_test.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -159,7 +162,7 @@
 
 // crashConfig has a route to each service.
 func crashConfig() plainConfig {
-	routes := testRoutes()[:1]
+	routes := testRoutes()[:2]
 	other := routes[0]
 	other.Name, other.Prefix, other.Parts = "other", "/other/", []routing.Part{{Service: "t", Weight: 1}}
 	return plainConfig{Version: 1, Services: []routing.Service{{Name: "s", ColdRate: 6}, {Name: "t", ColdRate: 6}}, Routes: append(routes, other)}
@@ -277,3 +280,44 @@
 		}
 	})
 }
+
+// Guards against requests that crash servers and are never refused because nobody notices: one
+// comes every 1.5 s, to the next of twelve gateways, and hardly anything else is sent.
+func TestCrashingRequestsAreNoticed(t *testing.T) {
+	for _, c := range []struct {
+		name, uri string
+		body      int
+		leave     time.Duration
+		busy      bool
+	}{
+		{name: "quiet hours", uri: "/post/bad", body: 300},
+		{name: "quiet hours, idempotent", uri: "/get/bad"},
+		{name: "quiet hours, caller leaves", uri: "/post/bad", body: 300, leave: crashAfter / 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newCrashWorld(t, 12)
+				defer w.stop()
+				w.servers.crashing = func(uri string) bool { return uri == c.uri }
+				if c.busy {
+					w.others.Go(func() { w.ask("/get/page", 33*time.Millisecond, 45*time.Second) })
+				}
+				names := slices.Sorted(maps.Keys(w.hosts))
+				for n := range 30 {
+					ctx, cancel := context.WithCancel(t.Context())
+					if c.leave > 0 {
+						time.AfterFunc(c.leave, cancel)
+					}
+					w.others.Go(func() {
+						defer cancel()
+						w.hosts[names[n%len(names)]].sendFor(ctx, "7", "POST", c.uri, bytes.NewReader(make([]byte, c.body)))
+					})
+					time.Sleep(1500 * time.Millisecond)
+				}
+				if n := w.servers.retries(c.uri); n > retriesAllowed {
+					t.Errorf("%d retries reached servers", n)
+				}
+			})
+		})
+	}
+}
--- a/internal/daemon/gateway/linkwatch.go
+++ b/internal/daemon/gateway/linkwatch.go
@@ -149,6 +149,28 @@
 	}
 }
 
+// confirmDelay is how long a held report waits for a response to a request before servers are
+// connected to in its place.
+const confirmDelay = 200 * time.Millisecond
+
+// confirmLinks has reports told that wait for a response from a server: in quiet hours none may
+// come for long. A connection to another server shows as well that this gateway's links work.
+func (n *Node) confirmLinks() {
+	if !n.confirming.CompareAndSwap(false, true) {
+		return
+	}
+	n.background.Go(func() {
+		defer n.confirming.Store(false)
+		if !sleep.For(n.ctx, confirmDelay) || !n.keeper.HoldsReports() {
+			return
+		}
+		if reached := n.connect(n.ctx, n.serversToConnect()); len(reached) > 0 {
+			n.log.WithField("reached", reached).Debug("Links to servers confirmed for held reports.")
+			n.keeper.ServersReached(time.Now())
+		}
+	})
+}
+
 // serversToConnect picks servers at random by which the links are checked: those that are held
 // for unreachable or leave come last.
 func (n *Node) serversToConnect() []*server {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -56,6 +56,9 @@
 	// more requests.
 	stopping, refusing atomic.Bool
 
+	// confirming is set while the links are checked for reports that are held.
+	confirming atomic.Bool
+
 	permitPeers    permitPeers
 	relays         *relayPeers
 	links          *linkWatch
@@ -197,14 +200,15 @@
 		if be != nil && be.Sent {
 			req.mayHaveRun = true
 			req.runs++
+			final := !req.route.Idempotent || req.runs >= req.maxRuns || req.unreadBody != nil || be.Code == port.BackendTimeout
+			if be.Code == port.BackendBroken && (final || r.Context().Err() != nil || n.keeper.quiet(now)) {
+				n.checkForCrash(req, c.server)
+			}
 			if r.Context().Err() != nil {
 				n.recordEnd(req, 0, "caller left")
 				return
 			}
-			if !req.route.Idempotent || req.runs >= req.maxRuns || req.unreadBody != nil || be.Code == port.BackendTimeout {
-				if be.Code == port.BackendBroken {
-					n.checkForCrash(req, c.server)
-				}
+			if final {
 				n.writeFailure(w, req, "server failed: "+string(be.Code))
 				return
 			}
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -42,12 +42,15 @@
 
 // ReportCrash tells the other gateways that a server crashed under a request: it refused
 // connections. A link that resets connections does the same.
-func (k *Keeper) ReportCrash(server string, f fleet.InFlight, now time.Time) {
+//
+// It reports whether it did so at once.
+func (k *Keeper) ReportCrash(server string, f fleet.InFlight, now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	rep := fleet.Report{Server: server, Request: f.Request, Proven: f.Proven, Trial: f.Trial, At: f.Lost}
-	k.reportOnceReached(rep, now)
+	told := k.reportOnceReached(rep, now)
 	k.logCrash(rep, k.origin)
+	return told
 }
 
 // logCrash logs that a server crashed under a request. The caller holds k.mu.
