Identify requests by what is buffered of a long body

Cause: fingerprints were taken of bodies that are buffered whole; requests with longer ones were left out where losses are recorded and where requests are refused.

Ruled out: the check after the loss finds the crash; nothing is held against a request by then.

Change: the fingerprint of such a request covers the buffered begin and the declared size.

--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -126,7 +126,7 @@
 		return
 	case be.Code == port.BackendRefused:
 		crashRequests = s.connectionRefused(now)
-	case be.Code == port.BackendBroken && be.Sent && req.unreadBody == nil:
+	case be.Code == port.BackendBroken && be.Sent:
 		crashRequests = s.connectionLost(now, n.describeInFlight(req))
 	case be.Code != port.BackendConnect && be.Code != port.BackendBroken:
 		return
--- a/internal/daemon/gateway/crashes_test.go
+++ b/internal/daemon/gateway/crashes_test.go
@@ -293,6 +293,8 @@
 		{name: "quiet hours", uri: "/post/bad", body: 300},
 		{name: "quiet hours, idempotent", uri: "/get/bad"},
 		{name: "quiet hours, caller leaves", uri: "/post/bad", body: 300, leave: crashAfter / 2},
+		{name: "long body", uri: "/post/bad", body: maxBufferedBody + 1, busy: true},
+		{name: "body just as long as is buffered", uri: "/post/bad", body: maxBufferedBody, busy: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -144,13 +144,11 @@
 // forwardWithRetries sends the request to one server after another until one
 // responds, or until the deadline, the attempts or the retry budget are used up.
 func (n *Node) forwardWithRetries(w http.ResponseWriter, r *http.Request, req *inflightRequest) {
-	if req.unreadBody == nil {
-		admitted, end := n.admitSuspect(w, r, req)
-		if !admitted {
-			return
-		}
-		defer end()
+	admitted, end := n.admitSuspect(w, r, req)
+	if !admitted {
+		return
 	}
+	defer end()
 	for {
 		if time.Until(req.deadline) < minTimeLeft {
 			n.writeFailure(w, req, "out of time")
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -213,10 +214,15 @@
 	}
 }
 
-// fingerprint identifies requests that do the same for the same caller.
+// fingerprint identifies requests that do the same for the same caller. One whose body is not
+// buffered whole is identified by the part that is and by its size, as far as that is known.
 func (req *inflightRequest) fingerprint() string {
 	if req.print == "" {
-		f := suspect.Of(req.service, req.method, req.uri, req.caller.Object, req.body)
+		object := req.caller.Object
+		if req.unreadBody != nil {
+			object += "\x00" + strconv.FormatInt(req.bodySize, 10)
+		}
+		f := suspect.Of(req.service, req.method, req.uri, object, req.body)
 		req.print = string(f[:])
 	}
 	return req.print
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -30,6 +30,8 @@
 	deadline   time.Time
 	body       []byte
 	unreadBody io.Reader
+	// bodySize is the declared size of the body, -1 if it comes in chunks.
+	bodySize int64
 	// excluded holds the servers that this request is not sent to again,
 	// secondChance those that failed it once and may be tried once more.
 	excluded     map[*server]bool
@@ -154,7 +156,7 @@
 	case err != nil:
 		return http.StatusBadRequest, "body broken off: " + err.Error()
 	}
-	req.body = buffered
+	req.body, req.bodySize = buffered, r.ContentLength
 	if len(buffered) == maxBufferedBody {
 		req.unreadBody = body
 	}
--- a/internal/daemon/gateway/trial.go
+++ b/internal/daemon/gateway/trial.go
@@ -199,7 +199,7 @@
 // trialRejected handles that a keeper itself ended a request that was offered to it. It reports
 // whether the request has ended, and otherwise whether it may be offered to another gateway.
 func (n *Node) trialRejected(w http.ResponseWriter, req *inflightRequest, head *peerv1.RelayHead) (ended, again bool) {
-	if rejectReason(head.Reason) == reasonCrashesServers {
+	if rejectReason(head.Reason) == reasonCrashesServers && req.unreadBody == nil {
 		return false, true
 	}
 	n.writeRejection(w, req, req.rejection)
