Give no answer to a caller that has left and still reads

Cause: a handler that returns without an answer has one of status 200 by the convention of net/http. The gateway returns so when the caller has left.

Ruled out: answers of handlers that mean 200 by returning; they return while the caller is there.

Change: an exchange whose handler gave no answer after its caller left, or after its body broke off, ends as broken, and the connection is closed.

Found by the test of a broken-off upload, TestNoAnswerForCallersThatLeft: "answer 200" in both cases before; none after.

--- a/internal/adapter/callerconn/exchange.go
+++ b/internal/adapter/callerconn/exchange.go
@@ -96,7 +96,7 @@
 			x.body.release()
 		}
 	}()
-	if !x.handle() {
+	if !x.handle() || x.abandoned() {
 		return
 	}
 	if x.body != nil && !x.body.drain() {
@@ -109,6 +109,12 @@
 	}
 }
 
+// abandoned reports whether the handler gave no answer because the caller has left. The caller
+// may still read, and would take an empty answer for a success.
+func (x *exchange) abandoned() bool {
+	return x.status == 0 && (x.c.ctx.Err() != nil || x.body != nil && x.body.failed)
+}
+
 // handle runs the handler, and reports whether its answer is to be finished.
 func (x *exchange) handle() (whole bool) {
 	defer func() {
--- a/internal/adapter/callerconn/unread_test.go
+++ b/internal/adapter/callerconn/unread_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -105,3 +106,26 @@
 		t.Errorf("second request: %v", err)
 	}
 }
+
+// Guards against a success that nobody gave: a handler that returns without an answer because
+// its caller has left has none, also if the caller still reads.
+func TestNoAnswerForCallersThatLeft(t *testing.T) {
+	for name, request := range map[string]string{
+		"whole request":   get("/x"),
+		"broken-off body": "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\npart",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := open(t, Limits{}, func(_ http.ResponseWriter, r *http.Request) {
+				if _, err := io.Copy(io.Discard, r.Body); err == nil {
+					<-r.Context().Done()
+				}
+			})
+			c := s.dial(t)
+			c.send(request)
+			c.Conn.(*net.TCPConn).CloseWrite()
+			if resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodGet}); err == nil {
+				t.Errorf("answer %d", resp.StatusCode)
+			}
+		})
+	}
+}
