End an upload at its server when its caller breaks it off

Cause: the failed read of the caller's body looked like a failed write to the server, after which an early answer is waited for with the connection open.

Ruled out: the caller's connection (its end is noticed at once); requests with a whole body.

Change: bodies fail with *port.BodyError. serverconn closes the connection and returns BackendCanceled, which counts against no server; relays end the same way; a body over the limit in what was not buffered is answered with 413 instead of 502.

--- a/internal/adapter/serverconn/exchange.go
+++ b/internal/adapter/serverconn/exchange.go
@@ -61,6 +61,10 @@
 
 func (p *Pool) exchange(ctx context.Context, address string, c *conn, r *port.ForwardRequest, stop func() bool) (*port.ForwardAnswer, error) {
 	sent, err := write(c, r)
+	if body := (*port.BodyError)(nil); errors.As(err, &body) {
+		// The server waits for the rest of the body, and is told by the end of the connection.
+		return nil, &port.BackendError{Code: port.BackendCanceled, Address: address, Sent: sent > 0, Err: err}
+	}
 	if err != nil && (sent == 0 || !answered(c)) {
 		return nil, brokenError(ctx, address, sent > 0, err)
 	}
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -198,6 +198,9 @@
 		if be != nil && be.Sent {
 			req.mayHaveRun = true
 			req.runs++
+			if n.endBrokenBody(w, req, err) {
+				return
+			}
 			final := !req.route.Idempotent || req.runs >= req.maxRuns || req.unreadBody != nil || be.Code == port.BackendTimeout
 			if be.Code == port.BackendBroken && (final || r.Context().Err() != nil || n.keeper.quiet(now)) {
 				n.checkForCrash(req, c.server)
--- a/internal/daemon/gateway/node_test.go
+++ b/internal/daemon/gateway/node_test.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -282,3 +285,44 @@
 		t.Error("the bounds did not change")
 	}
 }
+
+// Guards against uploads that callers break off and that count against their server, and against
+// 502 for one that is over the limit in what was not buffered.
+func TestBrokenBodiesAreNoFailureOfServers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		err    error
+		status int
+	}{
+		{"broken off", io.ErrUnexpectedEOF, http.StatusOK},
+		{"over the limit", &http.MaxBytesError{Limit: 1 << 20}, http.StatusRequestEntityTooLarge},
+	} {
+		f := newFixture(func(_ context.Context, _ int, _ string) (*port.ForwardAnswer, error) { return okAnswer(), nil })
+		f.servers.answer = func(_ context.Context, n int, _ string) (*port.ForwardAnswer, error) {
+			f.servers.mu.Lock()
+			rest := f.servers.sent[n-1].req.Rest
+			f.servers.mu.Unlock()
+			_, err := io.Copy(io.Discard, rest)
+			return nil, &port.BackendError{Code: port.BackendCanceled, Sent: true, Err: err}
+		}
+		for range 5 {
+			body := io.MultiReader(bytes.NewReader(make([]byte, maxBufferedBody+1)), iotest.ErrReader(c.err))
+			r := httptest.NewRequest("POST", "/post/", body)
+			r.Host = "h"
+			w := httptest.NewRecorder()
+			f.node.ServeHTTP(w, r)
+			// A recorder shows 200 for no answer at all.
+			if w.Code != c.status || w.Code == http.StatusOK && len(w.Result().Header) > 0 {
+				t.Errorf("%s: status %d", c.name, w.Code)
+			}
+		}
+		for _, s := range f.keeper.Servers() {
+			if s.isDown() {
+				t.Errorf("%s: %s counts as unreachable", c.name, s.rec().ID)
+			}
+		}
+		if !f.keeper.reports.Empty() {
+			t.Errorf("%s: a crash was reported", c.name)
+		}
+	}
+}
--- a/internal/daemon/gateway/relay.go
+++ b/internal/daemon/gateway/relay.go
@@ -139,6 +139,8 @@
 		req.mayHaveRun, req.repeat = true, true
 		req.runs++
 		switch {
+		case n.endBrokenBody(w, req, err):
+			return true, false
 		case r.Context().Err() != nil:
 			n.recordEnd(req, 0, "caller left")
 			return true, false
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -158,7 +158,7 @@
 	}
 	req.body, req.bodySize = buffered, r.ContentLength
 	if len(buffered) == maxBufferedBody {
-		req.unreadBody = body
+		req.unreadBody = callerBody{body}
 	}
 	return 0, ""
 }
@@ -179,3 +179,32 @@
 	}
 	req.excluded[s] = true
 }
+
+// callerBody is the unread part of a caller's body.
+type callerBody struct{ io.Reader }
+
+// Read implements io.Reader.
+//
+// Errors: *port.BodyError.
+func (b callerBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = &port.BodyError{Err: err}
+	}
+	return n, err
+}
+
+// endBrokenBody ends a request if its failure is that its body could not be read to its end.
+func (n *Node) endBrokenBody(w http.ResponseWriter, req *inflightRequest, err error) bool {
+	var body *port.BodyError
+	var large *http.MaxBytesError
+	switch {
+	case !errors.As(err, &body):
+		return false
+	case errors.As(err, &large):
+		n.writeError(w, req, http.StatusRequestEntityTooLarge, "body over the limit")
+	default:
+		n.recordEnd(req, 0, "caller left")
+	}
+	return true
+}
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -15,7 +15,8 @@
 	// Header holds the end-to-end headers.
 	Header http.Header
 	// Body is the body's begin, or all of it when Rest is nil. Size is that of
-	// the whole body, or -1 when it is not known before its end.
+	// the whole body, or -1 when it is not known before its end. Rest fails with a
+	// *BodyError, which ends the exchange with BackendCanceled.
 	Body []byte
 	Rest io.Reader
 	Size int64
@@ -28,6 +29,14 @@
 	SameProcess bool
 }
 
+// BodyError is a request's body that cannot be read to its end. Whoever passes the body on has
+// done nothing wrong.
+type BodyError struct{ Err error }
+
+func (e *BodyError) Error() string { return "request body broken off: " + e.Err.Error() }
+
+func (e *BodyError) Unwrap() error { return e.Err }
+
 // ForwardAnswer is an answer of a backend server.
 type ForwardAnswer struct {
 	Status int
