--- a/Makefile
+++ b/Makefile
@@ -40,11 +40,14 @@
 measure: build
 	$(BIN)/cassiatray-measure --out out/measure.json
 
-# soak plays gateways under faults: make soak SOAK_SEED=7 SOAK_FOR=60
+# soak plays gateways under faults: make soak SOAK_SEED=7 SOAK_FOR=60. With SOAK_BUILD=<commit>
+# half of them begin with that commit's build, and all are replaced one after the other.
 SOAK_SEED ?= 1
 SOAK_FOR  ?= 60
+OLD_BUILD := $(if $(SOAK_BUILD),$(CURDIR)/out/build-$(SOAK_BUILD))
 soak: build
-	CASSIATRAY_BIN=$(CURDIR)/$(BIN) SOAK_SEED=$(SOAK_SEED) SOAK_FOR=$(SOAK_FOR) go test -count=1 -v -run TestSoak ./platform/soak
+	@if [ -n "$(SOAK_BUILD)" ]; then mkdir -p $(OLD_BUILD)/src && git archive $(SOAK_BUILD) | tar -x -C $(OLD_BUILD)/src && cd $(OLD_BUILD)/src && go build -o $(OLD_BUILD)/ ./cmd/cassiatray-gateway; fi
+	SOAK_OLD=$(OLD_BUILD) CASSIATRAY_BIN=$(CURDIR)/$(BIN) SOAK_SEED=$(SOAK_SEED) SOAK_FOR=$(SOAK_FOR) go test -count=1 -v -run TestSoak ./platform/soak
 
 # check is formatting, vetting, linting and generated code.
 check:
