Keep no record of a dead gateway for the end of an evacuation

Cause: takeMember keeps a lapsed record for 5.3 s while records lag, and takeBack makes them lag for a second at the end of an evacuation. That lag is about cold servers and not about leases.

Ruled out: the lease and the time that gateways are heard of add up to less than 7 s alone.

Change: troubledUntil holds the lag that failures of the store brought, here or, longer than takenBackLag, at another gateway; only that keeps lapsed records of gateways.

TestEvacuationsDoNotKeepTheDead before: all eleven others knew the dead one after 7 s with an evacuation that ended 3 and 3.5 s after its death; none of 15 cases now.

--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -83,9 +83,9 @@
 	graceUntil time.Time
 	lapsed     map[string]lapsedRecord
 	restore    restore
-	// lagUntil is until when servers' records may be out of date, and startLagUntil the same
-	// for what only this gateway may have missed.
-	lagUntil, startLagUntil time.Time
+	// lagUntil is until when servers' records may be out of date, startLagUntil the same for what
+	// only this gateway may have missed, and troubledUntil that for failures of the store alone.
+	lagUntil, startLagUntil, troubledUntil time.Time
 	// leaving holds the servers that said that they leave, by ID.
 	leaving map[string]leavingWord
 	// storeLost is since when the store has failed this gateway; zero while it does not.
--- a/internal/daemon/gateway/lag.go
+++ b/internal/daemon/gateway/lag.go
@@ -42,6 +42,9 @@
 		return
 	}
 	k.lagUntil = now.Add(lag)
+	if lag > takenBackLag {
+		k.troubledUntil = k.lagUntil
+	}
 	if before == 0 {
 		close(k.lagged)
 		k.lagged = make(chan struct{})
@@ -52,6 +55,11 @@
 	}
 }
 
+// leasesLag reports whether gateways that live on may have failed to renew their leases: the
+// store failed one of them. A lag that an evacuation brought says nothing about leases, and is
+// no longer than takenBackLag. The caller holds k.mu.
+func (k *Keeper) leasesLag(now time.Time) bool { return now.Before(k.troubledUntil) }
+
 // lag returns how much longer the records may be out of date, as all gateways are to know.
 // The caller holds k.mu.
 func (k *Keeper) lag(now time.Time) time.Duration { return max(0, k.lagUntil.Sub(now)) }
--- a/internal/daemon/gateway/records.go
+++ b/internal/daemon/gateway/records.go
@@ -153,7 +153,7 @@
 		switch {
 		case k.isMissingInCopy(r) && k.stored[host] != nil:
 			k.lapse(r, restoreSettle, fields, now)
-		case k.stored[host] != nil && (now.Before(k.graceUntil) || k.lag(now) > 0):
+		case k.stored[host] != nil && (now.Before(k.graceUntil) || k.leasesLag(now)):
 			// The lease of a gateway that lives on lapses while it cannot renew it.
 			k.lapse(r, memberGrace, fields, now)
 		default:
