--- a/internal/core/fleet/losses.go
+++ b/internal/core/fleet/losses.go
@@ -10,6 +10,7 @@
 // server normally comes sooner than that.
 const crashWindow = 2 * time.Second
 
+// sameRequest reports whether two losses are of copies of one request.
 func (f InFlight) sameRequest(o InFlight) bool { return f.Request == o.Request && f.Trial == o.Trial }
 
 // Losses distinguishes crashes of one server process from responses lost on the
--- a/internal/daemon/gateway/crashes_test.go
+++ b/internal/daemon/gateway/crashes_test.go
@@ -233,7 +233,7 @@
 			w.refuseTrials("a1-0", "b1-2", "c1-4")
 			w.servers.crash(w.lost...)
 		}, true},
-		{"domain lost, keepers that do not reply", 6, func(w *crashWorld) {
+		{"domain lost, coordinators that do not reply", 6, func(w *crashWorld) {
 			w.setSilent(true, "a1-0", "b1-2")
 			w.servers.crash(w.lost...)
 		}, true},
--- a/internal/daemon/gateway/trial.go
+++ b/internal/daemon/gateway/trial.go
@@ -15,18 +15,18 @@
 )
 
 // A request under which several servers crashed runs on in trials (suspect.Judge). All
-// gateways agree on one that makes them, its keeper: the first in rendezvous order of those
-// with links to servers. The others offer it the request when a trial is due. A keeper that
+// gateways agree on one that makes them, its coordinator: the first in rendezvous order of those
+// with links to servers. The others offer it the request when a trial is due. A coordinator that
 // cannot be reached, or whose build knows no trials, is passed over for the next.
 
 const (
 	// trialAskPause is the time between two offers of a request by one gateway.
 	trialAskPause = 500 * time.Millisecond
-	// keeperPause is for how long a keeper is passed over that makes no trials.
-	keeperPause = 10 * time.Second
-	// maxKeepersAsked is how many keepers one request is offered to.
-	maxKeepersAsked = 3
-	// failedTrialPause is for how long a keeper makes no further trial after one that got no
+	// coordinatorPause is for how long a coordinator is passed over that makes no trials.
+	coordinatorPause = 10 * time.Second
+	// maxCoordinators is how many coordinators one request is offered to.
+	maxCoordinators = 3
+	// failedTrialPause is for how long a coordinator makes no further trial after one that got no
 	// response: the crash, if it was one, may not be known yet.
 	failedTrialPause = 2 * time.Second
 	// maxTrialStates bounds the requests whose offers are remembered.
@@ -45,12 +45,12 @@
 // trials is the gateway's state of requests under which servers crashed.
 type trials struct {
 	mu sync.Mutex
-	// turns are those of the requests that this gateway keeps.
+	// turns are those of the requests whose coordinator this gateway is.
 	turns suspect.Turns
 	// started numbers the trials.
 	started int
-	// nextAsk is when requests may be offered to keepers again, and passedOver until when
-	// keepers are passed over.
+	// nextAsk is when requests may be offered again, and passedOver until when coordinators
+	// are passed over.
 	nextAsk    map[string]time.Time
 	passedOver map[string]time.Time
 }
@@ -78,7 +78,7 @@
 	t.turns.End(f, holder)
 }
 
-// mayAsk reports whether a request may be offered to keepers now, and notes that it is.
+// mayAsk reports whether a request may be offered to coordinators now, and notes that it is.
 func (t *trials) mayAsk(now time.Time, f string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -136,8 +136,8 @@
 	n.writeError(w, req, http.StatusServiceUnavailable, string(reason))
 }
 
-// offerTrial runs the request as a trial if this gateway is its keeper, and offers it to the
-// keeper otherwise.
+// offerTrial runs the request as a trial if this gateway is its coordinator, and offers it to
+// the coordinator otherwise.
 func (n *Node) offerTrial(w http.ResponseWriter, r *http.Request, req *inflightRequest, v suspect.Verdict, now time.Time) (admitted bool, end func()) {
 	req.trial, req.maxRuns = true, 1
 	view := n.keeper.View()
@@ -149,18 +149,18 @@
 		if host == n.cfg.Host {
 			return n.startTrial(w, req, v, now)
 		}
-		keeper := view.helper(host)
-		if keeper == nil || !req.route.AllowsRegion(keeper.Region) || n.trials.isPassedOver(now, host) {
+		coordinator := view.helper(host)
+		if coordinator == nil || !req.route.AllowsRegion(coordinator.Region) || n.trials.isPassedOver(now, host) {
 			continue
 		}
-		if asked == maxKeepersAsked || !n.mayRelay(req) || asked == 0 && !n.trials.mayAsk(now, req.fingerprint()) {
+		if asked == maxCoordinators || !n.mayRelay(req) || asked == 0 && !n.trials.mayAsk(now, req.fingerprint()) {
 			break
 		}
 		asked++
-		if ended, _ := n.relayTo(w, r, req, keeper); ended {
+		if ended, _ := n.relayTo(w, r, req, coordinator); ended {
 			return false, nil
 		}
-		n.trials.passOver(host, now.Add(keeperPause))
+		n.trials.passOver(host, now.Add(coordinatorPause))
 	}
 	n.rejectSuspect(w, req, reasonOnTrial, 0)
 	return false, nil
@@ -196,7 +196,7 @@
 	}
 }
 
-// trialRejected handles that a keeper itself ended a request that was offered to it. It reports
+// trialRejected handles that a coordinator itself ended a request that was offered to it. It reports
 // whether the request has ended, and otherwise whether it may be offered to another gateway.
 func (n *Node) trialRejected(w http.ResponseWriter, req *inflightRequest, head *peerv1.RelayHead) (ended, again bool) {
 	if rejectReason(head.Reason) == reasonCrashesServers && req.unreadBody == nil {
