--- a/review/standin-2/poison.go
+++ b/review/standin-2/poison.go
@@ -137,6 +137,10 @@
 	cases["crash-before-answer"] = func(sc *scene) (int, error) {
 		return sc.playPoison(oneService, 6, 2, "7", sc.orAnswers(crashes))
 	}
+	// Another control: the servers fall silent.
+	cases["crash-silent"] = func(sc *scene) (int, error) {
+		return sc.playPoison(oneService, 6, 2, "7", sc.orAnswers(hangs))
+	}
 	// The route is split between three services.
 	cases["crash-split"] = func(sc *scene) (int, error) {
 		return sc.playPoison([]string{"orders-a", "orders-b", "orders-c"}, 4, 2, "", sc.orAnswers(crashes))
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -36,61 +36,15 @@
 	// after the first half of it.
 	crashes
 	crashesMidway
+	// hangs leaves all connections of the server silent until it starts again.
+	hangs
 )
 
 // run is one request that a server began to run.
 type run struct {
 	at                 time.Time
 	id, path, instance string
-}
-
-// fleet is all backend servers.
-type fleet struct {
-	rec   *recorder
-	store *store
-	// react decides what a server does with a request to a path.
-	react func(path string) reaction
-	// work is how long a request runs; zero stands for serverWork.
-	work func(path string) time.Duration
-
-	mu     sync.Mutex
-	runs   []run
-	ends   []run
-	nextID int
-	warm   bool
-}
-
-// runsOf returns the requests to a path that servers began to run, in order.
-func (f *fleet) runsOf(path string) []run {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []run
-	for _, r := range f.runs {
-		if r.path == path {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
-// crashesOf returns when requests to a path crashed their servers, in order.
-func (f *fleet) crashesOf(path string) []time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []time.Time
-	for _, r := range f.ends {
-		if r.path == path {
-			out = append(out, r.at)
-		}
-	}
-	return out
-}
-
-// traffic notes that traffic has begun: servers that start from now on are cold.
-func (f *fleet) traffic() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.warm = true
+	service            string
 }
 
 // server is one backend server at an address. Each start is a new instance.
@@ -106,6 +60,7 @@
 	conns    map[net.Conn]bool
 	running  int
 	waiting  int
+	silent   bool
 	seq      int
 	slots    chan struct{}
 	ended    chan struct{}
@@ -129,7 +84,7 @@
 	id, cold := fmt.Sprintf("i-%04d", f.nextID), f.warm
 	f.mu.Unlock()
 	s.mu.Lock()
-	s.instance, s.born, s.listener, s.conns, s.running, s.waiting, s.seq = id, time.Now(), l, map[net.Conn]bool{}, 0, 0, 0
+	s.instance, s.born, s.listener, s.conns, s.running, s.waiting, s.seq, s.silent = id, time.Now(), l, map[net.Conn]bool{}, 0, 0, 0, false
 	s.cold = time.Time{}
 	if cold {
 		s.cold = s.born.Add(coldStart)
@@ -180,38 +135,6 @@
 // coldLeft returns how much longer the instance is cold. The caller holds s.mu.
 func (s *server) coldLeft() time.Duration { return max(0, time.Until(s.cold)) }
 
-// crash ends the instance as the end of its process does: all its sockets are closed. Another
-// one starts at the same address after serverDown.
-func (s *server) crash(id, path, why string) {
-	s.mu.Lock()
-	if s.instance != id || s.conns == nil {
-		s.mu.Unlock()
-		return
-	}
-	s.fleet.mu.Lock()
-	s.fleet.ends = append(s.fleet.ends, run{at: time.Now(), path: path, instance: id})
-	s.fleet.mu.Unlock()
-	conns := s.conns
-	s.conns = nil
-	close(s.ended)
-	s.listener.Close()
-	s.mu.Unlock()
-	for c := range conns {
-		c.Close()
-	}
-	s.fleet.rec.logf("server %s: crashed, %s", id, why)
-	time.AfterFunc(serverDown, func() {
-		for {
-			l, err := net.Listen("tcp", s.address)
-			if err == nil {
-				s.begin(l)
-				return
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-	})
-}
-
 func (s *server) serve(c net.Conn, id string, ended chan struct{}) {
 	defer c.Close()
 	defer func() {
@@ -232,6 +155,7 @@
 			return
 		}
 		c.SetReadDeadline(time.Time{})
+		s.awaitVoice(ended)
 		if !s.answer(c, req, id, ended) || req.Close {
 			return
 		}
@@ -253,6 +177,12 @@
 	}
 	fmt.Fprintf(&b, "Keep-Alive: timeout=%d\r\nContent-Length: %d\r\n\r\n", int(serverIdle.Seconds()), len(body))
 	b.Write(body[:part])
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
+		return false
+	}
 	_, err := c.Write(b.Bytes())
 	return err == nil
 }
@@ -304,15 +234,11 @@
 func (s *server) run(c net.Conn, req *http.Request, id, attempt string, ended chan struct{}) bool {
 	f := s.fleet
 	f.mu.Lock()
-	f.runs = append(f.runs, run{at: time.Now(), id: attempt, path: req.URL.Path, instance: id})
+	f.runs = append(f.runs, run{at: time.Now(), id: attempt, path: req.URL.Path, instance: id, service: s.service})
 	f.mu.Unlock()
 	f.rec.logf("server %s: runs %s %s, id %s, deadline %s ms", id, req.Method, req.URL.Path, attempt, req.Header.Get("Cassiatray-Deadline-Ms"))
-	work := serverWork
-	if f.work != nil {
-		work = f.work(req.URL.Path)
-	}
 	select {
-	case <-time.After(work):
+	case <-time.After(serverWork):
 	case <-ended:
 		return false
 	}
@@ -320,11 +246,14 @@
 	headers := []string{"Cassiatray-Response-Stamp: " + id + "." + attempt}
 	switch f.react(req.URL.Path) {
 	case crashes:
-		s.crash(id, req.URL.Path, "running id "+attempt)
+		s.crash(id, req.URL.Path, "running id "+attempt, serverDown)
+		return false
+	case hangs:
+		s.hang(id, req.URL.Path, attempt)
 		return false
 	case crashesMidway:
 		s.write(c, req, http.StatusOK, headers, body, answerBytes/2)
-		s.crash(id, req.URL.Path, "in the middle of its answer to id "+attempt)
+		s.crash(id, req.URL.Path, "in the middle of its answer to id "+attempt, serverDown)
 		return false
 	}
 	return s.write(c, req, http.StatusOK, headers, body, len(body))
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -25,11 +25,18 @@
 	end time.Time
 }
 
-// pageSize is how many items a page of a listing holds.
-const pageSize = 500
+// A page of a listing holds at most pageItems items, and ends with the one that brings its values
+// to pageBytes. A value is at most valueBytes long.
+const (
+	pageItems  = 500
+	pageBytes  = 1 << 20
+	valueBytes = 1 << 20
+)
+
+// historyTime is how long the store keeps its history.
+const historyTime = 20 * time.Second
 
-// store is the platform's metadata store, linearizable and without limits on rates. It keeps
-// its whole history.
+// store is the platform's metadata store, linearizable and without limits on rates.
 type store struct {
 	rec *recorder
 
@@ -37,9 +44,13 @@
 	revision uint64
 	items    map[string]item
 	history  []item
-	leases   map[uint64]*lease
-	next     uint64
-	changed  chan struct{}
+	// times are those of the history's entries, and forgotten is the newest revision that the
+	// history no longer has.
+	times     []time.Time
+	forgotten uint64
+	leases    map[uint64]*lease
+	next      uint64
+	changed   chan struct{}
 	// cut is closed and replaced to cut all watches that wait.
 	cut chan struct{}
 	// waiting counts the watches that wait.
@@ -60,6 +71,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	for len(s.times) > 0 && now.Sub(s.times[0]) > historyTime {
+		s.forgotten = s.history[0].Revision
+		s.history, s.times = s.history[1:], s.times[1:]
+	}
 	for id, l := range s.leases {
 		if now.After(l.end) {
 			s.endLease(id)
@@ -92,7 +107,7 @@
 	} else {
 		s.items[it.Key] = it
 	}
-	s.history = append(s.history, it)
+	s.history, s.times = append(s.history, it), append(s.times, time.Now())
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -108,6 +123,15 @@
 	s.change(item{Key: key, Value: data})
 }
 
+// putAll writes keys in one transaction, as another writer does.
+func (s *store) putAll(keys []string, value func(key string) []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, key := range keys {
+		s.change(item{Key: key, Value: value(key)})
+	}
+}
+
 func (s *store) remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -169,11 +193,12 @@
 		}
 	}
 	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
-	more := len(found) > pageSize
-	if more {
-		found = found[:pageSize]
+	size, end := 0, 0
+	for end < len(found) && end < pageItems && size < pageBytes {
+		size += len(found[end].Value)
+		end++
 	}
-	reply(w, http.StatusOK, map[string]any{"items": found, "hasMore": more, "storeRevision": s.revision})
+	reply(w, http.StatusOK, map[string]any{"items": found[:end], "hasMore": end < len(found), "storeRevision": s.revision})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request) {
@@ -183,6 +208,12 @@
 	end := time.After(min(30*time.Second, time.Duration(wait)*time.Millisecond))
 	for over := false; ; {
 		s.mu.Lock()
+		if after < s.forgotten {
+			s.mu.Unlock()
+			s.rec.logf("store: watch after revision %d: 410", after)
+			reply(w, http.StatusGone, map[string]any{})
+			return
+		}
 		events := []item{}
 		for _, it := range s.history {
 			if it.Revision > after && strings.HasPrefix(it.Key, q.Get("pathPrefix")) {
@@ -218,96 +249,3 @@
 		}
 	}
 }
-
-func (s *store) txn(w http.ResponseWriter, r *http.Request) {
-	var t struct {
-		ExpectedRev []struct {
-			Key      string `json:"key"`
-			Revision uint64 `json:"revision"`
-		} `json:"expectedRev"`
-		Writes []struct {
-			Key   string `json:"key"`
-			Value []byte `json:"value"`
-			Lease uint64 `json:"lease"`
-		} `json:"writes"`
-		Deletes []string `json:"deletes"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
-		reply(w, http.StatusBadRequest, map[string]any{})
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	failed := false
-	current := []item{}
-	for _, e := range t.ExpectedRev {
-		failed = failed || s.items[e.Key].Revision != e.Revision
-		if it, ok := s.items[e.Key]; ok {
-			current = append(current, it)
-		}
-	}
-	if failed {
-		reply(w, http.StatusPreconditionFailed, map[string]any{"items": current, "storeRevision": s.revision})
-		return
-	}
-	for _, x := range t.Writes {
-		if strings.HasPrefix(x.Key, "op/") || strings.HasPrefix(x.Key, "servers/") {
-			reply(w, http.StatusForbidden, map[string]any{})
-			return
-		}
-		if x.Lease != 0 && s.leases[x.Lease] == nil {
-			reply(w, http.StatusNotFound, map[string]any{})
-			return
-		}
-	}
-	for _, x := range t.Writes {
-		s.change(item{Key: x.Key, Value: x.Value, Lease: x.Lease})
-	}
-	for _, key := range t.Deletes {
-		if _, ok := s.items[key]; ok {
-			s.change(item{Key: key, Deleted: true})
-		}
-	}
-	reply(w, http.StatusOK, map[string]any{"revision": s.revision})
-}
-
-func (s *store) grant(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		TTLMs int64 `json:"ttlMs"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		reply(w, http.StatusBadRequest, map[string]any{})
-		return
-	}
-	ttl := min(10*time.Minute, max(time.Second, time.Duration(body.TTLMs)*time.Millisecond))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.next++
-	s.leases[s.next] = &lease{ttl: ttl, end: time.Now().Add(ttl)}
-	reply(w, http.StatusOK, map[string]any{"lease": s.next, "ttlMs": ttl.Milliseconds()})
-}
-
-func (s *store) keep(w http.ResponseWriter, r *http.Request) {
-	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	l := s.leases[id]
-	if l == nil {
-		reply(w, http.StatusNotFound, map[string]any{})
-		return
-	}
-	l.end = time.Now().Add(l.ttl)
-	reply(w, http.StatusOK, map[string]any{"ttlMs": l.ttl.Milliseconds()})
-}
-
-func (s *store) end(w http.ResponseWriter, r *http.Request) {
-	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.leases[id] == nil {
-		reply(w, http.StatusNotFound, map[string]any{})
-		return
-	}
-	s.endLease(id)
-	reply(w, http.StatusOK, map[string]any{})
-}
