--- a/review/standin-2/foreign.go
+++ b/review/standin-2/foreign.go
@@ -20,6 +20,10 @@
 	recoveryTime  = 15 * time.Second
 	recoveryShare = 0.25
 	configApply   = 2500 * time.Millisecond
+	// cutPatience is how long a watch waits before it is cut, and configChanges how often the
+	// configuration changes meanwhile.
+	cutPatience   = 100 * time.Millisecond
+	configChanges = 12
 )
 
 // leaveForeignEntries writes entries that no server wrote, and that cannot be read, in one
@@ -128,4 +132,45 @@
 		}
 		return held, nil
 	}
+	// The store cuts watches that have waited for a moment, while the configuration changes.
+	cases["watches-cut"] = func(sc *scene) (int, error) {
+		services := []string{"depot-orders", "depot-orders-next"}
+		for _, s := range services {
+			if err := sc.addServers(s, 3); err != nil {
+				return couldNot, err
+			}
+		}
+		to := func(version int, service string) {
+			sc.configure(version, services, []route{{name: "orders", prefix: "/orders/", kind: "idempotent", timeout: 3000, maxAttempts: 2, parts: map[string]int{service: 1}}})
+		}
+		to(7, services[0])
+		if err := sc.begin(); err != nil {
+			return couldNot, err
+		}
+		sc.fleet.traffic()
+		if sc.trouble {
+			sc.store.cutPatient(cutPatience)
+		}
+		sc.serve(6)
+		old := 0
+		for i := range configChanges {
+			to(8+i, services[(i+1)%2])
+			acknowledged := time.Now()
+			sc.rec.logf("configuration %d acknowledged: the route has moved to %s", 8+i, services[(i+1)%2])
+			time.Sleep(configApply + 100*time.Millisecond)
+			from := time.Now()
+			sc.serve(3)
+			for _, r := range sc.fleet.allRuns() {
+				if r.service == services[i%2] && r.at.After(from) {
+					old++
+					sc.rec.logf("id %s, run by the old service %.3f s after the acknowledgement", r.id, r.at.Sub(acknowledged).Seconds())
+				}
+			}
+		}
+		sc.rec.logf("%d requests that were sent later than %s after the acknowledgement are run by the old service", old, configApply)
+		if old > 0 {
+			return broken, nil
+		}
+		return held, nil
+	}
 }
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -113,15 +113,21 @@
 // beat writes the instance's entry to the store; it is removed after three silent intervals.
 func (s *server) beat(id string, ended chan struct{}) {
 	key := "servers/" + id
+	written := time.Duration(-1)
 	for {
 		s.mu.Lock()
 		s.seq++
+		cold := s.coldLeft()
 		entry := map[string]any{
 			"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": serverSlots, "state": "ready",
-			"coldLeftMs": s.coldLeft().Milliseconds(), "seqNo": s.seq, "born": s.born.UnixMilli(),
+			"coldLeftMs": cold.Milliseconds(), "seqNo": s.seq, "born": s.born.UnixMilli(),
 		}
 		s.mu.Unlock()
-		s.fleet.store.put(key, entry)
+		// The entry changes when more than seqNo changes.
+		if cold != written {
+			s.fleet.store.put(key, entry)
+			written = cold
+		}
 		select {
 		case <-time.After(beatInterval):
 		case <-ended:
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -53,6 +53,8 @@
 	changed   chan struct{}
 	// cut is closed and replaced to cut all watches that wait.
 	cut chan struct{}
+	// patience is for how long a watch may wait before it is cut; zero for no limit.
+	patience time.Duration
 	// waiting counts the watches that wait.
 	waiting int
 }
@@ -123,6 +125,13 @@
 	s.change(item{Key: key, Value: data})
 }
 
+// cutPatient has watches cut that have waited for a time.
+func (s *store) cutPatient(patience time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.patience = patience
+}
+
 // putAll writes keys in one transaction, as another writer does.
 func (s *store) putAll(keys []string, value func(key string) []byte) {
 	s.mu.Lock()
@@ -221,6 +230,10 @@
 			}
 		}
 		revision, changed, cut := s.revision, s.changed, s.cut
+		var tired <-chan time.Time
+		if s.patience > 0 {
+			tired = time.After(s.patience)
+		}
 		waits := len(events) == 0 && !over
 		if waits {
 			s.waiting++
@@ -238,6 +251,9 @@
 		case <-cut:
 			s.rec.logf("store: the watch of %s that waits is cut", r.RemoteAddr)
 			ended = true
+		case <-tired:
+			s.rec.logf("store: the watch of %s has waited for long and is cut", r.RemoteAddr)
+			ended = true
 		case <-r.Context().Done():
 			ended = true
 		}
