Review case 10: a request that crashes servers after its caller has left

Cause: an exchange that ends because its caller has left says nothing of the server, and the server is not checked. The stand-ins get clients that leave, and a second virtual host.

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -16,6 +16,10 @@
 type request struct {
 	method, path, object string
 	deadline             time.Duration
+	// host is what the request is sent to; empty for hostName.
+	host string
+	// leaves is after how long the client closes its connection; zero for at its deadline.
+	leaves time.Duration
 }
 
 // outcome is what a client got for one attempt: a status, or an error if the connection ended
@@ -53,8 +57,16 @@
 		return err
 	}
 	defer c.Close()
-	c.SetDeadline(time.Now().Add(q.deadline))
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nCassiatray-Attempt-Id: %s\r\nCassiatray-Deadline-Ms: %d\r\n", q.method, q.path, hostName, o.id, q.deadline.Milliseconds())
+	stays := q.deadline
+	if q.leaves > 0 {
+		stays = q.leaves
+	}
+	c.SetDeadline(time.Now().Add(stays))
+	host := hostName
+	if q.host != "" {
+		host = q.host
+	}
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nCassiatray-Attempt-Id: %s\r\nCassiatray-Deadline-Ms: %d\r\n", q.method, q.path, host, o.id, q.deadline.Milliseconds())
 	if q.object != "" {
 		head += "Cookie: Cassiatray-Affinity-Key=" + q.object + "\r\n"
 	}
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -10,8 +10,8 @@
 type fleet struct {
 	rec   *recorder
 	store *store
-	// react decides what a server does with a request to a path.
-	react func(path string) reaction
+	// react decides what a server does with a request to a path of a host.
+	react func(host, path string) reaction
 
 	mu     sync.Mutex
 	runs   []run
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -87,7 +87,7 @@
 	}
 	defer l.Close()
 	go http.Serve(l, sc.store.handler())
-	sc.fleet = &fleet{rec: sc.rec, store: sc.store, react: func(string) reaction { return answers }}
+	sc.fleet = &fleet{rec: sc.rec, store: sc.store, react: func(_, _ string) reaction { return answers }}
 	if sc.gateways, err = newGateways(sc.rec, dir, l.Addr().String(), places); err != nil {
 		return couldNot, err
 	}
@@ -122,6 +122,8 @@
 	name, prefix, kind   string
 	timeout, maxAttempts int
 	parts                map[string]int
+	// host is the route's virtual host; empty for hostName.
+	host string
 }
 
 // configure writes a configuration.
@@ -132,8 +134,16 @@
 			"name": s, "healthPath": healthPath, "maxConns": 780, "protocol": "h1", "tls": false, "coldStartS": coldStart.Seconds(), "coldPerS": coldPerS,
 		})
 	}
-	var paths []map[string]any
+	var hosts []string
+	paths := map[string][]map[string]any{}
 	for _, r := range routes {
+		host := hostName
+		if r.host != "" {
+			host = r.host
+		}
+		if paths[host] == nil {
+			hosts = append(hosts, host)
+		}
 		p := map[string]any{
 			"name": r.name, "pathPrefix": r.prefix, "kind": r.kind, "timeoutMs": r.timeout, "targetLatencyMs": 300, "priority": 1,
 			"maxAttempts": r.maxAttempts, "sticky": true, "homeRegions": []string{},
@@ -151,12 +161,16 @@
 			}
 			p["trafficSplit"] = split
 		}
-		paths = append(paths, p)
+		paths[host] = append(paths[host], p)
+	}
+	var virtual []map[string]any
+	for _, h := range hosts {
+		virtual = append(virtual, map[string]any{"host": h, "paths": paths[h]})
 	}
 	sc.store.put("op/config", map[string]any{
 		"version": fmt.Sprintf("%08x", version), "services": list,
 		"limits":       map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"virtualHosts": []map[string]any{{"host": hostName, "paths": paths}},
+		"virtualHosts": virtual,
 	})
 }
 
--- a/review/standin-2/poison.go
+++ b/review/standin-2/poison.go
@@ -45,13 +45,14 @@
 
 // sendPoison sends the request that crashes servers, as a client that comes again with the same
 // path and caller, to random gateways: copies of it at a time, each to another gateway. Object is
-// what it is about; empty for a request that names none.
-func (sc *scene) sendPoison(object string, copies, times int, every time.Duration) {
+// what it is about; empty for a request that names none. Leaves is when the client gives up; zero
+// for at its deadline.
+func (sc *scene) sendPoison(object string, copies, times int, every, leaves time.Duration) {
 	for range times {
 		var done sync.WaitGroup
 		for _, i := range rand.Perm(len(sc.gateways))[:copies] {
 			done.Go(func() {
-				attempt(sc.rec, sc.gateways[i], request{method: http.MethodGet, path: poisonPath, object: object, deadline: 3 * time.Second})
+				attempt(sc.rec, sc.gateways[i], request{method: http.MethodGet, path: poisonPath, object: object, deadline: 3 * time.Second, leaves: leaves})
 			})
 		}
 		done.Wait()
@@ -92,7 +93,7 @@
 		}
 		parts[s] = 100 / len(services)
 	}
-	sc.fleet.react = func(path string) reaction {
+	sc.fleet.react = func(_, path string) reaction {
 		if path == poisonPath {
 			return react
 		}
@@ -117,13 +118,13 @@
 
 // playPoison plays a deployment with ordinary traffic in which the request comes every two
 // seconds.
-func (sc *scene) playPoison(services []string, perZone, maxAttempts int, object string, react reaction) (int, error) {
+func (sc *scene) playPoison(services []string, perZone, maxAttempts int, object string, react reaction, leaves time.Duration) (int, error) {
 	if err := sc.poisonScene(services, perZone, maxAttempts, react); err != nil {
 		return couldNot, err
 	}
 	end := sc.traffic(10, 20)
 	time.Sleep(warmUp)
-	sc.sendPoison(object, 1, 15, 2*time.Second)
+	sc.sendPoison(object, 1, 15, 2*time.Second, leaves)
 	end()
 	return sc.judgePoison(time.Time{}), nil
 }
@@ -131,23 +132,27 @@
 func init() {
 	// The servers crash in the middle of their answers.
 	cases["crash-in-answer"] = func(sc *scene) (int, error) {
-		return sc.playPoison(oneService, 6, 2, "7", sc.orAnswers(crashesMidway))
+		return sc.playPoison(oneService, 6, 2, "7", sc.orAnswers(crashesMidway), 0)
 	}
 	// A control: the servers crash before they answer.
 	cases["crash-before-answer"] = func(sc *scene) (int, error) {
-		return sc.playPoison(oneService, 6, 2, "7", sc.orAnswers(crashes))
+		return sc.playPoison(oneService, 6, 2, "7", sc.orAnswers(crashes), 0)
 	}
 	// Another control: the servers fall silent.
 	cases["crash-silent"] = func(sc *scene) (int, error) {
-		return sc.playPoison(oneService, 6, 2, "7", sc.orAnswers(hangs))
+		return sc.playPoison(oneService, 6, 2, "7", sc.orAnswers(hangs), 0)
+	}
+	// The callers of the request leave before it crashes its server.
+	cases["crash-caller-left"] = func(sc *scene) (int, error) {
+		return sc.playPoison(oneService, 6, 2, "7", sc.orAnswers(crashes), serverWork/2)
 	}
 	// The route is split between three services.
 	cases["crash-split"] = func(sc *scene) (int, error) {
-		return sc.playPoison([]string{"orders-a", "orders-b", "orders-c"}, 4, 2, "", sc.orAnswers(crashes))
+		return sc.playPoison([]string{"orders-a", "orders-b", "orders-c"}, 4, 2, "", sc.orAnswers(crashes), 0)
 	}
 	// The service has two servers, one in each zone.
 	cases["crash-two"] = func(sc *scene) (int, error) {
-		return sc.playPoison(oneService, 1, 2, "7", sc.orAnswers(crashes))
+		return sc.playPoison(oneService, 1, 2, "7", sc.orAnswers(crashes), 0)
 	}
 	// All gateways are killed and start again in between.
 	cases["crash-restart"] = func(sc *scene) (int, error) {
@@ -156,7 +161,7 @@
 		}
 		end := sc.traffic(10, 20)
 		time.Sleep(warmUp)
-		sc.sendPoison("7", 2, 4, 2*time.Second)
+		sc.sendPoison("7", 2, 4, 2*time.Second, 0)
 		time.Sleep(stableWindow)
 		if sc.trouble {
 			for _, g := range sc.gateways {
@@ -174,7 +179,7 @@
 		}
 		inTouch := time.Now()
 		time.Sleep(warmUp)
-		sc.sendPoison("7", 2, 6, 2*time.Second)
+		sc.sendPoison("7", 2, 6, 2*time.Second, 0)
 		end()
 		return sc.judgePoison(inTouch), nil
 	}
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -250,7 +250,7 @@
 	}
 	body := []byte(strings.Repeat("x", answerBytes))
 	headers := []string{"Cassiatray-Response-Stamp: " + id + "." + attempt}
-	switch f.react(req.URL.Path) {
+	switch f.react(req.Host, req.URL.Path) {
 	case crashes:
 		s.crash(id, req.URL.Path, "running id "+attempt, serverDown)
 		return false
