--- a/review/standin-2/foreign.go
+++ b/review/standin-2/foreign.go
@@ -27,13 +27,19 @@
 )
 
 // leaveForeignEntries writes entries that no server wrote, and that cannot be read, in one
-// transaction.
+// transaction. Their writer goes on writing the same, as often as servers do.
 func (sc *scene) leaveForeignEntries(n int) {
 	var keys []string
 	for i := range n {
 		keys = append(keys, fmt.Sprintf("servers/x-%02d", i))
 	}
-	sc.store.putAll(keys, func(string) []byte { return bytes.Repeat([]byte{0xff}, valueBytes) })
+	value := bytes.Repeat([]byte{0xff}, valueBytes)
+	sc.store.putAll(keys, value)
+	go func() {
+		for range time.Tick(beatInterval) {
+			sc.store.putAll(keys, value)
+		}
+	}()
 	sc.rec.logf("another writer: %d entries of %d unreadable bytes under servers/", n, valueBytes)
 }
 
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -110,7 +110,7 @@
 	}()
 }
 
-// beat writes the instance's entry to the store; it is removed after three silent intervals.
+// beat writes the instance's entry to the store.
 func (s *server) beat(id string, ended chan struct{}) {
 	key := "servers/" + id
 	written := time.Duration(-1)
@@ -127,12 +127,12 @@
 		if cold != written {
 			s.fleet.store.put(key, entry)
 			written = cold
+		} else {
+			s.fleet.store.beat(key)
 		}
 		select {
 		case <-time.After(beatInterval):
 		case <-ended:
-			time.Sleep(3 * beatInterval)
-			s.fleet.store.remove(key)
 			return
 		}
 	}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"sort"
@@ -33,6 +34,9 @@
 	valueBytes = 1 << 20
 )
 
+// silentBeats is after how many heartbeat intervals of silence an entry is removed.
+const silentBeats = 3
+
 // historyTime is how long the store keeps its history.
 const historyTime = 20 * time.Second
 
@@ -48,9 +52,11 @@
 	// history no longer has.
 	times     []time.Time
 	forgotten uint64
-	leases    map[uint64]*lease
-	next      uint64
-	changed   chan struct{}
+	// written is when the entries under servers/ were last written, changed or not.
+	written map[string]time.Time
+	leases  map[uint64]*lease
+	next    uint64
+	changed chan struct{}
 	// cut is closed and replaced to cut all watches that wait.
 	cut chan struct{}
 	// patience is for how long a watch may wait before it is cut; zero for no limit.
@@ -60,7 +66,7 @@
 }
 
 func newStore(rec *recorder) *store {
-	s := &store{rec: rec, revision: 100, items: map[string]item{}, leases: map[uint64]*lease{}, next: 7000, changed: make(chan struct{}), cut: make(chan struct{})}
+	s := &store{rec: rec, revision: 100, items: map[string]item{}, leases: map[uint64]*lease{}, written: map[string]time.Time{}, next: 7000, changed: make(chan struct{}), cut: make(chan struct{})}
 	go func() {
 		for range time.Tick(20 * time.Millisecond) {
 			s.expire()
@@ -77,6 +83,15 @@
 		s.forgotten = s.history[0].Revision
 		s.history, s.times = s.history[1:], s.times[1:]
 	}
+	for key, at := range s.written {
+		if now.Sub(at) > silentBeats*beatInterval {
+			delete(s.written, key)
+			if _, ok := s.items[key]; ok {
+				s.rec.logf("store: %s is silent and removed", key)
+				s.change(item{Key: key, Deleted: true})
+			}
+		}
+	}
 	for id, l := range s.leases {
 		if now.After(l.end) {
 			s.endLease(id)
@@ -114,7 +129,7 @@
 	s.changed = make(chan struct{})
 }
 
-// put writes a key as an operator or a server does; remove removes one.
+// put writes a key as an operator or a server does.
 func (s *store) put(key string, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
@@ -122,6 +137,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if strings.HasPrefix(key, "servers/") {
+		s.written[key] = time.Now()
+	}
 	s.change(item{Key: key, Value: data})
 }
 
@@ -132,20 +150,23 @@
 	s.patience = patience
 }
 
-// putAll writes keys in one transaction, as another writer does.
-func (s *store) putAll(keys []string, value func(key string) []byte) {
+// beat notes a heartbeat that changes nothing of a server's entry but its sequence number.
+func (s *store) beat(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, key := range keys {
-		s.change(item{Key: key, Value: value(key)})
-	}
+	s.written[key] = time.Now()
 }
 
-func (s *store) remove(key string) {
+// putAll writes entries under servers/ in one transaction, as another writer does. One that has
+// that value already does not change.
+func (s *store) putAll(keys []string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.items[key]; ok {
-		s.change(item{Key: key, Deleted: true})
+	for _, key := range keys {
+		s.written[key] = time.Now()
+		if old, ok := s.items[key]; !ok || !bytes.Equal(old.Value, value) {
+			s.change(item{Key: key, Value: value})
+		}
 	}
 }
 
