--- a/internal/adapter/serverconn/pool.go
+++ b/internal/adapter/serverconn/pool.go
@@ -159,6 +159,23 @@
 	return slices.ContainsFunc(p.idle[address], func(c *conn) bool { return tcp.Peek(c.Conn) != tcp.Closed })
 }
 
+// Kept implements port.Prober.
+func (p *Pool) Kept(address string) port.KeptState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state, now := port.KeptNone, p.now()
+	for _, c := range p.idle[address] {
+		switch {
+		case tcp.Peek(c.Conn) != tcp.Closed:
+			return port.KeptOpen
+		case now.Before(c.until):
+			// The server's idle timeout may have closed older ones.
+			state = port.KeptClosed
+		}
+	}
+	return state
+}
+
 func (p *Pool) put(address string, c *conn, keep time.Duration, promised bool) {
 	c.since, c.waited = p.now(), 0
 	c.until, c.promised = c.since.Add(keep), promised
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -92,34 +92,34 @@
 	}
 }
 
-func TestLosses(t *testing.T) {
+func TestLostResponses(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var l Losses
-	if l.Lost(now, InFlight{Request: "a"}) != nil {
+	var u Unfinished
+	if u.Add(now, InFlight{Request: "a"}) != nil {
 		t.Error("a lost response alone counted as a crash")
 	}
-	if got := l.Refused(now.Add(time.Second)); len(got) != 1 || got[0].Request != "a" {
+	if got := u.Ended(now.Add(time.Second), false); len(got) != 1 || got[0].Request != "a" {
 		t.Errorf("refused connection after a loss: crash attributed to %v, want [a]", got)
 	}
-	if got := l.Lost(now.Add(time.Second), InFlight{Request: "b"}); len(got) != 1 || got[0].Request != "b" {
+	if got := u.Add(now.Add(time.Second), InFlight{Request: "b"}); len(got) != 1 || got[0].Request != "b" {
 		t.Errorf("loss after a refused connection: crash attributed to %v, want [b]", got)
 	}
-	l = Losses{}
-	l.Lost(now, InFlight{Request: "a"})
-	l.Answered(now.Add(time.Millisecond))
-	if l.Refused(now.Add(time.Second)) != nil {
+	u = Unfinished{}
+	u.Add(now, InFlight{Request: "a"})
+	u.Answered(now.Add(time.Millisecond))
+	if u.Ended(now.Add(time.Second), false) != nil {
 		t.Error("a loss followed by a response counted as a crash")
 	}
 	// Responses that a server had written as it crashed arrive after the loss.
-	l = Losses{}
-	l.Lost(now, InFlight{Request: "a"})
-	l.Answered(now.Add(-10 * time.Millisecond))
-	if got := l.Refused(now.Add(time.Second)); len(got) != 1 || got[0].Request != "a" {
+	u = Unfinished{}
+	u.Add(now, InFlight{Request: "a"})
+	u.Answered(now.Add(-10 * time.Millisecond))
+	if got := u.Ended(now.Add(time.Second), false); len(got) != 1 || got[0].Request != "a" {
 		t.Errorf("refused connection after a loss and the response to an older request: crash attributed to %v, want [a]", got)
 	}
-	l = Losses{}
-	l.Lost(now.Add(10*time.Second), InFlight{Request: "a"})
-	if l.Refused(now.Add(20*time.Second)) != nil {
+	u = Unfinished{}
+	u.Add(now.Add(10*time.Second), InFlight{Request: "a"})
+	if u.Ended(now.Add(20*time.Second), false) != nil {
 		t.Error("a loss long before the refused connection counted as a crash")
 	}
 }
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -84,9 +84,10 @@
 	s := c.server
 	rec := s.rec()
 	// A request that is not idempotent is not canceled when its caller
-	// disconnects: it may have taken effect already.
+	// disconnects: it may have taken effect already. Nor is a trial, whose result
+	// other callers wait for.
 	parent := n.ctx
-	if req.route.Idempotent {
+	if req.route.Idempotent && !req.trial {
 		parent = r.Context()
 	}
 	ctx, cancel := context.WithDeadline(parent, req.deadline.Add(answerGrace))
@@ -97,8 +98,10 @@
 	if req.unreadBody == nil {
 		forward.Size = int64(len(req.body))
 	}
-	n.dialect.Forward(forward.Header, max(minTimeLeft/2, left-n.answerDelayFrom(s)), rec.ID)
+	told := max(minTimeLeft/2, left-n.answerDelayFrom(s))
+	n.dialect.Forward(forward.Header, told, rec.ID)
 	started, ownRequests := s.startRequest(req.objectHash, time.Now())
+	to := sending{server: s, at: started.at, until: started.at.Add(told)}
 	a, err := n.forwarder.Forward(ctx, rec.Address, forward)
 	s.endRequest(started)
 	took := time.Since(started.at)
@@ -111,12 +114,15 @@
 	if err != nil {
 		result.Error, result.Code = err.Error(), codeOf(err)
 		n.noteFailure(rec.ID, err, took, time.Now())
-		n.recordFailure(req, s, err, took)
+		n.recordFailure(req, to, err, took)
 	} else {
 		result.Status, result.New = a.Status, a.Opened
 		now := time.Now()
 		n.noteResponse(a.Opened, now)
 		s.recordAnswer(a.Meta, ownRequests, started.at, n.coldUnseen(req.view, req.service, now), now)
+		if a.Meta.OtherInstance {
+			n.processEnded(s, endOtherInstance, now)
+		}
 		n.recordLimit(s, a.Meta, time.Now())
 		n.recordSignals(s, a.Meta, time.Now())
 		if !a.Meta.NotRun {
@@ -157,26 +163,28 @@
 }
 
 // recordFailure updates a server's health after an attempt that failed after some time.
-func (n *Node) recordFailure(req *inflightRequest, s *server, err error, took time.Duration) {
+func (n *Node) recordFailure(req *inflightRequest, to sending, err error, took time.Duration) {
+	s := to.server
 	var be *port.BackendError
 	if !errors.As(err, &be) {
 		return
 	}
 	now := time.Now()
 	n.recordSignals(s, be.Meta, now)
-	var crashRequests []fleet.InFlight
 	switch {
 	case be.Code == port.BackendRestarted:
 		n.checkForRestart(req, s, err, now)
 		return
 	case be.Code == port.BackendRefused:
-		crashRequests = s.connectionRefused(now)
-	case be.Code == port.BackendBroken && be.Sent:
-		crashRequests = s.connectionLost(now, n.describeInFlight(req))
-	case be.Code != port.BackendConnect && be.Code != port.BackendBroken:
+		n.processEnded(s, endRefused, now)
+	case be.Sent && be.Code != port.BackendShort:
+		n.noteFailedExchange(req, to, be, now)
+	}
+	switch be.Code {
+	case port.BackendRefused, port.BackendConnect, port.BackendBroken:
+	default:
 		return
 	}
-	n.reportCrash(s, crashRequests, now)
 	// One broken connection does not make a server unreachable: responses are lost
 	// occasionally, and a server that is down refuses the next connection.
 	unreachable := !be.Sent || errors.Is(err, syscall.ETIMEDOUT)
@@ -218,37 +226,16 @@
 
 // reportCrash reports the server's crash for each of the requests that were
 // running on it.
-func (n *Node) reportCrash(s *server, requests []fleet.InFlight, now time.Time) {
+func (n *Node) reportCrash(s *server, requests []fleet.InFlight, proof processEnd, now time.Time) {
 	held := false
 	for _, request := range requests {
-		held = !n.keeper.ReportCrash(s.rec().ID, request, now) || held
+		held = !n.keeper.ReportCrash(s.rec().ID, request, proof, now) || held
 	}
 	if held {
 		n.confirmLinks()
 	}
 }
 
-// checkForCrash probes a server whose connection broke during a request, to find out whether the
-// server crashed. If it refuses connections, the crash is reported. After a request that is
-// retried, other requests mostly show that.
-func (n *Node) checkForCrash(req *inflightRequest, s *server) {
-	rec := s.rec()
-	path := req.view.config.Services[rec.Service].HealthPath
-	n.background.Go(func() {
-		ctx, cancel := context.WithTimeout(n.ctx, checkTimeout)
-		defer cancel()
-		n.metrics.checks.Inc()
-		_, _, err := n.prober.Probe(ctx, rec.Address, path)
-		var be *port.BackendError
-		if !errors.As(err, &be) || be.Code != port.BackendRefused {
-			return
-		}
-		now := time.Now()
-		s.withHealth(func(h *fleet.Health) bool { return h.Unreachable(now) })
-		n.reportCrash(s, s.connectionRefused(now), now)
-	})
-}
-
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
--- a/internal/daemon/gateway/crashes_test.go
+++ b/internal/daemon/gateway/crashes_test.go
@@ -37,9 +37,12 @@
 	back map[string]time.Time
 	// ended is closed with the crash of a server.
 	ended map[string]chan struct{}
-	// crashing reports whether a request crashes the servers that run it.
+	// crashing reports whether a request crashes the servers that run it, and shape says how.
 	crashing func(uri string) bool
+	shape    crashShape
 	runs     []crashRun
+	// ends is when the latest process at an address ended.
+	ends map[string]time.Time
 }
 
 // crashRun is a request that a server began to run.
@@ -48,6 +51,23 @@
 	at  time.Time
 }
 
+// Connect implements port.Prober.
+func (s *crashServers) Connect(_ context.Context, address string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down(address) {
+		return &port.BackendError{Code: port.BackendRefused, Address: address, Err: io.EOF}
+	}
+	return nil
+}
+
+// lastEnd returns when the latest process at an address ended.
+func (s *crashServers) lastEnd(address string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ends[address]
+}
+
 func (s *crashServers) down(address string) bool { return time.Now().Before(s.back[address]) }
 
 // Forward implements port.Forwarder.
@@ -66,7 +86,7 @@
 	crashing := s.crashing(req.URI)
 	s.mu.Unlock()
 	if crashing {
-		time.AfterFunc(crashAfter, func() { s.crash(address) })
+		return s.runToCrash(address, ended)
 	}
 	select {
 	case <-time.After(crashRunTime):
@@ -94,7 +114,7 @@
 		if s.down(a) {
 			continue
 		}
-		s.back[a] = time.Now().Add(crashAway)
+		s.back[a], s.ends[a] = time.Now().Add(crashAway), time.Now()
 		if c := s.ended[a]; c != nil {
 			close(c)
 			delete(s.ended, a)
@@ -104,10 +124,15 @@
 
 // retries returns how many runs of a request came later than crashStable after its third crash.
 func (s *crashServers) retries(uri string) int {
+	_, late := s.countRuns(uri)
+	return late
+}
+
+// countRuns returns how many runs of a request there were, and how many of them retries counts.
+func (s *crashServers) countRuns(uri string) (runs, late int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var third time.Time
-	runs, late := 0, 0
 	for _, r := range s.runs {
 		if r.uri != uri || !s.crashing(uri) {
 			continue
@@ -115,12 +140,12 @@
 		runs++
 		switch {
 		case runs == 3:
-			third = r.at.Add(crashAfter)
+			third = r.at.Add(s.shape.runTime())
 		case runs > 3 && r.at.After(third.Add(crashStable)):
 			late++
 		}
 	}
-	return late
+	return runs, late
 }
 
 // crashWorld is a cluster of gateways before servers that crash: those of service "s" stand in
@@ -142,7 +167,10 @@
 
 func newCrashWorld(t *testing.T, gateways int) *crashWorld {
 	w := &crashWorld{linkWorld: &linkWorld{testCluster: newTestCluster(t)}}
-	w.servers = &crashServers{back: map[string]time.Time{}, ended: map[string]chan struct{}{}, crashing: func(string) bool { return false }}
+	w.servers = &crashServers{
+		back: map[string]time.Time{}, ended: map[string]chan struct{}{}, crashing: func(string) bool { return false },
+		ends: map[string]time.Time{},
+	}
 	w.links = newServerLinks(w.servers)
 	w.forwarder = func(host string) forwardProber { return serverLink{w.links, host} }
 	w.store.set("config", encode(crashConfig()), "")
--- /dev/null
+++ b/internal/daemon/gateway/crashshapes_test.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cassiatray/internal/port"
+)
+
+// crashShape is how a request crashes the servers that run it.
+type crashShape struct {
+	// after is how long the server runs the request.
+	after time.Duration
+}
+
+func (c crashShape) runTime() time.Duration { return max(c.after, crashAfter) }
+
+// runToCrash runs a request that crashes the server.
+func (s *crashServers) runToCrash(address string, ended chan struct{}) (*port.ForwardAnswer, error) {
+	time.AfterFunc(s.shape.runTime(), func() { s.crash(address) })
+	<-ended
+	return nil, brokenError(true)
+}
+
+// crashCase is a way in which a request crashes servers unnoticed.
+type crashCase struct {
+	shape crashShape
+	// leave is when its callers leave; zero for at their deadline.
+	leave time.Duration
+	// quiet has nothing else sent, relayed most gateways without links to servers.
+	quiet, relayed bool
+}
+
+// playAll plays the case for both kinds of routes, at a busy and at a quiet time.
+func (c crashCase) playAll(t *testing.T) {
+	for _, uri := range []string{"/get/bad", "/post/bad"} {
+		for _, c.quiet = range []bool{false, true} {
+			t.Run(fmt.Sprintf("%+v %s", c, uri), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { c.play(t, uri) })
+			})
+		}
+	}
+}
+
+// play sends the request every 1.5 s to the next of twelve gateways.
+func (c crashCase) play(t *testing.T, uri string) {
+	w := newCrashWorld(t, 12)
+	defer w.stop()
+	w.servers.shape = c.shape
+	w.servers.crashing = func(u string) bool { return u == uri }
+	names := slices.Sorted(maps.Keys(w.hosts))
+	w.links.set(func(host, _ string) linkFault {
+		if c.relayed && !slices.Contains(names[:3], host) {
+			return linkResets
+		}
+		return linkWell
+	})
+	if !c.quiet {
+		w.others.Go(func() { w.ask("/get/page", 33*time.Millisecond, 45*time.Second) })
+	}
+	for n := range 30 {
+		w.others.Go(func() { w.hosts[names[n%len(names)]].leaveAfter(c.leave, "7", uri) })
+		time.Sleep(1500 * time.Millisecond)
+	}
+	time.Sleep(2 * crashAway)
+	if runs, late := w.servers.countRuns(uri); late > retriesAllowed || runs < 3 {
+		t.Errorf("%d runs, %d of them retries that reached servers late", runs, late)
+	}
+}
+
+// leaveAfter sends a request whose caller leaves after some time, if that is set.
+func (h *testHost) leaveAfter(leave time.Duration, object, uri string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if leave > 0 {
+		time.AfterFunc(leave, cancel)
+	}
+	h.sendFor(ctx, object, "GET", uri, nil)
+}
+
+// Guards against a request that crashes servers after its caller has left, and that is never
+// refused because a canceled exchange counts for no crash.
+func TestCrashesAfterCallersLeftAreNoticed(t *testing.T) {
+	for _, after := range []time.Duration{0, time.Second} {
+		crashCase{shape: crashShape{after: after}, leave: crashAfter / 2}.playAll(t)
+	}
+	crashCase{leave: crashAfter / 2, relayed: true}.playAll(t)
+}
+
+// Guards against pages that are refused because servers crashed after their callers had left:
+// most callers of a popular page do not wait for its answer.
+func TestAbandonedRequestsStayServed(t *testing.T) {
+	const page, bad = "/get/page", "/get/bad"
+	for name, lose := range map[string]func(w *crashWorld){
+		"domain lost": func(w *crashWorld) { w.servers.crash(w.lost...) },
+		"domain lost three times": func(w *crashWorld) {
+			for range 3 {
+				w.servers.crash(w.lost...)
+				time.Sleep(10 * time.Second)
+			}
+		},
+		"servers lost one after the other": func(w *crashWorld) {
+			for _, s := range w.lost {
+				w.servers.crash(s)
+				time.Sleep(700 * time.Millisecond)
+			}
+		},
+		"beside a request that crashes servers": func(w *crashWorld) { w.ask(bad, 500*time.Millisecond, 20*time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newCrashWorld(t, 3)
+				defer w.stop()
+				w.servers.crashing = func(uri string) bool { return uri == bad }
+				random := rand.New(rand.NewPCG(3, 4))
+				for n := range 2000 {
+					h := w.anyHost(random)
+					time.AfterFunc(time.Duration(n)*20*time.Millisecond, func() { h.leaveAfter(crashRunTime/2, "", page) })
+				}
+				time.AfterFunc(2*time.Second, func() { lose(w) })
+				w.ask(page, 200*time.Millisecond, 40*time.Second)
+				if served, refused := w.ask(page, 33*time.Millisecond, 10*time.Second); refused > 0 || served == 0 {
+					t.Errorf("%d requests served and %d refused afterwards", served, refused)
+				}
+				if _, late := w.servers.countRuns(bad); late > retriesAllowed {
+					t.Errorf("%d retries of the other request reached servers", late)
+				}
+			})
+		})
+	}
+}
--- a/internal/daemon/gateway/fixtures_test.go
+++ b/internal/daemon/gateway/fixtures_test.go
@@ -52,6 +52,9 @@
 // Connect implements port.Prober.
 func (connects) Connect(context.Context, string) error { return nil }
 
+// Kept implements port.Prober.
+func (connects) Kept(string) port.KeptState { return port.KeptOpen }
+
 // fakeServers implements port.Forwarder and port.Prober.
 type fakeServers struct {
 	connects
@@ -165,3 +168,9 @@
 }
 
 func testRecord() fleet.Record { return fleet.Record{ID: "i", Service: "s", Slots: 4} }
+
+// stop ends the checks of servers.
+func (f *fixture) stop() {
+	f.node.cancel()
+	f.node.background.Wait()
+}
--- a/internal/daemon/gateway/linkproof.go
+++ b/internal/daemon/gateway/linkproof.go
@@ -45,15 +45,6 @@
 	}
 }
 
-// quietAfter is the time without a response from any server after which a gateway counts as quiet:
-// requests do not show what becomes of a server.
-const quietAfter = time.Second
-
-// quiet reports whether hardly any requests are sent.
-func (k *Keeper) quiet(now time.Time) bool {
-	return now.Sub(k.born.Add(time.Duration(k.reached.Load()))) > quietAfter
-}
-
 // HoldsReports reports whether reports wait for a response from a server.
 func (k *Keeper) HoldsReports() bool { return k.holdsReports.Load() }
 
--- a/internal/daemon/gateway/linkworld_test.go
+++ b/internal/daemon/gateway/linkworld_test.go
@@ -105,8 +105,20 @@
 	return time.Since(last) < keptFor && l.faults(l.host, address) != linkResets
 }
 
-// Connect opens a connection.
+// Connect opens a connection and keeps it.
 func (l serverLink) Connect(ctx context.Context, address string) error {
+	if err := l.open(ctx, address); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := [2]string{l.host, address}
+	l.kept[key] = append(l.kept[key], time.Now())
+	return nil
+}
+
+// open opens a connection.
+func (l serverLink) open(ctx context.Context, address string) error {
 	fault, _ := l.fault(address)
 	switch fault {
 	case linkHangs:
@@ -117,14 +129,39 @@
 	case linkResets, linkRefuses:
 		return &port.BackendError{Code: port.BackendRefused, Address: address, Err: syscall.ECONNREFUSED}
 	}
-	return nil
+	return l.servers.Connect(ctx, address)
+}
+
+// Kept implements port.Prober.
+func (l serverLink) Kept(address string) port.KeptState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := port.KeptNone
+	for _, last := range l.kept[[2]string{l.host, address}] {
+		switch {
+		case time.Since(last) >= keptFor:
+		case l.faults(l.host, address) != linkResets && l.servers.Kept(address) == port.KeptOpen && !l.endedAfter(address, last):
+			return port.KeptOpen
+		default:
+			state = port.KeptClosed
+		}
+	}
+	return state
+}
+
+// endedAfter reports whether the server's process has ended since a time.
+func (l *serverLinks) endedAfter(address string, t time.Time) bool {
+	s, ok := l.servers.(interface {
+		lastEnd(address string) time.Time
+	})
+	return ok && s.lastEnd(address).After(t)
 }
 
 // Forward implements port.Forwarder.
 func (l serverLink) Forward(ctx context.Context, address string, req *port.ForwardRequest) (*port.ForwardAnswer, error) {
 	opened := !l.takeKept(address)
 	if opened {
-		if err := l.Connect(ctx, address); err != nil {
+		if err := l.open(ctx, address); err != nil {
 			return nil, err
 		}
 	}
@@ -182,7 +219,7 @@
 
 // Probe implements port.Prober.
 func (l serverLink) Probe(ctx context.Context, address, path string) (port.ServerMeta, int, error) {
-	if err := l.Connect(ctx, address); err != nil {
+	if err := l.open(ctx, address); err != nil {
 		return port.ServerMeta{}, 0, err
 	}
 	return l.servers.Probe(ctx, address, path)
--- a/internal/daemon/gateway/load_test.go
+++ b/internal/daemon/gateway/load_test.go
@@ -308,6 +308,7 @@
 			time.Sleep(runTime)
 			return okAnswer(), nil
 		})
+		defer f.stop()
 		for range 20 {
 			f.do(http.MethodGet, "/get/")
 		}
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -27,6 +27,8 @@
 	relays   *prometheus.CounterVec
 	relayed  *prometheus.CounterVec
 	trials   *prometheus.CounterVec
+	// processChecks are those of watchProcess.
+	processChecks *prometheus.CounterVec
 }
 
 // latencyBuckets cover the latencies that routes aim for, in seconds.
@@ -78,7 +80,10 @@
 	m.trials = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_trials_total", Help: "Trials of requests under which servers crashed: completed, failed, or unsent when no server took them.",
 	}, []string{"result"})
-	reg.MustRegister(m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
+	m.processChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_process_checks_total", Help: "Checks whether a backend server with unfinished requests still runs, by kind: connect or health.",
+	}, []string{"kind"})
+	reg.MustRegister(m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
 	return m
 }
 
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -206,9 +206,6 @@
 				return
 			}
 			final := !req.route.Idempotent || req.runs >= req.maxRuns || req.unreadBody != nil || be.Code == port.BackendTimeout
-			if be.Code == port.BackendBroken && (final || r.Context().Err() != nil || n.keeper.quiet(now)) {
-				n.checkForCrash(req, c.server)
-			}
 			if r.Context().Err() != nil {
 				n.recordEnd(req, 0, "caller left")
 				return
--- a/internal/daemon/gateway/node_test.go
+++ b/internal/daemon/gateway/node_test.go
@@ -103,6 +103,7 @@
 			<-ctx.Done()
 			return nil, &port.BackendError{Code: port.BackendTimeout, Sent: true, Err: ctx.Err()}
 		})
+		defer f.stop()
 		for path, limit := range map[string]time.Duration{"/get/1": 1200 * time.Millisecond, "/post/1": 1500 * time.Millisecond} {
 			start := time.Now()
 			w := f.do("POST", path)
@@ -139,6 +140,7 @@
 			if n := f.servers.count(); n != 1 {
 				t.Errorf("%s: %d attempts", path, n)
 			}
+			f.stop()
 		}
 	})
 }
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -293,8 +293,11 @@
 		n.noteFailure(rec.ID, err, now.Sub(sent), now)
 	}
 	var be *port.BackendError
-	if errors.As(err, &be) && be.Code == port.BackendRefused {
-		n.reportCrash(s, s.connectionRefused(now), now)
+	switch {
+	case errors.As(err, &be) && be.Code == port.BackendRefused:
+		n.processEnded(s, endRefused, now)
+	case err == nil && meta.Instance != "" && meta.Instance != rec.ID:
+		n.processEnded(s, endOtherInstance, now)
 	}
 	if err == nil && (meta.Instance == "" || meta.Instance == rec.ID) {
 		n.recordSignals(s, meta, now)
@@ -332,7 +335,9 @@
 func (s *server) recordAnswer(meta port.ServerMeta, ownRequests int, sent time.Time, coldUnseen bool, now time.Time) {
 	s.recordLoad(meta.Load, ownRequests, now)
 	s.withHealth(func(h *fleet.Health) bool {
-		s.losses.Answered(sent)
+		if !meta.OtherInstance {
+			s.unfinished.Answered(sent)
+		}
 		if !meta.NotRun {
 			h.Ran(sent)
 		}
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -41,23 +41,24 @@
 	k.reportOnceReached(fleet.Report{Server: server, At: since}, proofSince(now, took))
 }
 
-// ReportCrash tells the other gateways that a server crashed under a request: it refused
-// connections. A link that resets connections does the same.
+// ReportCrash tells the other gateways that a server crashed under a request. A link that resets
+// connections, so that the server seems to refuse them, looks the same.
 //
 // It reports whether it did so at once.
-func (k *Keeper) ReportCrash(server string, f fleet.InFlight, now time.Time) bool {
+func (k *Keeper) ReportCrash(server string, f fleet.InFlight, proof processEnd, now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	rep := fleet.Report{Server: server, Request: f.Request, Proven: f.Proven, Trial: f.Trial, At: f.Lost}
 	told := k.reportOnceReached(rep, now)
-	k.logCrash(rep, k.origin)
+	k.logCrash(rep, k.origin, logrus.Fields{"exchange": f.Exchange, "proof": proof})
 	return told
 }
 
-// logCrash logs that a server crashed under a request. The caller holds k.mu.
-func (k *Keeper) logCrash(rep fleet.Report, source string) {
+// logCrash logs that a server crashed under a request, with what the source alone knows of it.
+// The caller holds k.mu.
+func (k *Keeper) logCrash(rep fleet.Report, source string, known logrus.Fields) {
 	v := k.reports.Verdict(rep.Request, rep.Proven)
-	k.log.WithFields(logrus.Fields{
+	k.log.WithFields(known).WithFields(logrus.Fields{
 		"server": rep.Server, "source": source, "fingerprint": shortPrint(rep.Request), "crashes": v.Crashes, "trials_failed": v.Failed,
 		"proven": rep.Proven, "trial": rep.Trial, "state": v.State.String(),
 	}).Warn("Server crashed under a request.")
@@ -137,7 +138,7 @@
 				Info("Server reported unreachable.")
 		}
 		if rep.Request != "" {
-			k.logCrash(rep, r.Origin)
+			k.logCrash(rep, r.Origin, nil)
 		}
 	}
 	if news {
--- a/internal/daemon/gateway/server.go
+++ b/internal/daemon/gateway/server.go
@@ -25,7 +25,10 @@
 	// No other lock is acquired while mu is held.
 	mu     sync.Mutex
 	health fleet.Health
-	losses fleet.Losses
+	// unfinished are the requests that the process may still be running although this gateway
+	// no longer waits for them; watched is set while its end is watched for (watchProcess).
+	unfinished fleet.Unfinished
+	watched    bool
 	// runningRequests are the requests of this gateway that are in flight at the server.
 	runningRequests []runningRequest
 	coldLimiter     pace.Limiter
@@ -192,21 +195,6 @@
 	return fn(&s.health)
 }
 
-// connectionLost records that the connection broke during a request, and
-// connectionRefused that the server refused a connection. Both return the requests
-// during which the server crashed, if it did.
-func (s *server) connectionLost(now time.Time, request fleet.InFlight) []fleet.InFlight {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.losses.Lost(now, request)
-}
-
-func (s *server) connectionRefused(now time.Time) []fleet.InFlight {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.losses.Refused(now)
-}
-
 // isDown reports whether the server is considered unreachable.
 func (s *server) isDown() bool { return s.withHealth((*fleet.Health).Down) }
 
--- a/internal/daemon/gateway/trial.go
+++ b/internal/daemon/gateway/trial.go
@@ -8,7 +8,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"cassiatray/internal/core/fleet"
 	"cassiatray/internal/core/links"
 	"cassiatray/internal/core/suspect"
 	peerv1 "cassiatray/proto/peer/v1"
@@ -104,11 +103,6 @@
 	return now.Before(t.passedOver[host])
 }
 
-// describeInFlight returns what is told of the request if its server crashed.
-func (n *Node) describeInFlight(req *inflightRequest) fleet.InFlight {
-	return fleet.InFlight{Request: req.fingerprint(), Proven: n.completed.Has(req.key()), Trial: req.trial}
-}
-
 // admitSuspect decides whether a request may run here, if servers crashed under it. If so, end
 // is to be called after the run; otherwise the request has ended.
 func (n *Node) admitSuspect(w http.ResponseWriter, r *http.Request, req *inflightRequest) (admitted bool, end func()) {
--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -122,3 +124,9 @@
 }
 
 func (e *BackendError) Unwrap() error { return e.Err }
+
+// EndedByServer reports whether the server's host ended the exchange by closing or resetting the
+// connection. Otherwise the server may not know of the end, and may still run the request.
+func (e *BackendError) EndedByServer() bool {
+	return (e.Code == BackendBroken || e.Code == BackendShort) && !errors.Is(e.Err, syscall.ETIMEDOUT)
+}
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -77,4 +77,19 @@
 	Probe(ctx context.Context, address, path string) (meta ServerMeta, status int, err error)
 	// Connect opens a connection, for a later exchange.
 	Connect(ctx context.Context, address string) error
+	// Kept looks at the idle connections to a server without sending anything.
+	Kept(address string) KeptState
 }
+
+// KeptState says what has become of the idle connections to a server.
+type KeptState int
+
+// Values of KeptState.
+const (
+	// KeptNone means that there are no idle connections.
+	KeptNone KeptState = iota
+	// KeptOpen means that the server has left one open at least: its process runs.
+	KeptOpen
+	// KeptClosed means that the server has closed them all. Its process may have ended.
+	KeptClosed
+)
