--- a/internal/adapter/serverconn/exchange.go
+++ b/internal/adapter/serverconn/exchange.go
@@ -77,6 +77,7 @@
 		return nil, brokenError(ctx, address, true, err)
 	}
 	a := &port.ForwardAnswer{Status: resp.StatusCode, Header: resp.Header, Meta: p.dialect.Server(resp.StatusCode, resp.Header), Closing: resp.Close}
+	a.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 	if !a.Meta.Signed && resp.StatusCode < http.StatusMultipleChoices {
 		return nil, brokenError(ctx, address, true, &UnsignedError{ID: r.ID})
 	}
@@ -95,7 +96,7 @@
 	// Behind an answer without an ID, a later one could be its copy.
 	reuse := a.Meta.ID != "" && !resp.Close && skipped == 0 && !early && len(c.refused) < maxRefused
 	if len(body) == wholeLimit {
-		a.Rest = &rest{Reader: resp.Body, end: func() { stop(); c.Close() }}
+		a.Rest = &rest{ctx: ctx, address: address, body: resp.Body, end: func() { stop(); c.Close() }}
 		return a, nil
 	}
 	if !stop() || !reuse || c.r.Buffered() > 0 {
@@ -109,8 +110,21 @@
 
 // rest is the part of an answer that is streamed.
 type rest struct {
-	io.Reader
-	end func()
+	ctx     context.Context
+	address string
+	body    io.Reader
+	end     func()
+}
+
+// Read implements io.Reader.
+//
+// Errors: *port.BackendError.
+func (r *rest) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = shortError(r.ctx, r.address, err)
+	}
+	return n, err
 }
 
 // Close implements io.Closer.
--- a/internal/core/fleet/unfinished.go
+++ b/internal/core/fleet/unfinished.go
@@ -20,8 +20,9 @@
 
 // InFlight is a request that a server process may have been running when it ended.
 type InFlight struct {
-	// Request is its fingerprint.
+	// Request is its fingerprint, Key its shorter hash (suspect.Key).
 	Request string
+	Key     uint64
 	// Proven is set if it had run to completion before, Trial if it ran as a trial.
 	Proven, Trial bool
 	// Exchange is how the exchange with the server ended, for the log.
@@ -33,6 +34,9 @@
 	// Until is until when the server may run it: Lost if the server itself ended the exchange,
 	// and the deadline that the server was told, or Lost if that has passed, if this gateway did.
 	Until time.Time
+	// Answered is set if it was answered, and the body ended with the connection: whole, or cut
+	// off by the end of the process.
+	Answered bool
 }
 
 // sameRequest reports whether two entries are of copies of one request.
@@ -69,7 +73,7 @@
 		if request.Until.After(old.Until) {
 			old.Until = request.Until
 		}
-		old.Lost, old.Exchange = request.Lost, request.Exchange
+		old.Lost, old.Exchange, old.Answered = request.Lost, request.Exchange, old.Answered && request.Answered
 		old.Abandoned = old.Abandoned || request.Abandoned
 	} else {
 		u.pending = append(u.pending, request)
@@ -113,15 +117,36 @@
 }
 
 // Answered records a response to a request that was sent at a time: the process was running
-// then, and requests whose runs were over have not crashed it.
-func (u *Unfinished) Answered(sent time.Time) {
-	u.pending = slices.DeleteFunc(u.pending, func(p InFlight) bool { return p.Until.Before(sent) })
+// then, and requests whose runs were over have not crashed it. It returns those that had been
+// answered themselves.
+func (u *Unfinished) Answered(sent time.Time) (answered []InFlight) {
+	return u.drop(func(p InFlight) bool { return p.Until.Before(sent) })
 }
 
 // Open records that connections to the process were open at a time. That clears only requests whose
 // exchanges it ended itself: a process that no longer responds keeps its connections open, too.
-func (u *Unfinished) Open(at time.Time) {
-	u.pending = slices.DeleteFunc(u.pending, func(p InFlight) bool { return !p.Abandoned && p.Until.Before(at) })
+// It returns those that had been answered; they are cleared once a process that took its place
+// would be known.
+func (u *Unfinished) Open(at time.Time) (answered []InFlight) {
+	return u.drop(func(p InFlight) bool {
+		if p.Answered {
+			return p.Until.Add(crashWindow).Before(at)
+		}
+		return !p.Abandoned && p.Until.Before(at)
+	})
+}
+
+func (u *Unfinished) drop(over func(InFlight) bool) (answered []InFlight) {
+	u.pending = slices.DeleteFunc(u.pending, func(p InFlight) bool {
+		if !over(p) {
+			return false
+		}
+		if p.Answered {
+			answered = append(answered, p)
+		}
+		return true
+	})
+	return answered
 }
 
 // Pending reports whether there are requests that the end of the process would accuse.
@@ -133,7 +158,7 @@
 func (u *Unfinished) expire(now time.Time) {
 	u.pending = slices.DeleteFunc(u.pending, func(p InFlight) bool {
 		window := crashWindow
-		if p.Abandoned {
+		if p.Abandoned || p.Answered {
 			window = silenceWindow
 		}
 		return now.Sub(p.Until) > window
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -119,7 +119,7 @@
 		result.Status, result.New = a.Status, a.Opened
 		now := time.Now()
 		n.noteResponse(a.Opened, now)
-		s.recordAnswer(a.Meta, ownRequests, started.at, n.coldUnseen(req.view, req.service, now), now)
+		n.recordRuns(s.recordAnswer(a.Meta, ownRequests, started.at, n.coldUnseen(req.view, req.service, now), now))
 		if a.Meta.OtherInstance {
 			n.processEnded(s, endOtherInstance, now)
 		}
@@ -127,6 +127,7 @@
 		n.recordSignals(s, a.Meta, time.Now())
 		if !a.Meta.NotRun {
 			s.resume(started.at)
+			n.followAnswer(req, to, a)
 		}
 		if req.route.Sticky && a.Status < http.StatusMultipleChoices {
 			s.markWarm(req.objectHash, time.Now())
@@ -177,7 +178,7 @@
 		return
 	case be.Code == port.BackendRefused:
 		n.processEnded(s, endRefused, now)
-	case be.Sent && be.Code != port.BackendShort:
+	case be.Sent:
 		n.noteFailedExchange(req, to, be, now)
 	}
 	switch be.Code {
--- a/internal/daemon/gateway/crashshapes_test.go
+++ b/internal/daemon/gateway/crashshapes_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -15,19 +17,47 @@
 
 // crashShape is how a request crashes the servers that run it.
 type crashShape struct {
+	// answer is how much of the answer comes.
+	answer string
 	// after is how long the server runs the request.
 	after time.Duration
 }
 
+// The whole of an unframed answer seems to have come.
+var cutAnswers = []string{"cut", "cut stream", "cut unframed"}
+
 func (c crashShape) runTime() time.Duration { return max(c.after, crashAfter) }
 
 // runToCrash runs a request that crashes the server.
 func (s *crashServers) runToCrash(address string, ended chan struct{}) (*port.ForwardAnswer, error) {
 	time.AfterFunc(s.shape.runTime(), func() { s.crash(address) })
+	short := &port.BackendError{Code: port.BackendShort, Sent: true, Err: io.ErrUnexpectedEOF}
+	a := okAnswer()
+	if s.shape.answer == "cut stream" {
+		time.Sleep(s.shape.runTime() / 2)
+		a.Rest = &streamToCrash{ended, short}
+		return a, nil
+	}
 	<-ended
+	switch s.shape.answer {
+	case "cut":
+		return nil, short
+	case "cut unframed":
+		a.Unframed = true
+		return a, nil
+	}
 	return nil, brokenError(true)
 }
 
+// streamToCrash is the part of an answer that its server's crash cuts off.
+type streamToCrash struct {
+	ended chan struct{}
+	err   error
+}
+
+func (b *streamToCrash) Read([]byte) (int, error) { <-b.ended; return 0, b.err }
+func (b *streamToCrash) Close() error             { return nil }
+
 // crashCase is a way in which a request crashes servers unnoticed.
 type crashCase struct {
 	shape crashShape
@@ -81,6 +111,12 @@
 	if leave > 0 {
 		time.AfterFunc(leave, cancel)
 	}
+	defer func() {
+		// An answer that breaks off aborts the handler.
+		if fault := recover(); fault != nil && fault != http.ErrAbortHandler {
+			panic(fault)
+		}
+	}()
 	h.sendFor(ctx, object, "GET", uri, nil)
 }
 
@@ -93,6 +129,17 @@
 	crashCase{leave: crashAfter / 2, relayed: true}.playAll(t)
 }
 
+// Guards against a request that crashes servers in the middle of their answers, and that is never
+// refused because an answer that breaks off, or whose head came, counts for no crash.
+func TestCrashesInAnswersAreNoticed(t *testing.T) {
+	for _, answer := range cutAnswers {
+		for _, relayed := range []bool{false, true} {
+			crashCase{shape: crashShape{answer: answer}, relayed: relayed}.playAll(t)
+		}
+	}
+	crashCase{shape: crashShape{answer: "cut stream"}, leave: crashAfter * 3 / 4}.playAll(t)
+}
+
 // Guards against pages that are refused because servers crashed after their callers had left:
 // most callers of a popular page do not wait for its answer.
 func TestAbandonedRequestsStayServed(t *testing.T) {
--- a/internal/daemon/gateway/linkworld_test.go
+++ b/internal/daemon/gateway/linkworld_test.go
@@ -196,6 +196,8 @@
 		case r := <-done:
 			if r.err == nil {
 				r.answer.Opened = opened
+			}
+			if r.err == nil && r.answer.Rest == nil && !r.answer.Unframed {
 				l.mu.Lock()
 				key := [2]string{l.host, address}
 				l.kept[key] = append(l.kept[key], time.Now())
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -187,8 +187,6 @@
 		if err == nil && !a.Meta.NotRun {
 			req.runs++
 			req.answeredBy = c.server.rec().ID
-			n.completed.Add(req.key())
-			n.keeper.ran(req.fingerprint, now)
 			if !n.shouldRetryAnswer(req, a) {
 				n.writeAnswer(w, req, a)
 				return
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -331,12 +331,13 @@
 
 // recordAnswer updates the server's load and health from the response to a request that was
 // sent at a time. With coldUnseen nothing but checks tells that the server has turned cold: a
-// rejection, and a response to a request that is older than a doubt, do not end the doubt.
-func (s *server) recordAnswer(meta port.ServerMeta, ownRequests int, sent time.Time, coldUnseen bool, now time.Time) {
+// rejection, and a response to a request that is older than a doubt, do not end the doubt. It
+// returns the requests that are now known to have run to completion.
+func (s *server) recordAnswer(meta port.ServerMeta, ownRequests int, sent time.Time, coldUnseen bool, now time.Time) (completed []fleet.InFlight) {
 	s.recordLoad(meta.Load, ownRequests, now)
 	s.withHealth(func(h *fleet.Health) bool {
 		if !meta.OtherInstance {
-			s.unfinished.Answered(sent)
+			completed = s.unfinished.Answered(sent)
 		}
 		if !meta.NotRun {
 			h.Ran(sent)
@@ -356,4 +357,5 @@
 		}
 		return h.Reached(now)
 	})
+	return completed
 }
--- a/internal/daemon/gateway/processwatch.go
+++ b/internal/daemon/gateway/processwatch.go
@@ -52,8 +52,9 @@
 	kept := n.prober.Kept(rec.Address)
 	if kept == port.KeptOpen {
 		s.mu.Lock()
-		s.unfinished.Open(now.Add(-processOpenMargin))
+		completed := s.unfinished.Open(now.Add(-processOpenMargin))
 		s.mu.Unlock()
+		n.recordRuns(completed)
 		return true
 	}
 	if pause, _ := s.pauseLeft(now); pause > 0 || s.isLeaving() || n.keeper.server(rec.ID, 0) != s {
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -47,6 +47,8 @@
 	print string
 	// trial is set while the request runs, or is to run elsewhere, as a trial.
 	trial bool
+	// completed is set once a server has run the request to completion.
+	completed bool
 	// mayHaveRun is set once a server may have started to run the request.
 	mayHaveRun bool
 	// counted is set once the request counts for the retry budget, repeat while the next
--- a/internal/daemon/gateway/trial.go
+++ b/internal/daemon/gateway/trial.go
@@ -177,9 +177,9 @@
 	return true, func() {
 		result := "completed"
 		switch {
-		case req.answeredBy != "" && req.runs > 0:
+		case req.completed:
 			n.trials.end(f, holder)
-		case !req.mayHaveRun:
+		case req.runs == 0 && !req.mayHaveRun:
 			result = "unsent"
 			n.trials.end(f, holder)
 		default:
--- a/internal/daemon/gateway/unfinished.go
+++ b/internal/daemon/gateway/unfinished.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"errors"
+	"io"
 	"time"
 
 	"cassiatray/internal/core/fleet"
@@ -37,7 +39,7 @@
 // describeInFlight returns what is told of the request if its server crashes.
 func (n *Node) describeInFlight(req *inflightRequest, to sending) fleet.InFlight {
 	return fleet.InFlight{
-		Request: req.fingerprint(), Proven: n.completed.Has(req.key()), Trial: req.trial, Sent: to.at, Until: to.until,
+		Request: req.fingerprint(), Key: req.key(), Proven: n.completed.Has(req.key()), Trial: req.trial, Sent: to.at, Until: to.until,
 	}
 }
 
@@ -74,3 +76,79 @@
 	s.mu.Unlock()
 	n.reportCrash(s, crashed, proof, now)
 }
+
+// recordRun records that a request has run to completion.
+func (n *Node) recordRun(key uint64, fingerprint func() string, sent time.Time) {
+	n.completed.Add(key)
+	n.keeper.ran(fingerprint, sent)
+}
+
+// recordRuns is recordRun for requests whose answers turn out to have been whole.
+func (n *Node) recordRuns(completed []fleet.InFlight) {
+	for _, r := range completed {
+		n.recordRun(r.Key, func() string { return r.Request }, r.Sent)
+	}
+}
+
+// followAnswer records the end of the run that an answer belongs to, which is known once its
+// body has come whole.
+func (n *Node) followAnswer(req *inflightRequest, to sending, a *port.ForwardAnswer) {
+	if a.Rest != nil {
+		a.Rest = &answerBody{ReadCloser: a.Rest, node: n, req: req, sent: to, unframed: a.Unframed}
+		return
+	}
+	n.recordWhole(req, to, a.Unframed)
+}
+
+// recordWhole records that the body of an answer has ended. If it is unframed, the process may
+// have ended in the middle of it.
+func (n *Node) recordWhole(req *inflightRequest, to sending, unframed bool) {
+	if !unframed {
+		req.completed = true
+		n.recordRun(req.key(), req.fingerprint, to.at)
+		return
+	}
+	now := time.Now()
+	r := n.describeInFlight(req, to)
+	r.Exchange, r.Until, r.Answered = "unframed", now, true
+	n.noteUnfinished(to.server, r, now)
+}
+
+// answerBody is the part of an answer's body that is streamed to the caller.
+type answerBody struct {
+	io.ReadCloser
+	node     *Node
+	req      *inflightRequest
+	sent     sending
+	unframed bool
+	// recorded is set once the end of the exchange is recorded.
+	recorded bool
+}
+
+// Read implements io.Reader.
+//
+// Errors: *port.BackendError.
+func (b *answerBody) Read(p []byte) (int, error) {
+	size, err := b.ReadCloser.Read(p)
+	var be *port.BackendError
+	switch {
+	case err == nil || b.recorded:
+	case errors.Is(err, io.EOF):
+		b.recorded = true
+		b.node.recordWhole(b.req, b.sent, b.unframed)
+	case errors.As(err, &be):
+		b.recorded = true
+		b.node.noteFailedExchange(b.req, b.sent, be, time.Now())
+	}
+	return size, err
+}
+
+// Close ends the exchange. Before the end of the body the caller has left.
+func (b *answerBody) Close() error {
+	err := b.ReadCloser.Close()
+	if !b.recorded {
+		b.recorded = true
+		b.node.noteFailedExchange(b.req, b.sent, &port.BackendError{Code: port.BackendCanceled, Sent: true}, time.Now())
+	}
+	return err
+}
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -44,8 +44,13 @@
 	Meta   ServerMeta
 	// Body is the whole body, or its begin when Rest is set. Closing Rest ends
 	// the exchange.
+	//
+	// Errors of Rest: *BackendError.
 	Body []byte
 	Rest io.ReadCloser
+	// Unframed is set when the end of the connection ends the body: whether it is whole cannot
+	// be told.
+	Unframed bool
 	// Closing is set when the server closes the connection after the answer.
 	Closing bool
 	// Opened is set when the exchange opened a connection.
