A process that another one has replaced counts as crashed

Cause: the end of a process was known by refused connections, and by another instance that answers. A gateway that does not connect meanwhile sees neither, although the store names the later process.

Change: a record of a later process at a server's address, under the same or another ID, proves the end of the one before (fleet.Record.Replaces), also where its record has lapsed while it may be running requests. A request whose answer had no length counts as run only once such a record would be known.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -44,6 +44,12 @@
 	return r.ID == o.ID && r.Address == o.Address && r.Service == o.Service && (r.Born == o.Born || r.Born == 0 || o.Born == 0)
 }
 
+// Replaces reports whether r is of a server process that took the place of o's at its address. The
+// start times tell the order if both are known.
+func (r Record) Replaces(o Record) bool {
+	return r.Address == o.Address && !r.SameLife(o) && (r.Born > o.Born || r.Born == 0 || o.Born == 0)
+}
+
 // countdownError is by how much the ends of one cold spell may differ that follow from two
 // records of it: they are read up to a pause between two watches after they were written.
 const countdownError = 500 * time.Millisecond
--- a/internal/core/fleet/unfinished.go
+++ b/internal/core/fleet/unfinished.go
@@ -118,22 +118,24 @@
 
 // Answered records a response to a request that was sent at a time: the process was running
 // then, and requests whose runs were over have not crashed it. It returns those that had been
-// answered themselves.
+// answered themselves; they are cleared once a process that took its place would be known.
 func (u *Unfinished) Answered(sent time.Time) (answered []InFlight) {
-	return u.drop(func(p InFlight) bool { return p.Until.Before(sent) })
+	return u.drop(func(p InFlight) bool { return p.over().Before(sent) })
 }
 
 // Open records that connections to the process were open at a time. That clears only requests whose
 // exchanges it ended itself: a process that no longer responds keeps its connections open, too.
-// It returns those that had been answered; they are cleared once a process that took its place
-// would be known.
+// It returns those that had been answered.
 func (u *Unfinished) Open(at time.Time) (answered []InFlight) {
-	return u.drop(func(p InFlight) bool {
-		if p.Answered {
-			return p.Until.Add(crashWindow).Before(at)
-		}
-		return !p.Abandoned && p.Until.Before(at)
-	})
+	return u.drop(func(p InFlight) bool { return !p.Abandoned && p.over().Before(at) })
+}
+
+// over returns from when on a process that runs is one that the request has not crashed.
+func (f InFlight) over() time.Time {
+	if f.Answered {
+		return f.Until.Add(crashWindow)
+	}
+	return f.Until
 }
 
 func (u *Unfinished) drop(over func(InFlight) bool) (answered []InFlight) {
--- a/internal/daemon/gateway/crashes_test.go
+++ b/internal/daemon/gateway/crashes_test.go
@@ -41,8 +41,12 @@
 	crashing func(uri string) bool
 	shape    crashShape
 	runs     []crashRun
-	// ends is when the latest process at an address ended.
-	ends map[string]time.Time
+	// ends is when the latest process at an address ended, and hung until when it does not respond.
+	ends, hung map[string]time.Time
+	// instances names the processes that took the place of ones that hung; replaced is called
+	// with each.
+	instances map[string]string
+	replaced  func(address, instance string)
 }
 
 // crashRun is a request that a server began to run.
@@ -68,6 +72,13 @@
 	return s.ends[address]
 }
 
+// hangs reports whether the process at an address does not respond.
+func (s *crashServers) hangs(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.hung[address])
+}
+
 func (s *crashServers) down(address string) bool { return time.Now().Before(s.back[address]) }
 
 // Forward implements port.Forwarder.
@@ -77,7 +88,10 @@
 		s.mu.Unlock()
 		return nil, &port.BackendError{Code: port.BackendRefused, Address: address, Err: io.EOF}
 	}
-	s.runs = append(s.runs, crashRun{req.URI, time.Now()})
+	hung := time.Now().Before(s.hung[address])
+	if !hung {
+		s.runs = append(s.runs, crashRun{req.URI, time.Now()})
+	}
 	ended := s.ended[address]
 	if ended == nil {
 		ended = make(chan struct{})
@@ -85,11 +99,19 @@
 	}
 	crashing := s.crashing(req.URI)
 	s.mu.Unlock()
+	if hung {
+		<-ended
+		return nil, brokenError(true)
+	}
 	if crashing {
 		return s.runToCrash(address, ended)
 	}
 	select {
 	case <-time.After(crashRunTime):
+		if s.hangs(address) {
+			<-ended
+			return nil, brokenError(true)
+		}
 		return okAnswer(), nil
 	case <-ended:
 		return nil, brokenError(true)
@@ -97,13 +119,17 @@
 }
 
 // Probe implements port.Prober.
-func (s *crashServers) Probe(_ context.Context, address, _ string) (port.ServerMeta, int, error) {
+func (s *crashServers) Probe(ctx context.Context, address, _ string) (port.ServerMeta, int, error) {
+	if s.hangs(address) {
+		<-ctx.Done()
+		return port.ServerMeta{}, 0, &port.BackendError{Code: port.BackendTimeout, Sent: true, Address: address, Err: ctx.Err()}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down(address) {
 		return port.ServerMeta{}, 0, &port.BackendError{Code: port.BackendRefused, Address: address, Err: io.EOF}
 	}
-	return port.ServerMeta{}, 200, nil
+	return port.ServerMeta{Instance: s.instances[address]}, 200, nil
 }
 
 // crash ends the processes of servers.
@@ -140,7 +166,7 @@
 		runs++
 		switch {
 		case runs == 3:
-			third = r.at.Add(s.shape.runTime())
+			third = r.at.Add(s.shape.crashTime())
 		case runs > 3 && r.at.After(third.Add(crashStable)):
 			late++
 		}
@@ -154,6 +180,8 @@
 	*linkWorld
 	servers *crashServers
 	lost    []string
+	// records are those of the servers, by address.
+	records map[string]fleet.Record
 	// others are requests beside those of the test.
 	others sync.WaitGroup
 }
@@ -166,19 +194,17 @@
 }
 
 func newCrashWorld(t *testing.T, gateways int) *crashWorld {
-	w := &crashWorld{linkWorld: &linkWorld{testCluster: newTestCluster(t)}}
+	w := &crashWorld{linkWorld: &linkWorld{testCluster: newTestCluster(t)}, records: map[string]fleet.Record{}}
 	w.servers = &crashServers{
 		back: map[string]time.Time{}, ended: map[string]chan struct{}{}, crashing: func(string) bool { return false },
-		ends: map[string]time.Time{},
+		ends: map[string]time.Time{}, hung: map[string]time.Time{}, instances: map[string]string{},
 	}
 	w.links = newServerLinks(w.servers)
 	w.forwarder = func(host string) forwardProber { return serverLink{w.links, host} }
 	w.store.set("config", encode(crashConfig()), "")
 	for i := range 4 {
-		rec := fleet.Record{ID: fmt.Sprint("i-a1-", i), Domain: "a1", Slots: 9}
-		w.setServer(rec)
-		w.lost = append(w.lost, rec.ID+":1")
-		w.setServer(fleet.Record{ID: fmt.Sprint("i-t-", i), Service: "t", Domain: testDomains[i%3+1].Domain, Slots: 9})
+		w.lost = append(w.lost, w.addServer(fleet.Record{ID: fmt.Sprint("i-a1-", i), Service: "s", Domain: "a1", Slots: 9}))
+		w.addServer(fleet.Record{ID: fmt.Sprint("i-t-", i), Service: "t", Domain: testDomains[i%3+1].Domain, Slots: 9})
 	}
 	for i := range gateways {
 		d := testDomains[i%len(testDomains)].Domain
@@ -188,6 +214,14 @@
 	return w
 }
 
+// addServer adds a server and returns its address.
+func (w *crashWorld) addServer(r fleet.Record) string {
+	w.setServer(r)
+	r.Address = r.ID + ":1"
+	w.records[r.Address] = r
+	return r.Address
+}
+
 // crashConfig has a route to each service.
 func crashConfig() plainConfig {
 	routes := testRoutes()[:2]
--- a/internal/daemon/gateway/crashshapes_test.go
+++ b/internal/daemon/gateway/crashshapes_test.go
@@ -17,20 +17,41 @@
 
 // crashShape is how a request crashes the servers that run it.
 type crashShape struct {
-	// answer is how much of the answer comes.
-	answer string
+	// answer is how much of the answer comes, and end how the end of the process shows.
+	answer, end string
 	// after is how long the server runs the request.
 	after time.Duration
 }
 
-// The whole of an unframed answer seems to have come.
-var cutAnswers = []string{"cut", "cut stream", "cut unframed"}
+var (
+	// The whole of an unframed answer seems to have come.
+	cutAnswers = []string{"cut", "cut stream", "cut unframed"}
+	// A process that is replaced does not respond before; one that restarts has the same ID.
+	replacedEnds = []string{"replaced", "restarted"}
+)
 
 func (c crashShape) runTime() time.Duration { return max(c.after, crashAfter) }
 
+// crashTime returns how long after a run began the server's process ends.
+func (c crashShape) crashTime() time.Duration {
+	if c.end == "replaced" {
+		return c.runTime() + crashAway
+	}
+	return c.runTime()
+}
+
 // runToCrash runs a request that crashes the server.
 func (s *crashServers) runToCrash(address string, ended chan struct{}) (*port.ForwardAnswer, error) {
-	time.AfterFunc(s.shape.runTime(), func() { s.crash(address) })
+	time.AfterFunc(s.shape.runTime(), func() {
+		switch s.shape.end {
+		case "replaced":
+			s.hang(address, crashAway, fmt.Sprint(address, "-", time.Now().UnixNano()))
+		case "restarted":
+			s.hang(address, 0, "")
+		default:
+			s.crash(address)
+		}
+	})
 	short := &port.BackendError{Code: port.BackendShort, Sent: true, Err: io.ErrUnexpectedEOF}
 	a := okAnswer()
 	if s.shape.answer == "cut stream" {
@@ -58,6 +79,44 @@
 func (b *streamToCrash) Read([]byte) (int, error) { <-b.ended; return 0, b.err }
 func (b *streamToCrash) Close() error             { return nil }
 
+// hang has the process at an address not respond for a time and end then. Another one takes its
+// place at once, with an ID of its own unless that is empty.
+func (s *crashServers) hang(address string, span time.Duration, instance string) {
+	if s.hangs(address) {
+		return
+	}
+	s.mu.Lock()
+	s.hung[address] = time.Now().Add(span)
+	s.mu.Unlock()
+	time.AfterFunc(span, func() {
+		s.mu.Lock()
+		s.ends[address], s.instances[address] = time.Now(), instance
+		if c := s.ended[address]; c != nil {
+			close(c)
+			delete(s.ended, address)
+		}
+		s.mu.Unlock()
+		s.replaced(address, instance)
+	})
+}
+
+// replaceRecord writes the record of a process that took the place of another.
+func (w *crashWorld) replaceRecord(address, instance string) {
+	w.mu.Lock()
+	old := w.records[address]
+	next := old
+	next.Born = time.Now().UnixMilli()
+	if instance != "" {
+		next.ID = instance
+	}
+	w.records[address] = next
+	w.mu.Unlock()
+	if next.ID != old.ID {
+		w.store.set("server/"+old.ID, nil, "")
+	}
+	w.store.set("server/"+next.ID, encode(next), "")
+}
+
 // crashCase is a way in which a request crashes servers unnoticed.
 type crashCase struct {
 	shape crashShape
@@ -82,7 +141,7 @@
 func (c crashCase) play(t *testing.T, uri string) {
 	w := newCrashWorld(t, 12)
 	defer w.stop()
-	w.servers.shape = c.shape
+	w.servers.replaced, w.servers.shape = w.replaceRecord, c.shape
 	w.servers.crashing = func(u string) bool { return u == uri }
 	names := slices.Sorted(maps.Keys(w.hosts))
 	w.links.set(func(host, _ string) linkFault {
@@ -140,6 +199,17 @@
 	crashCase{shape: crashShape{answer: "cut stream"}, leave: crashAfter * 3 / 4}.playAll(t)
 }
 
+// Guards against a request that crashes servers whose connections are never refused: another
+// process is in their place before anyone connects.
+func TestReplacedProcessesCountAsCrashed(t *testing.T) {
+	for _, end := range replacedEnds {
+		for _, answer := range append([]string{""}, cutAnswers...) {
+			crashCase{shape: crashShape{answer: answer, end: end}}.playAll(t)
+		}
+		crashCase{shape: crashShape{end: end}, leave: crashAfter / 2}.playAll(t)
+	}
+}
+
 // Guards against pages that are refused because servers crashed after their callers had left:
 // most callers of a popular page do not wait for its answer.
 func TestAbandonedRequestsStayServed(t *testing.T) {
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -86,6 +86,11 @@
 	// lagUntil is until when servers' records may be out of date, startLagUntil the same for what
 	// only this gateway may have missed, and troubledUntil that for failures of the store alone.
 	lagUntil, startLagUntil, troubledUntil time.Time
+	// departed are the servers without a record that may still be running requests, by ID.
+	departed map[string]*server
+	// replaced is called with servers that may have been running requests when another process
+	// took their place. It must not block.
+	replaced func(*server)
 	// leaving holds the servers that said that they leave, by ID.
 	leaving map[string]leavingWord
 	// storeLost is since when the store has failed this gateway; zero while it does not.
@@ -114,7 +119,7 @@
 func NewKeeper(cfg *Settings, schema port.Schema, log *logrus.Entry) *Keeper {
 	k := &Keeper{
 		cfg: cfg, schema: schema, log: log, born: time.Now(), changed: make(chan struct{}), reported: make(chan struct{}), lagged: make(chan struct{}),
-		servers: map[string]*server{}, stored: map[string]*peerv1.GatewayMember{},
+		servers: map[string]*server{}, departed: map[string]*server{}, stored: map[string]*peerv1.GatewayMember{},
 		heard: map[string]heardMember{}, lapsed: map[string]lapsedRecord{}, leaving: map[string]leavingWord{},
 		origin: cfg.Host + "/" + strconv.FormatUint(rand.Uint64(), 36),
 	}
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -81,6 +81,9 @@
 		permitPeers: permitPeers{pool: peers, unreachable: map[string]time.Time{}}, relays: newRelayPeers(relays), links: newLinkWatch(), trials: newTrials(),
 	}
 	n.bounds.Store(&cfg.Bounds)
+	k.replaced = func(s *server) {
+		n.background.Go(func() { n.processEnded(s, endReplaced, time.Now()) })
+	}
 	return n
 }
 
--- a/internal/daemon/gateway/processwatch.go
+++ b/internal/daemon/gateway/processwatch.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// mayRun reports whether the server may be running requests of this gateway.
+func (s *server) mayRun(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.runningRequests) > 0 || s.unfinished.Pending(now)
+}
+
 // endWatch reports whether the server need not be watched any longer.
 func (s *server) endWatch(now time.Time) bool {
 	s.mu.Lock()
--- a/internal/daemon/gateway/records.go
+++ b/internal/daemon/gateway/records.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -63,6 +64,9 @@
 	case port.RecordServer:
 		if old := k.servers[name]; old != nil {
 			k.restore.depart(r.Key, departure{at: now, born: old.rec().Born})
+			if old.mayRun(now) {
+				k.departed[name] = old
+			}
 		}
 		delete(k.servers, name)
 		k.log.WithFields(fields).Info("Server gone.")
@@ -123,6 +127,7 @@
 		k.log.WithFields(fields).Info("Server's record in the copy is older than what is known.")
 		return
 	}
+	k.noteReplaced(rec, now)
 	s := old
 	switch {
 	case old == nil:
@@ -148,6 +153,19 @@
 	k.log.WithFields(fields).Info("Server changed.")
 }
 
+// noteReplaced has the servers looked into whose place at an address a new process has taken. The
+// caller holds k.mu.
+func (k *Keeper) noteReplaced(rec fleet.Record, now time.Time) {
+	maps.DeleteFunc(k.departed, func(_ string, s *server) bool { return !s.mayRun(now) })
+	for _, known := range []map[string]*server{k.servers, k.departed} {
+		for _, s := range known {
+			if rec.Replaces(*s.rec()) && k.replaced != nil {
+				k.replaced(s)
+			}
+		}
+	}
+}
+
 func (k *Keeper) takeMember(host string, r mirror.Record, fields logrus.Fields, now time.Time) {
 	if r.Deleted {
 		switch {
--- a/internal/daemon/gateway/unfinished.go
+++ b/internal/daemon/gateway/unfinished.go
@@ -24,6 +24,8 @@
 	endRefused processEnd = "refused"
 	// endOtherInstance means that another instance answers at the server's address.
 	endOtherInstance processEnd = "other-instance"
+	// endReplaced means that the store names a later process at the server's address.
+	endReplaced processEnd = "replaced"
 	// endKnown means that the end of the process was known when the exchange ended.
 	endKnown processEnd = "known"
 )
