Entry hosts notice crashes after a broken answer or an abandoned exchange

Cause: suspectBackend took a broken connection alone for a crash. An answer that breaks off and an exchange that is canceled left no trace.

Change: both leave the request at its server (fleet.Unfinished); a refused connection, of another request or of the health checks that run anyway, reports it. A server that broke off its answer is probed at once. Ruled out: counting broken answers as crashes without proof, since servers that truncate live on (TestAmplification).

--- a/internal/daemon/entry/cluster_test.go
+++ b/internal/daemon/entry/cluster_test.go
@@ -47,6 +47,8 @@
 	runs map[string]int
 	// failures are returned for the next requests, one each.
 	failures []error
+	// ended has the servers refuse health checks.
+	ended bool
 	// gate, if not nil, blocks requests until it is closed. If gatedRuns is set, it blocks
 	// only that many first runs of an operation.
 	gate      chan struct{}
@@ -81,6 +83,16 @@
 	return &port.BackendAnswer{Status: http.StatusOK, Header: http.Header{}, Body: fmt.Append(nil, "run ", n)}, nil
 }
 
+// Probe implements port.BackendProber.
+func (b *fakeBackend) Probe(_ context.Context, address string) (*port.BackendHealth, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return nil, &port.BackendError{Code: port.BackendRefused, Address: address}
+	}
+	return &port.BackendHealth{Healthy: true}, nil
+}
+
 func (b *fakeBackend) runCount(id string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -104,7 +116,7 @@
 	cfg := Settings{Host: host, Domain: domainOf(host)}
 	feed := NewFeed(cfg, incarnation, c, logging.Part(log, "feed"))
 	feed.SetState(peerv1.HostState_HOST_STATE_SERVING)
-	n := NewNode(cfg, incarnation, feed, c.backend, c, unlimitedSlots{domain: cfg.Domain}, port.SystemClock{}, logging.Part(log, "entry"), NewMetrics(prometheus.NewRegistry()))
+	n := NewNode(cfg, incarnation, feed, c.backend, c.backend, c, unlimitedSlots{domain: cfg.Domain}, port.SystemClock{}, logging.Part(log, "entry"), NewMetrics(prometheus.NewRegistry()))
 	c.nodes[host] = n
 	c.publish()
 }
--- a/internal/daemon/entry/module.go
+++ b/internal/daemon/entry/module.go
@@ -53,7 +53,7 @@
 }
 
 func newNode(cfg *Settings, id peer.Identity, f *Feed, b *backendhttp.Client, pool *peer.Pool, s *slots.Manager, log *logrus.Logger, m *Metrics) *Node {
-	return NewNode(*cfg, id.Incarnation, f, b, pool, s, port.SystemClock{}, logging.Part(log, "entry"), m)
+	return NewNode(*cfg, id.Incarnation, f, b, b, pool, s, port.SystemClock{}, logging.Part(log, "entry"), m)
 }
 
 func newServer(id peer.Identity, n *Node) *peer.Server { return peer.NewServer(id, n) }
@@ -83,7 +83,7 @@
 			f.Register(reg)
 			wg.Go(func() { f.Run(ctx) })
 			wg.Go(func() { sm.Run(ctx) })
-			wg.Go(func() { sm.Watch(ctx, b, n.hostList()) })
+			wg.Go(func() { sm.Watch(ctx, n.backend, n.hostList()) })
 			wg.Go(func() { n.limitConnections(ctx, b) })
 			wg.Go(func() { n.probeLoop(ctx) })
 			go callers.Serve(callerhttp.NewListener(cl, callerhttp.MaxPerSource, callerhttp.MaxConnections))
--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -26,7 +26,7 @@
 	cfg         Settings
 	incarnation uint64
 	feed        *Feed
-	backend     port.Backend
+	backend     *suspectBackend
 	peers       port.PeerCaller
 	slots       slotManager
 	clock       port.Clock
@@ -43,13 +43,13 @@
 }
 
 // NewNode returns a node that reads its snapshots from feed.
-func NewNode(cfg Settings, incarnation uint64, feed *Feed, backend port.Backend, peers port.PeerCaller, slots slotManager, clock port.Clock, log *logrus.Entry, m *Metrics) *Node {
+func NewNode(cfg Settings, incarnation uint64, feed *Feed, backend port.Backend, prober port.BackendProber, peers port.PeerCaller, slots slotManager, clock port.Clock, log *logrus.Entry, m *Metrics) *Node {
 	n := &Node{
 		cfg: cfg, incarnation: incarnation, feed: feed, peers: peers, slots: slots, clock: clock, log: log, metrics: m,
 		operations: newOperationRecords(), budgets: newRetryBudgets(), suspects: newSuspects(),
 		steering: newSteering(cfg, clock),
 	}
-	n.backend = &suspectBackend{Backend: backend, node: n}
+	n.backend = &suspectBackend{Backend: backend, prober: prober, node: n, servers: map[string]*unfinished{}}
 	return n
 }
 
--- a/internal/daemon/entry/steering_test.go
+++ b/internal/daemon/entry/steering_test.go
@@ -72,7 +72,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	feed := NewFeed(Settings{}, 1, nil, logrus.NewEntry(log))
-	n := NewNode(Settings{Host: "sask-a-1", Domain: "sask-a"}, 1, feed, nil, nil, unlimitedSlots{}, clock, logrus.NewEntry(log), NewMetrics(prometheus.NewRegistry()))
+	n := NewNode(Settings{Host: "sask-a-1", Domain: "sask-a"}, 1, feed, nil, nil, nil, unlimitedSlots{}, clock, logrus.NewEntry(log), NewMetrics(prometheus.NewRegistry()))
 	clock.now = testNow
 	ix := document.NewIndex(doc)
 	view := &peerv1.DomainView{}
--- a/internal/daemon/entry/suspect.go
+++ b/internal/daemon/entry/suspect.go
@@ -1,16 +1,13 @@
 package entry
 
 import (
-	"context"
 	"encoding/hex"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"cassiatray/api"
 	"cassiatray/internal/core/suspect"
-	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
@@ -106,45 +103,6 @@
 	}
 }
 
-// suspectBackend wraps a Backend. It rejects suspects that are refused, and records the
-// requests that were in flight when a server's connection broke.
-type suspectBackend struct {
-	port.Backend
-	node *Node
-}
-
-// Do implements port.Backend.
-func (b *suspectBackend) Do(ctx context.Context, address string, req *port.BackendRequest) (*port.BackendAnswer, error) {
-	if b.isRefused(req) {
-		return nil, &port.BackendError{Code: port.BackendSuspect, Address: address, Err: suspectError(backendFingerprint(req))}
-	}
-	began := b.node.clock.Now()
-	a, err := b.Backend.Do(ctx, address, req)
-	var be *port.BackendError
-	if errors.As(err, &be) && be.Code == port.BackendBroken {
-		b.node.reportCrash(backendFingerprint(req), req.Service, address, began)
-	}
-	if err == nil && b.node.suspects.nonEmpty.Load() {
-		b.node.suspects.recordCompletion(b.node.clock.Now(), b.node.serverByAddress(req.Service, address))
-	}
-	return a, err
-}
-
-func backendFingerprint(req *port.BackendRequest) suspect.Fingerprint {
-	return suspect.Of(req.Service, req.Method, req.Path, req.RawQuery, req.Body)
-}
-
-func (b *suspectBackend) isRefused(req *port.BackendRequest) bool {
-	s := b.node.suspects
-	if !s.nonEmpty.Load() {
-		return false
-	}
-	f := backendFingerprint(req)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.table.State(b.node.clock.Now(), f) == suspect.Refused
-}
-
 // reportCrash records a request that was in flight when a server crashed, and sends the
 // report to other hosts before the caller is answered and can resend the request.
 func (n *Node) reportCrash(f suspect.Fingerprint, service, address string, began time.Time) {
