A request that ran before is not refused for the crashes of another

After the first crash both it and the crashing one run one copy at a time; if its first copy is in flight at the second crash, too, two crashes count against it, and a refused request never runs to clear itself.

Change: a request that ran to completion through a host before is refused at the third counted crash there (ProvenCrashLimit). The price: one that begins to crash servers takes down three in place of two.

--- a/internal/core/suspect/probation_test.go
+++ b/internal/core/suspect/probation_test.go
@@ -61,7 +61,7 @@
 		}
 		for c := range callers {
 			h := (c + int(now.Sub(start)/every)) % hosts
-			state := tables[h].State(now, crashing)
+			state := tables[h].State(now, crashing, false)
 			turn := &turns[h]
 			if shared {
 				turn = &turns[0]
--- a/internal/core/suspect/table.go
+++ b/internal/core/suspect/table.go
@@ -5,7 +5,8 @@
 // suspect, so the failure of a whole failure domain yields a large number of
 // them. The following rules identify the request that causes the crashes:
 //
-//   - A request that runs to completion is cleared.
+//   - A request that runs to completion is cleared, and one that did so before the crashes
+//     may be in flight at one more of them.
 //   - A second crash counts only when the request was sent after the first one.
 //     By then it runs one copy at a time, because suspects take turns (Turns).
 //   - A crash does not count when another server of the same failure domain
@@ -43,10 +44,16 @@
 	return Fingerprint(h.Sum(nil))
 }
 
+// Key returns the key of the request for Completed.
+func (f Fingerprint) Key() uint64 { return binary.BigEndian.Uint64(f[:]) }
+
 // Thresholds, time windows and size limits of a Table.
 const (
-	// CrashLimit is the number of counted crashes at which a request is refused.
-	CrashLimit = 2
+	// CrashLimit is the number of counted crashes at which a request is refused, and
+	// ProvenCrashLimit that of a request that ran to completion before: it may have been in
+	// flight at the crashes of another request twice.
+	CrashLimit       = 2
+	ProvenCrashLimit = 3
 	// Keep is how long a crash is kept.
 	Keep = 10 * time.Minute
 	// attributionWindow is how long after a crash broken connections to the server
@@ -197,12 +204,16 @@
 	maps.DeleteFunc(t.lastCompletion, func(_ Server, at time.Time) bool { return expired(at) })
 }
 
-// State returns the state of a request.
-func (t *Table) State(now time.Time, f Fingerprint) State {
+// State returns the state of a request. It is proven if it is known to have run to completion.
+func (t *Table) State(now time.Time, f Fingerprint, proven bool) State {
 	t.expire(now)
+	limit := CrashLimit
+	if proven {
+		limit = ProvenCrashLimit
+	}
 	seen, counted := t.countCrashes(f)
 	switch {
-	case counted >= CrashLimit:
+	case counted >= limit:
 		return Refused
 	case seen > 0:
 		return Probation
@@ -298,14 +309,14 @@
 }
 
 // List returns the suspects, in the order of their first crash.
-func (t *Table) List(now time.Time) []Entry {
+func (t *Table) List(now time.Time, proven func(Fingerprint) bool) []Entry {
 	t.expire(now)
 	entries := map[Fingerprint]*Entry{}
 	for _, c := range t.crashes {
 		for f := range c.inFlight {
 			e := entries[f]
 			if e == nil {
-				e = &Entry{Fingerprint: f, Since: c.at, State: t.State(now, f)}
+				e = &Entry{Fingerprint: f, Since: c.at, State: t.State(now, f, proven(f))}
 				entries[f] = e
 			}
 			e.Server = c.server
--- a/internal/core/suspect/table_test.go
+++ b/internal/core/suspect/table_test.go
@@ -84,7 +84,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			var table Table
 			c.events(&table)
-			if got := table.State(c.now, crashing); got != c.want {
+			if got := table.State(c.now, crashing, false); got != c.want {
 				t.Fatalf("state %s, want %s", got, c.want)
 			}
 		})
@@ -117,12 +117,12 @@
 			var table Table
 			for i := range 50 {
 				now = now.Add(10 * time.Millisecond)
-				if !c.refuse || table.State(now, crashing) != Refused {
+				if !c.refuse || table.State(now, crashing, false) != Refused {
 					lost++
 					table.Crash(now, crashing, serverIn("a", i), now.Add(-time.Millisecond))
 					table.Crash(now, harmless, serverIn("a", i), now.Add(-time.Millisecond))
 				}
-				if table.State(now, harmless) == Refused {
+				if table.State(now, harmless, false) == Refused {
 					t.Fatal("the harmless request is refused")
 				}
 				table.Clear(now, harmless)
@@ -134,6 +134,32 @@
 	}
 }
 
+// Guards against a popular request that is refused although it only was in flight, twice, at the
+// crashes that another one caused: its first run after a crash had not ended at the next.
+func TestProvenRequestOutlivesTheCrashesOfAnother(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	var table Table
+	for i := range CrashLimit {
+		at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+		for _, f := range []Fingerprint{crashing, harmless} {
+			table.Crash(at, f, serverIn("a", i), at.Add(-time.Millisecond))
+		}
+	}
+	now = now.Add(time.Second)
+	if s := table.State(now, crashing, false); s != Refused {
+		t.Errorf("the crashing request is %s", s)
+	}
+	if s := table.State(now, harmless, true); s != Probation {
+		t.Errorf("the proven request is %s", s)
+	}
+	// A proven request that begins to crash servers is held after the second crash.
+	now = now.Add(commonCauseWindow)
+	table.Crash(now, harmless, serverIn("a", CrashLimit), now.Add(-time.Millisecond))
+	if s := table.State(now, harmless, true); s != Refused {
+		t.Errorf("the proven request is %s after %d crashes", s, ProvenCrashLimit)
+	}
+}
+
 // TestDomainFailureRefusesNoRequest checks that no request is refused when the
 // servers of a failure domain crash within commonCauseWindow, whatever was in
 // flight. It needs more than CrashLimit servers: two that crash one after the
@@ -151,7 +177,7 @@
 			}
 		}
 		for r := range 31 {
-			if table.State(now.Add(commonCauseWindow), request(r)) == Refused {
+			if table.State(now.Add(commonCauseWindow), request(r), false) == Refused {
 				t.Fatalf("request %d is refused", r)
 			}
 		}
@@ -171,7 +197,7 @@
 	for j := range 2 * maxInFlight {
 		table.Crash(now, request(j), serverIn("b", 0), now)
 	}
-	if n := len(table.List(now)); n > 2*maxCrashes+maxInFlight {
+	if n := len(table.List(now, func(Fingerprint) bool { return false })); n > 2*maxCrashes+maxInFlight {
 		t.Fatalf("the table lists %d entries", n)
 	}
 }
--- a/internal/daemon/entry/operate_test.go
+++ b/internal/daemon/entry/operate_test.go
@@ -334,6 +334,31 @@
 	}
 }
 
+// Guards against a popular request that every host refuses because it was in flight at both
+// crashes of a crashing one (TestCrashingRequest in internal/drill was red by it once).
+func TestPopularRequestOutlivesTheCrashesOfAnother(t *testing.T) {
+	c := newCluster(t)
+	popular := &port.CallerRequest{Service: "orders", Method: http.MethodGet, Path: "/stock/salt"}
+	for _, h := range hosts {
+		if _, failure := c.nodes[h].Do(context.Background(), popular); failure != nil {
+			t.Fatal(failure)
+		}
+	}
+	for _, server := range []string{"s-1", "s-2"} {
+		n := c.nodes["a-1"]
+		now := n.clock.Now()
+		f := suspect.Of("orders", popular.Method, popular.Path, "", nil)
+		for _, h := range hosts {
+			c.nodes[h].suspects.recordCrash(now, f, suspect.Server{Service: "orders", Name: server, Domain: "a"}, now)
+		}
+	}
+	for _, h := range hosts {
+		if got := c.nodes[h].suspects.list(c.nodes[h].clock.Now()); len(got) != 1 || got[0].State != suspect.Probation {
+			t.Errorf("%s: suspects %v", h, got)
+		}
+	}
+}
+
 // Guards against a crash that accuses nobody because the server broke off its answer, or the caller
 // had left before, and against accusing requests whose server lives on.
 func TestCrashesShowAfterTheExchange(t *testing.T) {
--- a/internal/daemon/entry/suspect.go
+++ b/internal/daemon/entry/suspect.go
@@ -23,8 +23,15 @@
 	table suspect.Table
 	// turns are the turns that this host grants as a coordinator, to all hosts.
 	turns suspect.Turns
+
+	// completed holds the requests that ran to completion through this host.
+	completed suspect.Completed
 }
 
+// maxProvenBody bounds the bodies of requests that are remembered as completed, in bytes: longer
+// ones hardly come again, and cost more to hash.
+const maxProvenBody = 4 << 10
+
 func newSuspects() *suspects { return new(suspects) }
 
 func (r *request) fingerprint() suspect.Fingerprint {
@@ -35,7 +42,7 @@
 func (s *suspects) state(now time.Time, f suspect.Fingerprint) (suspect.State, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := s.table.State(now, f)
+	state := s.table.State(now, f, s.isProven(f))
 	s.nonEmpty.Store(!s.table.Empty())
 	if state != suspect.Probation {
 		return state, 0
@@ -43,6 +50,9 @@
 	return state, s.table.Hold(now, f)
 }
 
+// isProven reports whether a request is known to have run to completion.
+func (s *suspects) isProven(f suspect.Fingerprint) bool { return s.completed.Has(f.Key()) }
+
 func suspectError(f suspect.Fingerprint) *api.Error {
 	msg := "servers that ran request " + hex.EncodeToString(f[:4]) + " crashed; it is refused for a time"
 	return &api.Error{
@@ -89,7 +99,7 @@
 func (s *suspects) list(now time.Time) []suspect.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.List(now)
+	return s.table.List(now, s.isProven)
 }
 
 // clearSuspect clears a suspect that ran to completion, on this host and on the others.
--- a/internal/daemon/entry/suspectbackend.go
+++ b/internal/daemon/entry/suspectbackend.go
@@ -42,6 +42,9 @@
 	began := b.node.clock.Now()
 	a, err := b.Backend.Do(ctx, address, req)
 	b.recordExchange(address, req, began, err)
+	if err == nil && len(req.Body) <= maxProvenBody {
+		b.node.suspects.completed.Add(backendFingerprint(req).Key())
+	}
 	if err == nil && b.node.suspects.nonEmpty.Load() {
 		b.node.suspects.recordCompletion(b.node.clock.Now(), b.node.serverByAddress(req.Service, address))
 	}
@@ -143,5 +146,5 @@
 	f := backendFingerprint(req)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.State(b.node.clock.Now(), f) == suspect.Refused
+	return s.table.State(b.node.clock.Now(), f, s.isProven(f)) == suspect.Refused
 }
--- a/internal/daemon/entry/turn.go
+++ b/internal/daemon/entry/turn.go
@@ -159,7 +159,7 @@
 func (s *suspects) grantTurn(now time.Time, f suspect.Fingerprint, holder string, run time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.table.State(now, f) == suspect.Refused || s.table.Hold(now, f) > 0 {
+	if s.table.State(now, f, s.isProven(f)) == suspect.Refused || s.table.Hold(now, f) > 0 {
 		return false
 	}
 	return s.turns.Take(now, f, holder, now.Add(run))
