Unfinished requests are bounded by time at entry hosts, too

Cause, found by reading: an entry host keeps requests whose answers broke off and looked at their age only when something proved the end of the server or a response came, so that a server that truncates all answers had it keep every distinct request. Besides, a record without a start time at a server's address counted as one of a later process.

Change: fleet.Unfinished drops what is too old whenever a request is added; fleet.Record.Replaces needs a later start.

Measured: TestUnfinishedRequestsAreBounded is red without either (10,000 requests kept; a record without a start replaces).

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -44,10 +44,9 @@
 	return r.ID == o.ID && r.Address == o.Address && r.Service == o.Service && (r.Born == o.Born || r.Born == 0 || o.Born == 0)
 }
 
-// Replaces reports whether r is of a server process that took the place of o's at its address. The
-// start times tell the order if both are known.
+// Replaces reports whether r is of a server process that started later than o's, at its address.
 func (r Record) Replaces(o Record) bool {
-	return r.Address == o.Address && !r.SameLife(o) && (r.Born > o.Born || r.Born == 0 || o.Born == 0)
+	return r.Address == o.Address && !r.SameLife(o) && r.Born > o.Born
 }
 
 // countdownError is by how much the ends of one cold spell may differ that follow from two
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -124,6 +124,29 @@
 	}
 }
 
+// Guards against requests that are kept without end at a server that ends every exchange early,
+// and against records that seem to be of later processes.
+func TestUnfinishedRequestsAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var u Unfinished
+	for i := range 10000 {
+		u.Add(now.Add(time.Duration(i)*10*time.Millisecond), InFlight{Request: fmt.Sprint(i)})
+		u.Add(now, InFlight{Request: fmt.Sprint("abandoned ", i), Abandoned: true, Until: now.Add(time.Hour)})
+	}
+	if n := len(u.pending); n > int(crashWindow/(10*time.Millisecond))+maxAbandoned+1 {
+		t.Errorf("%d requests are kept", n)
+	}
+	old := Record{ID: "a", Address: "x", Born: 5}
+	for later, want := range map[Record]bool{
+		{ID: "b", Address: "x", Born: 6}: true, {ID: "a", Address: "x", Born: 6}: true, {ID: "b", Address: "x", Born: 4}: false,
+		{ID: "b", Address: "x"}: false, {ID: "b", Address: "y", Born: 6}: false,
+	} {
+		if got := later.Replaces(old); got != want {
+			t.Errorf("%+v replaces %+v: %t", later, old, got)
+		}
+	}
+}
+
 func TestReportsAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var r Reports
--- a/internal/core/fleet/unfinished.go
+++ b/internal/core/fleet/unfinished.go
@@ -55,6 +55,7 @@
 // Add records that the exchange of a request ended without a complete response. If the process
 // was found to have ended during the exchange, it returns the requests that were running.
 func (u *Unfinished) Add(now time.Time, request InFlight) []InFlight {
+	u.expire(now)
 	request.Lost = now
 	if request.Until.Before(now) {
 		request.Until = now
