--- a/internal/core/fleet/unfinished.go
+++ b/internal/core/fleet/unfinished.go
@@ -131,7 +131,8 @@
 	return u.drop(func(p InFlight) bool { return !p.Abandoned && p.over().Before(at) })
 }
 
-// over returns from when on a process that runs is one that the request has not crashed.
+// over returns the time after which a process that still runs cannot have been crashed by the
+// request.
 func (f InFlight) over() time.Time {
 	if f.Answered {
 		return f.Until.Add(crashWindow)
--- a/internal/daemon/gateway/processwatch.go
+++ b/internal/daemon/gateway/processwatch.go
@@ -52,8 +52,8 @@
 	return !s.watched
 }
 
-// lookAtProcess finds out whether the server's process still runs. It reports whether that
-// showed, or is left to exchanges under way.
+// lookAtProcess finds out whether the server's process still runs. It returns false if nothing
+// showed, so that the next look may wait longer; exchanges under way will show it themselves.
 func (n *Node) lookAtProcess(s *server) bool {
 	rec, now := s.rec(), time.Now()
 	kept := n.prober.Kept(rec.Address)
