Routes with long bodies, customers' keys, and the pace of servers

A configuration with a route of kind upload or download was refused whole, so that no request was served; a load header with a fourth figure was dropped, so that a server's load was unknown. Unknown kinds now run at most once, with a warning, and figures beyond the known ones are ignored.

Configurations may name customers. A request on a route that is not public is served for the customer that holds its key, and refused with 401 otherwise; the key is replaced by the customer's name before the request is sent to a server or offered to another gateway. Home regions of customers bind as those of routes, and their priority replaces the route's.

--- a/internal/adapter/serverconn/exchange_test.go
+++ b/internal/adapter/serverconn/exchange_test.go
@@ -18,7 +18,9 @@
 // dialect reads the headers of the servers of these tests.
 type dialect struct{}
 
-func (dialect) Caller(http.Header) port.CallerMeta         { return port.CallerMeta{} }
+func (dialect) Caller(http.Header) port.CallerMeta { return port.CallerMeta{} }
+func (dialect) Identify(http.Header, string)       {}
+
 func (dialect) Forward(http.Header, time.Duration, string) {}
 func (dialect) Server(status int, h http.Header) port.ServerMeta {
 	return port.ServerMeta{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Unsigned") == ""}
--- a/internal/core/routing/config.go
+++ b/internal/core/routing/config.go
@@ -37,6 +37,10 @@
 	Prefix string
 	// Idempotent is set if a request may run more than once.
 	Idempotent bool
+	// LongRequests and LongResponses are set for routes whose bodies are large.
+	LongRequests, LongResponses bool
+	// Public is set if callers need no key although the configuration names customers.
+	Public bool
 	// Timeout bounds the time until the caller gets a response; zero for no
 	// bound.
 	Timeout time.Duration
@@ -74,8 +78,11 @@
 	Version  uint64
 	Services map[string]*Service
 	Limits   Limits
+	// Warnings are what of the configuration was not understood and is served as stated there.
+	Warnings []string
 	// hosts holds the routes of each host, longest prefix first.
-	hosts map[string][]*Route
+	hosts     map[string][]*Route
+	customers customers
 }
 
 // NewConfig returns a configuration with the given services, limits and routes.
@@ -129,29 +136,58 @@
 	}
 }
 
-// Levels returns, for each route, how many distinct higher priorities the
-// routes of its services have; for a route with several services, the largest
-// such number.
-func (c *Config) Levels() map[*Route]int {
-	byService := map[string][]int{}
-	c.EachRoute(func(r *Route) {
-		for _, p := range r.Parts {
-			if !slices.Contains(byService[p.Service], r.Priority) {
-				byService[p.Service] = append(byService[p.Service], r.Priority)
-			}
+// Priorities holds, for each service, the distinct priorities of the requests that may go there,
+// highest first.
+type Priorities map[string][]int
+
+// Priorities returns the priorities of the requests to each service: those of the routes, and of
+// the customers that have their own.
+func (c *Config) Priorities() Priorities {
+	out := Priorities{}
+	add := func(service string, priority int) {
+		if !slices.Contains(out[service], priority) {
+			out[service] = append(out[service], priority)
+		}
+	}
+	var own []int
+	inherits := !c.HasCustomers()
+	c.EachCustomer(func(customer *Customer) {
+		if customer.Priority != nil {
+			own = append(own, *customer.Priority)
+		} else {
+			inherits = true
 		}
 	})
-	out := map[*Route]int{}
 	c.EachRoute(func(r *Route) {
 		for _, p := range r.Parts {
-			above := 0
-			for _, other := range byService[p.Service] {
-				if other < r.Priority {
-					above++
+			if r.Public || inherits {
+				add(p.Service, r.Priority)
+			}
+			if !r.Public {
+				for _, priority := range own {
+					add(p.Service, priority)
 				}
 			}
-			out[r] = max(out[r], above)
 		}
 	})
+	for _, list := range out {
+		slices.Sort(list)
+	}
 	return out
 }
+
+// Level returns how many distinct higher priorities the requests to the services of a route
+// have; for a route with several services, the largest such number.
+func (p Priorities) Level(r *Route, priority int) int {
+	level := 0
+	for _, part := range r.Parts {
+		above := 0
+		for _, other := range p[part.Service] {
+			if other < priority {
+				above++
+			}
+		}
+		level = max(level, above)
+	}
+	return level
+}
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -92,7 +92,7 @@
 	}
 	ctx, cancel := context.WithDeadline(parent, req.deadline.Add(answerGrace))
 	forward := &port.ForwardRequest{
-		Method: r.Method, URI: req.uri, Host: r.Host, Header: endToEndHeaders(r.Header), Body: req.body, Rest: req.unreadBody,
+		Method: r.Method, URI: req.uri, Host: r.Host, Header: n.forwardedHeaders(r, req), Body: req.body, Rest: req.unreadBody,
 		Size: r.ContentLength, ID: req.caller.ID, SameProcess: n.limitsColdServers(req.view, req.service),
 	}
 	if req.unreadBody == nil {
--- a/internal/daemon/gateway/fixtures_test.go
+++ b/internal/daemon/gateway/fixtures_test.go
@@ -30,6 +30,8 @@
 	return port.CallerMeta{ID: h.Get("Id"), Object: h.Get("Object"), Left: left}
 }
 
+func (plainDialect) Identify(http.Header, string) {}
+
 func (plainDialect) Forward(h http.Header, left time.Duration, instance string) {
 	h.Set("Left", left.String())
 	h.Set("Instance", instance)
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -74,7 +74,7 @@
 	config       *routing.Config
 	configRecord mirror.Record
 	splits       map[*routing.Route]*lockedSplit
-	levels       map[*routing.Route]int
+	priorities   routing.Priorities
 	servers      map[string]*server
 	stored       map[string]*peerv1.GatewayMember
 	heard        map[string]heardMember
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -121,6 +121,9 @@
 		n.writeError(w, req, http.StatusNotFound, "no route")
 		return
 	}
+	if !n.identify(w, req) {
+		return
+	}
 	n.prepare(req)
 	if status, why := n.readBody(w, r, req); status != 0 {
 		n.writeError(w, req, status, why)
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -75,7 +75,7 @@
 	}
 	serviceTime := n.serviceTimes.estimate(req.route)
 	req.coldUnseen = n.coldUnseen(v, req.service, now)
-	maxWait := overload.MaxWait(req.route.Target, req.deadline.Sub(now), serviceTime, v.urgencyLevels[req.route])
+	maxWait := overload.MaxWait(req.route.Target, req.deadline.Sub(now), serviceTime, v.priorities.Level(req.route, req.priority()))
 	var best, reportedDown, limited, paused, leaving candidate
 	why := reasonNoServer
 	usable := 0
@@ -177,7 +177,7 @@
 // may be asked, and for one that leaves and that nothing else speaks against.
 func (n *Node) evaluateServer(v *view, req *inflightRequest, s *server, serviceTime time.Duration, now time.Time) (candidate, rejectReason) {
 	switch {
-	case !req.route.AllowsRegion(s.region):
+	case !req.allowsRegion(s.region):
 		return candidate{}, reasonNoServer
 	case req.excluded[s]:
 		return candidate{}, reasonAllTried
--- a/internal/daemon/gateway/records.go
+++ b/internal/daemon/gateway/records.go
@@ -94,13 +94,16 @@
 		return
 	}
 	k.config, k.configRecord = c, r
-	k.splits, k.levels = map[*routing.Route]*lockedSplit{}, c.Levels()
+	k.splits, k.priorities = map[*routing.Route]*lockedSplit{}, c.Priorities()
 	c.EachRoute(func(route *routing.Route) {
 		if len(route.Parts) > 1 {
 			k.splits[route] = &lockedSplit{split: routing.NewSplit(route.Parts)}
 		}
 	})
-	k.log.WithFields(fields).WithFields(logrus.Fields{"version": c.Version, "routes": c.Routes()}).Info("Configuration in force.")
+	for _, warning := range c.Warnings {
+		k.log.WithFields(fields).WithField("version", c.Version).Warn("Configuration: " + warning)
+	}
+	k.log.WithFields(fields).WithFields(logrus.Fields{"version": c.Version, "routes": c.Routes(), "customers": c.CountCustomers()}).Info("Configuration in force.")
 }
 
 func (k *Keeper) takeServer(id string, r mirror.Record, fields logrus.Fields, now time.Time) {
--- a/internal/daemon/gateway/relay.go
+++ b/internal/daemon/gateway/relay.go
@@ -89,7 +89,7 @@
 	for len(tried) < maxHelpers && time.Until(req.deadline) >= minTimeLeft {
 		passed := n.relays.pausedNow(time.Now())
 		h := links.Helper(n.keeper.View().helpers, n.cfg.Host, func(g *links.Gateway) bool {
-			return !tried[g.Host] && !passed[g.Host] && req.route.AllowsRegion(g.Region)
+			return !tried[g.Host] && !passed[g.Host] && req.allowsRegion(g.Region)
 		}, rand.Float64)
 		if h == nil {
 			break
@@ -273,10 +273,13 @@
 		size = int64(len(req.body))
 	}
 	offer := &peerv1.RelayOffer{
-		Method: r.Method, Uri: req.uri, Host: r.Host, Headers: headersToWire(endToEndHeaders(r.Header)), Size: size,
+		Method: r.Method, Uri: req.uri, Host: r.Host, Headers: headersToWire(n.forwardedHeaders(r, req)), Size: size,
 		Service: req.service, RunsLeft: req.runsLeft(), Repeat: req.repeat,
 		Trial: req.trial,
 	}
+	if req.customer != nil {
+		offer.Customer = req.customer.Name
+	}
 	for s := range req.excluded {
 		offer.Tried = append(offer.Tried, s.rec().ID)
 	}
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -19,9 +19,11 @@
 	caller port.CallerMeta
 	view   *view
 	// uri is the request target in origin form.
-	uri        string
-	method     string
-	route      *routing.Route
+	uri    string
+	method string
+	route  *routing.Route
+	// customer is the one that the caller's key belongs to; nil if callers need no keys.
+	customer   *routing.Customer
 	service    string
 	objectHash uint64
 	// isHead is set for HEAD requests, whose responses have no body.
--- a/internal/daemon/gateway/view.go
+++ b/internal/daemon/gateway/view.go
@@ -42,9 +42,8 @@
 	// retryExtraShare is this gateway's part of the retry allowance that all
 	// gateways share.
 	retryExtraShare float64
-	// urgencyLevels holds, for each route, how many priorities above its own the
-	// routes of the same service have.
-	urgencyLevels map[*routing.Route]int
+	// priorities are those of the requests to each service.
+	priorities routing.Priorities
 }
 
 // serverGroup holds the servers of one service that may receive requests.
@@ -115,7 +114,7 @@
 
 // buildView returns a view of the mirror's records. The caller holds k.mu.
 func (k *Keeper) buildView(now time.Time) *view {
-	v := &view{config: k.config, revision: k.configRecord.Revision, splits: k.splits, urgencyLevels: k.levels}
+	v := &view{config: k.config, revision: k.configRecord.Revision, splits: k.splits, priorities: k.priorities}
 	if old := k.view.Load(); !k.placementChanged && old.groups != nil {
 		v.groups, v.evacuated = old.groups, old.evacuated
 	} else {
--- a/internal/port/dialect.go
+++ b/internal/port/dialect.go
@@ -18,6 +18,9 @@
 	Object string
 	// Left is how long the caller will wait; zero when it does not say.
 	Left time.Duration
+	// Key is the customer's key that the caller gave; empty for none. It is not to be logged
+	// or passed on.
+	Key string
 }
 
 // ServerMeta is what the headers of a backend server's answer say.
@@ -60,7 +63,12 @@
 func (e *HeaderError) Error() string { return "header " + e.Name + ": " + strconv.Quote(e.Value) }
 
 // ServerLoad is a server's own count of its requests.
-type ServerLoad struct{ Running, Waiting, Slots int }
+type ServerLoad struct {
+	Running, Waiting, Slots int
+	// Slowdown is how many times as long as usual work takes at the server just now; zero if it
+	// does not say.
+	Slowdown float64
+}
 
 // HasRoom reports whether the server has a free slot. A server that does not tell
 // its load is not known to have one.
@@ -74,6 +82,9 @@
 	// Forward sets the headers of a request to a backend server: the time left
 	// and the process that it is meant for.
 	Forward(h http.Header, left time.Duration, instance string)
+	// Identify removes the caller's key from the headers of a request to a backend server and
+	// names the customer instead, whatever the caller said; empty for none.
+	Identify(h http.Header, customer string)
 	// Server reads the headers of a backend server's answer.
 	Server(status int, h http.Header) ServerMeta
 }
