Place long bodies in the caller's failure domain

Bodies between failure domains cost money, and objects were placed over a whole region without regard to the domain. Requests of routes with long bodies now have a ring of their own, in which the own domain comes first as far as its servers can carry its callers' requests; other requests are placed as before.

Servers on which nothing is placed had a weight of zero, so that all objects whose usual servers could not be reached went to one server (600 of 600 in TestLostDomainSpreadsItsObjects). They now have a very small weight.

--- a/internal/core/routing/config.go
+++ b/internal/core/routing/config.go
@@ -64,6 +64,25 @@
 	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
 }
 
+// LongBodies reports whether the bodies of the route's requests or responses are large.
+func (r *Route) LongBodies() bool { return r.LongRequests || r.LongResponses }
+
+// LongBodied returns the services to which routes with large bodies lead.
+func (c *Config) LongBodied() map[string]bool {
+	out := map[string]bool{}
+	if c == nil {
+		return out
+	}
+	c.EachRoute(func(r *Route) {
+		if r.LongBodies() {
+			for _, p := range r.Parts {
+				out[p.Service] = true
+			}
+		}
+	})
+	return out
+}
+
 // Limits bound the size of a caller's request and the time in which it is sent.
 type Limits struct {
 	HeaderBytes   int
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -79,7 +79,7 @@
 	var best, reportedDown, limited, paused, leaving candidate
 	why := reasonNoServer
 	usable := 0
-	for rank, s := range g.ranked(req.objectHash, req.sticky()) {
+	for rank, s := range g.rankingFor(req.route).ranked(req.objectHash, req.sticky()) {
 		c, reason := n.evaluateServer(v, req, s, serviceTime, now)
 		c.rank = rank
 		if reason != reasonNone {
--- a/internal/daemon/gateway/view.go
+++ b/internal/daemon/gateway/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -48,6 +49,21 @@
 
 // serverGroup holds the servers of one service that may receive requests.
 type serverGroup struct {
+	ranking
+	// near ranks them for requests with long bodies; nil if no route to the service has any.
+	near *ranking
+}
+
+// rankingFor returns the ranking by which servers are chosen for requests of a route.
+func (g *serverGroup) rankingFor(r *routing.Route) *ranking {
+	if g.near != nil && r.LongBodies() {
+		return g.near
+	}
+	return &g.ranking
+}
+
+// ranking orders the servers of a group for each object.
+type ranking struct {
 	servers []*server
 	ring    *placement.Ring
 	// rankCache maps an object to the first servers of its rendezvous order;
@@ -66,7 +82,7 @@
 
 // ranked yields the servers in the object's rendezvous order with their rank, best
 // first. cache is set if further requests for the object are expected.
-func (g *serverGroup) ranked(object uint64, cache bool) iter.Seq2[int, *server] {
+func (g *ranking) ranked(object uint64, cache bool) iter.Seq2[int, *server] {
 	return func(yield func(int, *server) bool) {
 		first, ok := g.rankCache.Load(object)
 		if !ok {
@@ -205,37 +221,99 @@
 		}
 		g.servers = append(g.servers, s)
 	}
-	for _, g := range v.groups {
-		g.buildRing(k.cfg)
+	long := v.config.LongBodied()
+	for service, g := range v.groups {
+		g.buildRings(k.cfg, long[service])
 	}
 }
 
-// buildRing sorts the servers and builds the rendezvous ring. All gateways of a region
-// place objects alike, since they share their callers. Every failure domain is assumed
-// to send the same number of requests. A server that names a limit gets fewer objects, so
-// that its requests for those are within the limit and the others' objects stay warm at
-// other servers.
-func (g *serverGroup) buildRing(cfg *Settings) {
+// buildRings sorts the servers and builds the rendezvous rings: one for all requests, and one for
+// those with long bodies if a route to the service has any.
+func (g *serverGroup) buildRings(cfg *Settings, longBodies bool) {
 	slices.SortFunc(g.servers, func(a, b *server) int { return strings.Compare(a.rec().ID, b.rec().ID) })
-	index := map[string]int{}
-	var zones []placement.Zone
+	regions := g.regionShares(cfg)
+	g.ring = g.newRing(regions, nil)
+	if longBodies {
+		g.near = &ranking{servers: g.servers, ring: g.newRing(regions, g.domainShares(cfg))}
+	}
+}
+
+// share is the part of this gateway's objects that is placed on a group of servers, and the
+// capacity of these.
+type share struct{ part, capacity float64 }
+
+// regionShares returns the share of each region. All gateways of a region place objects alike,
+// since they share their callers. Every failure domain is assumed to send the same number of
+// requests. A server that names a limit gets fewer objects, so that its requests for those are
+// within the limit and the others' objects stay warm at other servers.
+func (g *serverGroup) regionShares(cfg *Settings) map[string]share {
+	callers := map[string]float64{}
+	for _, d := range cfg.Domains {
+		callers[d.Region]++
+	}
+	return shares(callers, cfg.Region, g.servers, func(s *server) string { return s.region })
+}
+
+// domainShares returns the share of each failure domain of this gateway's region in what is placed
+// in the region: the gateway's own domain comes first, as far as its servers can carry the
+// requests of its callers.
+func (g *serverGroup) domainShares(cfg *Settings) map[string]share {
+	callers := map[string]float64{}
 	for _, d := range cfg.Domains {
-		if _, ok := index[d.Region]; !ok {
-			index[d.Region] = len(zones)
-			zones = append(zones, placement.Zone{})
+		if d.Region == cfg.Region {
+			callers[d.Domain]++
 		}
-		zones[index[d.Region]].Callers++
 	}
+	var own []*server
 	for _, s := range g.servers {
-		zones[index[s.region]].Capacity += s.capacity()
+		if s.region == cfg.Region {
+			own = append(own, s)
+		}
+	}
+	return shares(callers, cfg.Domain, own, func(s *server) string { return s.rec().Domain })
+}
+
+// shares returns the share of each group of servers for callers in the group own.
+func shares(callers map[string]float64, own string, servers []*server, groupOf func(*server) string) map[string]share {
+	names := slices.Sorted(maps.Keys(callers))
+	capacity := map[string]float64{}
+	for _, s := range servers {
+		capacity[groupOf(s)] += s.capacity()
+	}
+	zones := make([]placement.Zone, len(names))
+	for i, name := range names {
+		zones[i] = placement.Zone{Capacity: capacity[name], Callers: callers[name]}
+	}
+	out := map[string]share{}
+	for i, part := range placement.Shares(zones, slices.Index(names, own)) {
+		out[names[i]] = share{part: part, capacity: capacity[names[i]]}
 	}
-	shares := placement.Shares(zones, index[cfg.Region])
+	return out
+}
+
+// leastWeight is the weight, per slot, of a server on which nothing is placed. It comes after all
+// others, but in an order of its own for each object: with no weight at all, every object whose
+// usual servers cannot be used would go to the same one.
+const leastWeight = 1e-12
+
+// leastNear is the weight of a server in another failure domain of the region, relative to its
+// weight in the ring for all requests, if none of the domain's objects are placed there: it comes
+// before those of other regions.
+const leastNear = 1e-4
+
+// newRing returns the ring for the given shares of regions and, unless nil, of the failure domains
+// of this gateway's region.
+func (g *serverGroup) newRing(regions, domains map[string]share) *placement.Ring {
 	list := make([]placement.Server, len(g.servers))
 	for i, s := range g.servers {
-		z := index[s.region]
-		list[i] = placement.Server{ID: s.rec().ID, Weight: shares[z] * s.capacity() / zones[z].Capacity}
+		region := regions[s.region]
+		weight := max(region.part*s.capacity()/region.capacity, leastWeight*s.capacity())
+		if domain, ok := domains[s.rec().Domain]; ok {
+			weight = max(region.part*domain.part*s.capacity()/domain.capacity, leastNear*weight)
+		}
+		list[i] = placement.Server{ID: s.rec().ID, Weight: weight}
 	}
-	g.ring = placement.NewRing(list)
+	return placement.NewRing(list)
 }
 
 // supersedes reports whether a is a later state of the same gateway than b: a process
