Checks for coldness no longer fill the queues of busy servers

In an outage of the store one gateway checks a server every 100 ms for having turned cold, and each check takes a place in the server's queue for up to a second. When a busy server did not answer, all gateways doubted it and checked it too.

A server that is believed to be full is now checked again only 400 ms after a check that still waits there. The doubt of an unanswered check names itself as such: other gateways leave the checking to the one that reported it, which tells them when the check is answered; the doubt ends by itself after 1.3 s.

--- a/internal/core/fleet/health.go
+++ b/internal/core/fleet/health.go
@@ -23,8 +23,10 @@
 	// peerReported is set while the server counts as unreachable only because
 	// another gateway reported it.
 	peerReported bool
-	// doubtedAt is when another gateway's report last made it so.
+	// doubtedAt is when another gateway's report last made it so. The doubt ends by itself
+	// at doubtUntil unless that is zero.
 	doubtedAt  time.Time
+	doubtUntil time.Time
 	lastAnswer time.Time
 	// lastRun is when the latest request that the server has run to its end was sent.
 	lastRun   time.Time
@@ -75,10 +77,42 @@
 		return false
 	}
 	h.down, h.peerReported, h.checking, h.nextCheck = true, true, false, now
-	h.doubtedAt = now
+	h.doubtedAt, h.doubtUntil = now, time.Time{}
 	return true
 }
 
+// unansweredLife is how long a server counts as unreachable because another gateway's check is
+// unanswered, unless that gateway hears from it before: the longest time that a check takes, and
+// some for the report.
+const unansweredLife = 1300 * time.Millisecond
+
+// DoubtUnanswered is DoubtWarm on the word of a gateway that goes on checking the server. This one
+// does not check it: if all did, their checks alone would fill a busy server's queue.
+func (h *Health) DoubtUnanswered(now, at time.Time) bool {
+	if !h.DoubtWarm(now, at) {
+		return false
+	}
+	h.doubtUntil = now.Add(unansweredLife)
+	return true
+}
+
+// Answered records that the server has answered the check for which it was doubted. It reports
+// whether that changed the state.
+func (h *Health) Answered(now time.Time) bool {
+	if !h.Doubted() || h.doubtUntil.IsZero() {
+		return false
+	}
+	h.down, h.peerReported = false, false
+	return true
+}
+
+// EndDoubt ends a doubt whose time is over.
+func (h *Health) EndDoubt(now time.Time) {
+	if !h.doubtUntil.IsZero() && !now.Before(h.doubtUntil) {
+		h.Answered(now)
+	}
+}
+
 // Ran records that the server has run a request that was sent at the given time.
 func (h *Health) Ran(sent time.Time) {
 	if sent.After(h.lastRun) {
@@ -111,7 +145,7 @@
 func (h *Health) Retry(now time.Time) {
 	if h.down && !h.peerReported {
 		h.peerReported, h.checking, h.nextCheck, h.failures, h.brokenInRow = true, false, now, 0, 0
-		h.doubtedAt = now
+		h.doubtedAt, h.doubtUntil = now, time.Time{}
 	}
 }
 
@@ -168,7 +202,7 @@
 // WantsCheck reports whether an unreachable server is due for a check, and
 // marks the check as started.
 func (h *Health) WantsCheck(now time.Time) bool {
-	if !h.down || h.checking || now.Before(h.nextCheck) {
+	if !h.down || h.checking || now.Before(h.nextCheck) || h.peerReported && !h.doubtUntil.IsZero() {
 		return false
 	}
 	h.checking = true
--- a/internal/core/fleet/reports.go
+++ b/internal/core/fleet/reports.go
@@ -25,8 +25,12 @@
 	// gateway knows, and Trial if it ran as a trial.
 	Proven, Trial bool
 	// Cleared is set when the request completed, which clears it of earlier
-	// crashes.
+	// crashes. Without a request, the server has answered a check that was
+	// reported as unanswered.
 	Cleared bool
+	// Unanswered is set when the server has not answered a check of the
+	// reporting gateway, which goes on checking it.
+	Unanswered bool
 	// Cold is how much longer the server is cold; zero in other reports.
 	Cold time.Duration
 	// Leaving is set when the server's process that started at Born, in Unix milliseconds,
@@ -82,7 +86,7 @@
 	if rep.Request != "" {
 		list, ttl = &r.crashes, crashTTL
 	}
-	if rep.Cleared && rep.At.After(r.lastCompleted[rep.Request]) {
+	if rep.Cleared && rep.Request != "" && rep.At.After(r.lastCompleted[rep.Request]) {
 		r.lastCompleted[rep.Request] = rep.At
 	}
 	*list = append(prune(*list, now, ttl), storedReport{rep, r.lastSequence})
--- a/internal/daemon/gateway/coldcheck.go
+++ b/internal/daemon/gateway/coldcheck.go
@@ -18,6 +18,10 @@
 // requests to cold servers hold for any second.
 const coldCheckInterval = 100 * time.Millisecond
 
+// fullCheckInterval is the same for a server that is believed to have no free slot while a check
+// waits there: each check takes a place in its queue, as a request does.
+const fullCheckInterval = 400 * time.Millisecond
+
 // A check that is not answered although a warm server would have had a free slot by then is
 // a sign of a cold server, whose runs take several times as long and all its slots:
 // checkRunTimes is how many service times a check may wait beyond the estimated queue, and
@@ -64,6 +68,9 @@
 			if !s.withHealth(awaitsColdCheck) || s.remainingCold(now) > 0 || paused > 0 || s.isLeaving() {
 				continue
 			}
+			if !s.takeColdCheck(n.serviceTimes.ofService(s.rec().Service), now) {
+				continue
+			}
 			path := checked.config.Services[s.rec().Service].HealthPath
 			// One that waits for a slot, or whose response is lost, does not delay the next.
 			n.background.Go(func() { n.checkCold(ctx, s, path) })
@@ -111,6 +118,7 @@
 func (n *Node) checkCold(ctx context.Context, s *server, path string) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
+	defer s.endColdCheck()
 	n.metrics.checks.Inc()
 	rec := s.rec()
 	sent, serviceTime := time.Now(), n.serviceTimes.ofService(rec.Service)
@@ -137,7 +145,29 @@
 		s.holdColdPermits(now)
 		n.learnCold(s, meta.Cold, now)
 	}
-	s.withHealth(func(h *fleet.Health) bool { return h.Doubted() && h.Reached(now) })
+	if s.withHealth(func(h *fleet.Health) bool { return h.Doubted() && h.Reached(now) }) {
+		n.keeper.ReportAnswered(rec.ID, now)
+	}
+}
+
+// takeColdCheck reports whether a server may be checked for coldness now; endColdCheck says that
+// the check has ended.
+func (s *server) takeColdCheck(serviceTime time.Duration, now time.Time) bool {
+	full := s.estimatedRequests(now, serviceTime) >= float64(s.rec().Slots)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if full && s.coldChecks > 0 && now.Sub(s.coldCheckedAt) < fullCheckInterval {
+		return false
+	}
+	s.coldChecks++
+	s.coldCheckedAt = now
+	return true
+}
+
+func (s *server) endColdCheck() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldChecks--
 }
 
 // suspectCold has every gateway that got no response from a server since a time check it
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -202,7 +202,7 @@
 			return candidate{server: s, wait: pause}, reasonLimited
 		}
 	}
-	down := s.isDown()
+	down := s.withHealth(func(h *fleet.Health) bool { h.EndDoubt(now); return h.Down() })
 	if down {
 		n.checkIfDue(v, s, now)
 		if !s.withHealth((*fleet.Health).Doubted) {
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -38,7 +38,15 @@
 func (k *Keeper) ReportUnanswered(server string, since time.Time, took time.Duration, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.reportOnceReached(fleet.Report{Server: server, At: since}, proofSince(now, took))
+	k.reportOnceReached(fleet.Report{Server: server, Unanswered: true, At: since}, proofSince(now, took))
+}
+
+// ReportAnswered tells the other gateways that a server has answered the check of which
+// ReportUnanswered told them.
+func (k *Keeper) ReportAnswered(server string, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.report(fleet.Report{Server: server, Cleared: true, At: now})
 }
 
 // ReportCrash tells the other gateways that a server crashed under a request. A link that resets
@@ -114,7 +122,7 @@
 	for _, r := range list {
 		rep := fleet.Report{
 			Origin: r.Origin, Number: r.Number, Server: r.Server, Request: string(r.Fingerprint), Proven: r.Proven, Trial: r.Trial, Cleared: r.Cleared,
-			Cold: time.Duration(r.ColdMicros) * time.Microsecond, Leaving: r.Leaving, Born: r.Born,
+			Cold: time.Duration(r.ColdMicros) * time.Microsecond, Leaving: r.Leaving, Born: r.Born, Unanswered: r.Unanswered,
 			At: now.Add(-time.Duration(r.AgeMicros) * time.Microsecond),
 		}
 		if !k.reports.Add(now, rep) {
@@ -122,6 +130,9 @@
 		}
 		news = true
 		if rep.Cleared {
+			if s := k.servers[r.Server]; s != nil && rep.Request == "" {
+				s.withHealth(func(h *fleet.Health) bool { return h.Answered(now) })
+			}
 			continue
 		}
 		if rep.Leaving {
@@ -149,6 +160,9 @@
 
 // doubt has a server doubted that another gateway could not reach. The caller holds k.mu.
 func (k *Keeper) doubt(h *fleet.Health, rep fleet.Report, now time.Time) bool {
+	if rep.Unanswered {
+		return h.DoubtUnanswered(now, rep.At)
+	}
 	if k.lag(now) > 0 || now.Sub(k.mirror.Synced()) > outageGap {
 		return h.DoubtWarm(now, rep.At)
 	}
@@ -173,7 +187,7 @@
 	for _, r := range list {
 		out = append(out, &peerv1.ServerReport{
 			Origin: r.Origin, Number: r.Number, Server: r.Server, AgeMicros: now.Sub(r.At).Microseconds(), Fingerprint: []byte(r.Request), Proven: r.Proven, Trial: r.Trial, Cleared: r.Cleared,
-			ColdMicros: r.Cold.Microseconds(), Leaving: r.Leaving, Born: r.Born,
+			ColdMicros: r.Cold.Microseconds(), Leaving: r.Leaving, Born: r.Born, Unanswered: r.Unanswered,
 		})
 	}
 	return out, next
--- a/internal/daemon/gateway/server.go
+++ b/internal/daemon/gateway/server.go
@@ -46,6 +46,10 @@
 	resuming    bool
 	// distrustedUntil is until when the server is taken for cold although it does not say so.
 	distrustedUntil time.Time
+	// coldChecks are the checks for coldness under way, the latest of which was sent at
+	// coldCheckedAt.
+	coldChecks    int
+	coldCheckedAt time.Time
 	// capacityShare is the fraction of the work of its slots that the server takes under
 	// its limit, as the placement of objects takes it; zero for all.
 	capacityShare float64
