A server that resets connections costs others none of theirs

When a kept connection was found reset, idle connections to all servers were distrusted for 10 s.

A reset now counts as that of a forgotten connection only if it comes within a round trip, and for the other servers only once the server has answered on a new connection.

TestResetsOfOneServerCostNoOther fails before for the server that resets everything and for the one that loses an answer. TestForgottenIdleConnections checks the same limits as before, on the type that now keeps them.

--- a/internal/adapter/serverconn/exchange.go
+++ b/internal/adapter/serverconn/exchange.go
@@ -60,6 +60,7 @@
 }
 
 func (p *Pool) exchange(ctx context.Context, address string, c *conn, r *port.ForwardRequest, stop func() bool) (*port.ForwardAnswer, error) {
+	began := p.now()
 	sent, err := write(c, r)
 	if body := (*port.BodyError)(nil); errors.As(err, &body) {
 		// The server waits for the rest of the body, and is told by the end of the connection.
@@ -70,9 +71,7 @@
 	}
 	early := err != nil
 	resp, skipped, err := p.answer(c, r)
-	if err != nil && c.waited > 0 && errors.Is(err, syscall.ECONNRESET) && c.r.Buffered() == 0 {
-		p.distrust(c.waited)
-	}
+	p.recordReset(address, c, began, err)
 	if err != nil {
 		return nil, brokenError(ctx, address, true, err)
 	}
--- a/internal/adapter/serverconn/exchange_test.go
+++ b/internal/adapter/serverconn/exchange_test.go
@@ -378,33 +378,6 @@
 	}
 }
 
-// TestForgottenIdleConnections plays servers that forget connections after some
-// idle time: once that has shown, longer idle ones are not used for a while.
-func TestForgottenIdleConnections(t *testing.T) {
-	now := time.Unix(1000, 0)
-	p := New(dialect{})
-	p.now = func() time.Time { return now }
-	if !p.trusts(5 * time.Second) {
-		t.Fatal("an idle connection is not trusted from the start")
-	}
-	p.distrust(400 * time.Millisecond)
-	if p.trusts(300*time.Millisecond) || !p.trusts(200*time.Millisecond) {
-		t.Error("the limit is not half of the idle time that failed")
-	}
-	p.distrust(100 * time.Millisecond)
-	if p.trusts(60 * time.Millisecond) {
-		t.Error("a shorter idle time that failed did not lower the limit")
-	}
-	p.distrust(3 * time.Second)
-	if p.trusts(60 * time.Millisecond) {
-		t.Error("a longer idle time that failed raised the limit")
-	}
-	now = now.Add(distrustFor + time.Second)
-	if !p.trusts(5 * time.Second) {
-		t.Error("the distrust does not end")
-	}
-}
-
 // TestUnframedAnswerReset plays a server that resets the connection in the middle of
 // a body that would end with it: the answer is not whole.
 func TestUnframedAnswerReset(t *testing.T) {
--- a/internal/adapter/serverconn/pool.go
+++ b/internal/adapter/serverconn/pool.go
@@ -6,11 +6,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"cassiatray/internal/adapter/headlimit"
@@ -31,10 +33,6 @@
 	// idleShare is the part of the server's own idle timeout after which a
 	// connection is no longer used, so that requests do not cross its close.
 	idleShare = 0.85
-	// distrustFor is how long idle connections are trusted less after one was
-	// found reset, and distrustLeast the least idle time that is then trusted.
-	distrustFor   = 10 * time.Second
-	distrustLeast = 20 * time.Millisecond
 	// maxIdle bounds the idle connections to one server.
 	maxIdle = 16
 	// bufferSize is the size of a connection's read buffer, in bytes.
@@ -52,6 +50,8 @@
 	promised bool
 	// since is when the connection became idle last; zero for a new one.
 	since time.Time
+	// roundTrip is how long it took to open.
+	roundTrip time.Duration
 	// waited is how long it was idle before the request that uses it.
 	waited time.Duration
 	// answers counts the answers that came on it; refused holds the IDs of the requests that
@@ -73,12 +73,9 @@
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 	now     func() time.Time
 
-	mu   sync.Mutex
-	idle map[string][]*conn
-	// trusted is the longest idle time after which connections are used until
-	// distrustEnd: servers may forget idle connections without a word.
-	trusted     time.Duration
-	distrustEnd time.Time
+	mu    sync.Mutex
+	idle  map[string][]*conn
+	trust idleTrust
 }
 
 // New returns a pool that reads answers by a dialect.
@@ -112,7 +109,7 @@
 		c.waited = p.now().Sub(c.since)
 		if p.now().Before(c.until) {
 			state := tcp.Peek(c.Conn)
-			if state == tcp.Quiet && p.trusts(c.waited) {
+			if state == tcp.Quiet && p.trusts(address, c.waited) {
 				return c, false, nil
 			}
 			if state == tcp.Closed && c.promised {
@@ -129,11 +126,12 @@
 }
 
 func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
+	began := p.now()
 	nc, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc}
+	c := &conn{Conn: nc, roundTrip: p.now().Sub(began)}
 	c.r, c.limit = headlimit.New(nc, bufferSize)
 	return c, nil
 }
@@ -189,22 +187,26 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
-// trusts reports whether a connection that was idle for a time may be used.
-func (p *Pool) trusts(waited time.Duration) bool {
+// trusts reports whether a connection to a server that was idle for a time may be used.
+func (p *Pool) trusts(address string, waited time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return waited <= p.trusted || p.now().After(p.distrustEnd)
+	return p.trust.trusts(address, waited, p.now())
 }
 
-// distrust notes that a connection was found reset after it had been idle.
-func (p *Pool) distrust(waited time.Duration) {
+// recordReset records how an exchange that began at a time ended, as far as it tells whether the
+// server forgets idle connections.
+func (p *Pool) recordReset(address string, c *conn, began time.Time, err error) {
+	reset := errors.Is(err, syscall.ECONNRESET) && c.r.Buffered() == 0
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	if now.After(p.distrustEnd) || waited/2 < p.trusted {
-		p.trusted = max(distrustLeast, waited/2)
+	switch {
+	case c.waited > 0 && reset && isForgottenReset(now.Sub(began), c.roundTrip):
+		p.trust.reset(address, c.waited, now)
+	case c.since.IsZero() && (reset || err == nil):
+		p.trust.fresh(address, err == nil, now)
 	}
-	p.distrustEnd = now.Add(distrustFor)
 }
 
 // Expire closes idle connections that are past their time, and those to
@@ -213,6 +215,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
+	p.trust.expire(now)
 	for address, list := range p.idle {
 		keep := list[:0]
 		for _, c := range list {
