--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -76,14 +76,24 @@
 	serviceTime := n.serviceTimes.estimate(req.route)
 	req.coldUnseen = n.coldUnseen(v, req.service, now)
 	maxWait := overload.MaxWait(req.route.Target, req.deadline.Sub(now), serviceTime, v.priorities.Level(req.route, req.priority()))
-	var best, reportedDown, limited, paused, leaving candidate
+	var best, reportedDown, limited, paused, leaving, unwarmed candidate
 	why := reasonNoServer
-	usable := 0
+	// homes are the servers that count among the preferred ones. Under pressure, the ones
+	// that do not answer their checks are full and count as well, and those after the first
+	// take only requests for objects that they are warm for.
+	homes, usable := 0, 0
+	pressed := req.sticky() && n.pressures.high(req.service, now)
 	for rank, s := range g.rankingFor(req.route).ranked(req.objectHash, req.sticky()) {
 		c, reason := n.evaluateServer(v, req, s, serviceTime, now)
 		c.rank = rank
+		if rank == 0 && req.tries == 0 && req.sticky() && c.server != nil {
+			pressed = n.pressures.record(req.service, c.isFull(reason, now), now)
+		}
 		if reason != reasonNone {
 			why = reason
+			if pressed && c.server != nil && c.isFull(reason, now) {
+				homes++
+			}
 			switch {
 			case reason == reasonUnreachable && c.server != nil && reportedDown.server == nil:
 				reportedDown = c
@@ -100,14 +110,25 @@
 			// Its permits are kept for the objects whose first usable server it is.
 			continue
 		}
+		homes++
 		usable++
-		if best.server == nil || c.wait+spillCost(req, c, serviceTime, now) < best.wait {
+		if pressed && homes > 1 && !s.isWarm(req.objectHash, now) {
+			if unwarmed.server == nil {
+				unwarmed = c
+			}
+		} else if best.server == nil || c.wait+spillCost(req, c, serviceTime, now) < best.wait {
 			best = c
 		}
-		if usable == preferredServerCount {
+		if homes >= preferredServerCount {
 			break
 		}
 	}
+	if best.server == nil && pressed && homes > 0 {
+		if unwarmed.server == nil {
+			unwarmed = reportedDown
+		}
+		return unwarmed, reasonFull
+	}
 	if best.server == nil {
 		// The server may be unreachable only from the gateway that reported it.
 		best = reportedDown
@@ -219,7 +240,7 @@
 	if s.withHealth(func(h *fleet.Health) bool { return h.Shedding(now) }) {
 		if req.coldUnseen {
 			// Its slots may be full of cold runs, and a rejected request counts as well.
-			return candidate{}, reasonFull
+			return c, reasonFull
 		}
 		// The server rejected a request recently because its queue was full.
 		c.load = max(c.load, float64(assumedRequestsPerSlot*s.rec().Slots))
