Busy servers keep their objects, and servers that reset everything are ejected

While servers are checked for coldness, requests for the objects of servers that do not answer their check ran on servers of rank two and later. Such a server now counts among an object's preferred ones.

Two new connections that are reset before any work can be done now eject it, for 1 s and twice as long each further time, and other gateways leave it alone meanwhile.

--- a/internal/adapter/serverconn/exchange.go
+++ b/internal/adapter/serverconn/exchange.go
@@ -71,9 +71,11 @@
 	}
 	early := err != nil
 	resp, skipped, err := p.answer(c, r)
-	p.recordReset(address, c, began, err)
+	atOnce := p.recordReset(address, c, began, err)
 	if err != nil {
-		return nil, brokenError(ctx, address, true, err)
+		be := brokenError(ctx, address, true, err)
+		be.ResetAtOnce = atOnce
+		return nil, be
 	}
 	a := &port.ForwardAnswer{Status: resp.StatusCode, Header: resp.Header, Meta: p.dialect.Server(resp.StatusCode, resp.Header), Closing: resp.Close}
 	a.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
@@ -246,7 +248,7 @@
 	return &port.BackendError{Code: code, Address: address, Err: err}
 }
 
-func brokenError(ctx context.Context, address string, sent bool, err error) error {
+func brokenError(ctx context.Context, address string, sent bool, err error) *port.BackendError {
 	code := port.BackendBroken
 	var timeout net.Error
 	var foreign *ForeignError
@@ -263,7 +265,7 @@
 }
 
 func shortError(ctx context.Context, address string, err error) *port.BackendError {
-	be := brokenError(ctx, address, true, err).(*port.BackendError)
+	be := brokenError(ctx, address, true, err)
 	if be.Code == port.BackendBroken {
 		be.Code = port.BackendShort
 	}
--- a/internal/adapter/serverconn/pool.go
+++ b/internal/adapter/serverconn/pool.go
@@ -195,18 +195,21 @@
 }
 
 // recordReset records how an exchange that began at a time ended, as far as it tells whether the
-// server forgets idle connections.
-func (p *Pool) recordReset(address string, c *conn, began time.Time, err error) {
+// server forgets idle connections. It reports whether the server reset a new connection at once.
+func (p *Pool) recordReset(address string, c *conn, began time.Time, err error) (atOnce bool) {
 	reset := errors.Is(err, syscall.ECONNRESET) && c.r.Buffered() == 0
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
+	soon := reset && isSoonReset(now.Sub(began), c.roundTrip)
 	switch {
-	case c.waited > 0 && reset && isForgottenReset(now.Sub(began), c.roundTrip):
+	case c.waited > 0 && soon:
 		p.trust.reset(address, c.waited, now)
 	case c.since.IsZero() && (reset || err == nil):
 		p.trust.fresh(address, err == nil, now)
+		return soon
 	}
+	return false
 }
 
 // Expire closes idle connections that are past their time, and those to
--- a/internal/adapter/serverconn/trust.go
+++ b/internal/adapter/serverconn/trust.go
@@ -94,8 +94,8 @@
 	}
 }
 
-// isForgottenReset reports whether a reset that came some time after the request was sent is that of
-// a connection that its server had forgotten.
-func isForgottenReset(took, roundTrip time.Duration) bool {
+// isSoonReset reports whether a reset that came some time after the request was sent came before the
+// server can have worked on it, as that of a connection that it had forgotten.
+func isSoonReset(took, roundTrip time.Duration) bool {
 	return took <= time.Duration(resetRoundTrips*float64(roundTrip))+resetSlack
 }
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -254,6 +254,68 @@
 	}
 }
 
+// TestResetConnectionsEject guards against a server that resets every request while its checks are
+// good: each good check brought four more requests to it, 587 on a day, half a second apart.
+func TestResetConnectionsEject(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h Health
+	h.Reached(now)
+	lost := 0
+	// A request every 20 ms, and a check as soon as one is due, for 10 s.
+	for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(20 * time.Millisecond) {
+		if h.WantsCheck(now) {
+			h.CheckPassed(now)
+		}
+		if !h.Down() {
+			lost++
+			h.ResetAtOnce(now)
+		}
+	}
+	// Two at first, and one after each of 1, 2 and 4 s.
+	if lost > resetLimit+3 {
+		t.Errorf("%d requests were lost", lost)
+	}
+	now = now.Add(ejectionMax)
+	if !h.WantsCheck(now) || !h.CheckPassed(now) {
+		t.Fatal("not in use again after a good check")
+	}
+	h.Ran(now)
+	h.Reached(now)
+	if h.ResetAtOnce(now) || h.Down() {
+		t.Error("one reset ejects a server that has run a request since")
+	}
+}
+
+// TestUnansweredDoubtEndsByItself guards against gateways that leave a server out for good, or all
+// check it, because one gateway's check is unanswered.
+func TestUnansweredDoubtEndsByItself(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, end := range map[string]func(h *Health){
+		"time":   func(h *Health) { now = now.Add(unansweredLife) },
+		"answer": func(h *Health) { h.Answered(now) },
+	} {
+		var h Health
+		if !h.DoubtUnanswered(now, now) || !h.Doubted() || h.WantsCheck(now.Add(time.Second)) {
+			t.Fatalf("%s: not doubted, or to be checked", name)
+		}
+		if h.EndDoubt(now.Add(unansweredLife - time.Millisecond)); !h.Down() {
+			t.Errorf("%s: the doubt ended early", name)
+		}
+		if end(&h); name == "time" {
+			h.EndDoubt(now)
+		}
+		if h.Down() {
+			t.Errorf("%s: the doubt did not end", name)
+		}
+	}
+	// A doubt of another kind ends with a check.
+	var h Health
+	h.Doubt(now, now)
+	if h.EndDoubt(now.Add(time.Hour)); !h.Down() || h.Answered(now) || !h.WantsCheck(now) {
+		t.Error("the doubt of an unreachable server ended without a check")
+	}
+}
+
 // TestUnchangedRecords checks what of a server's later record is news: heartbeats and the
 // countdown of a cold spell are not; another state, a restart or another spell are.
 func TestUnchangedRecords(t *testing.T) {
--- a/internal/core/fleet/health.go
+++ b/internal/core/fleet/health.go
@@ -34,8 +34,12 @@
 	nextCheck time.Time
 	failures  int
 	// brokenInRow counts the consecutive exchanges that broke without a
-	// response.
-	brokenInRow int
+	// response, resetInRow those on new connections that were reset at once.
+	brokenInRow, resetInRow int
+	// ejections counts how often the server has been ejected since it last ran a request, and
+	// ejectedUntil is until when a good check does not end the last one.
+	ejections    int
+	ejectedUntil time.Time
 	coldUntil   time.Time
 	shedUntil   time.Time
 }
@@ -62,6 +66,41 @@
 	return h.brokenInRow >= brokenLimit && h.Unreachable(now)
 }
 
+const (
+	// resetLimit is how many consecutive new connections must be reset at once before the
+	// server is ejected. Answers that are lost on the way take as long as a run.
+	resetLimit = 2
+	// ejectionBase is how long the first ejection lasts; each further one until a request runs
+	// doubles it, up to ejectionMax.
+	ejectionBase = time.Second
+	ejectionMax  = 8 * time.Second
+)
+
+// ResetAtOnce records that the server reset a new connection as soon as it got the request. It
+// reports whether the server is ejected: it counts as unreachable, and good checks, which may be
+// false, do not end that for a while. After an ejection, one such reset is enough.
+func (h *Health) ResetAtOnce(now time.Time) bool {
+	h.resetInRow++
+	if h.resetInRow < resetLimit && h.ejections == 0 {
+		return false
+	}
+	changed := h.Unreachable(now)
+	h.ejectedUntil = now.Add(min(ejectionMax, ejectionBase<<min(h.ejections, 3)))
+	h.nextCheck = h.ejectedUntil
+	h.ejections++
+	return changed
+}
+
+// CheckPassed records a good response to a check. It reports whether the server counted as
+// unreachable before and no longer does.
+func (h *Health) CheckPassed(now time.Time) bool {
+	if now.Before(h.ejectedUntil) {
+		h.checking, h.nextCheck = false, h.ejectedUntil
+		return false
+	}
+	return h.Reached(now)
+}
+
 // Doubt records that another gateway could not reach the server at the given
 // time. Unless this gateway has had a response since, the server counts as
 // unreachable and is due for an immediate check. It reports whether that
@@ -93,13 +132,17 @@
 		return false
 	}
 	h.doubtUntil = now.Add(unansweredLife)
+	h.ejections = max(h.ejections, 1)
 	return true
 }
 
+// Unanswered reports whether the server counts as unreachable only because a check is unanswered.
+func (h *Health) Unanswered() bool { return h.Doubted() && !h.doubtUntil.IsZero() }
+
 // Answered records that the server has answered the check for which it was doubted. It reports
 // whether that changed the state.
 func (h *Health) Answered(now time.Time) bool {
-	if !h.Doubted() || h.doubtUntil.IsZero() {
+	if !h.Unanswered() {
 		return false
 	}
 	h.down, h.peerReported = false, false
@@ -108,13 +151,14 @@
 
 // EndDoubt ends a doubt whose time is over.
 func (h *Health) EndDoubt(now time.Time) {
-	if !h.doubtUntil.IsZero() && !now.Before(h.doubtUntil) {
+	if h.Unanswered() && !now.Before(h.doubtUntil) {
 		h.Answered(now)
 	}
 }
 
 // Ran records that the server has run a request that was sent at the given time.
 func (h *Health) Ran(sent time.Time) {
+	h.resetInRow, h.ejections, h.ejectedUntil = 0, 0, time.Time{}
 	if sent.After(h.lastRun) {
 		h.lastRun = sent
 	}
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -186,6 +186,9 @@
 	default:
 		return
 	}
+	if be.ResetAtOnce && n.recordResetAtOnce(req, s, took, now) {
+		return
+	}
 	// One broken connection does not make a server unreachable: responses are lost
 	// occasionally, and a server that is down refuses the next connection.
 	unreachable := !be.Sent || errors.Is(err, syscall.ETIMEDOUT)
@@ -196,6 +199,22 @@
 	}
 }
 
+// recordResetAtOnce records that a server reset a new connection as soon as it got the request. It
+// reports whether the server was ejected for it.
+func (n *Node) recordResetAtOnce(req *inflightRequest, s *server, took time.Duration, now time.Time) bool {
+	rec := s.rec()
+	// A server with a long queue takes fewer connections, and is not at fault.
+	full := s.estimatedRequests(now, n.serviceTimes.estimate(req.route)) >= float64(rec.Slots)
+	if full || !s.withHealth(func(h *fleet.Health) bool { return h.ResetAtOnce(now) }) {
+		return false
+	}
+	// The others' checks may be answered well.
+	n.keeper.ReportUnanswered(rec.ID, now, took, now)
+	n.metrics.ejections.Inc()
+	n.log.WithFields(logrus.Fields{"server": rec.ID, "address": rec.Address}).Warn("Server ejected: it resets all connections.")
+	return true
+}
+
 // codeOf returns the class of a failed exchange with a server, or "".
 func codeOf(err error) port.BackendCode {
 	var be *port.BackendError
--- a/internal/daemon/gateway/coldcheck.go
+++ b/internal/daemon/gateway/coldcheck.go
@@ -173,7 +173,7 @@
 // suspectCold has every gateway that got no response from a server since a time check it
 // before it sends there again, because a check that was sent at a time is not answered.
 func (n *Node) suspectCold(s *server, sent, since, now time.Time) {
-	if !s.withHealth(func(h *fleet.Health) bool { return h.DoubtWarm(now, since) }) {
+	if !s.withHealth(func(h *fleet.Health) bool { return h.DoubtUnanswered(now, since) }) {
 		return
 	}
 	id := s.rec().ID
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -13,20 +13,21 @@
 
 // Metrics are the counters of a gateway.
 type Metrics struct {
-	requests *prometheus.CounterVec
-	latency  *prometheus.HistogramVec
-	attempts *prometheus.CounterVec
-	server   *prometheus.HistogramVec
-	calls    *prometheus.CounterVec
-	checks   prometheus.Counter
-	opened   prometheus.Counter
-	limited  *prometheus.CounterVec
-	permits  *prometheus.CounterVec
-	signals  *prometheus.CounterVec
-	unknown  *prometheus.CounterVec
-	relays   *prometheus.CounterVec
-	relayed  *prometheus.CounterVec
-	trials   *prometheus.CounterVec
+	requests  *prometheus.CounterVec
+	latency   *prometheus.HistogramVec
+	attempts  *prometheus.CounterVec
+	server    *prometheus.HistogramVec
+	calls     *prometheus.CounterVec
+	checks    prometheus.Counter
+	opened    prometheus.Counter
+	limited   *prometheus.CounterVec
+	permits   *prometheus.CounterVec
+	signals   *prometheus.CounterVec
+	unknown   *prometheus.CounterVec
+	relays    *prometheus.CounterVec
+	relayed   *prometheus.CounterVec
+	trials    *prometheus.CounterVec
+	ejections prometheus.Counter
 	// processChecks are those of watchProcess.
 	processChecks *prometheus.CounterVec
 }
@@ -83,7 +84,10 @@
 	m.processChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_process_checks_total", Help: "Checks whether a backend server with unfinished requests still runs, by kind: connect or health.",
 	}, []string{"kind"})
-	reg.MustRegister(m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
+	m.ejections = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_ejections_total", Help: "Backend servers that were taken out of use because they reset all connections.",
+	})
+	reg.MustRegister(m.ejections, m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
 	return m
 }
 
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -65,7 +65,6 @@
 	trials         *trials
 	completed      suspect.Completed
 	serviceTimes   serviceTimes
-	pressures      pressures
 	unknownHeaders unknownHeaders
 	bounds         atomic.Pointer[Bounds]
 
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -76,25 +76,20 @@
 	serviceTime := n.serviceTimes.estimate(req.route)
 	req.coldUnseen = n.coldUnseen(v, req.service, now)
 	maxWait := overload.MaxWait(req.route.Target, req.deadline.Sub(now), serviceTime, v.priorities.Level(req.route, req.priority()))
-	var best, reportedDown, limited, paused, leaving, unwarmed candidate
+	var best, reportedDown, limited, paused, leaving, unanswered candidate
 	why := reasonNoServer
-	// homes are the servers that count among the preferred ones. Under pressure, the ones
-	// that do not answer their checks are full and count as well, and those after the first
-	// take only requests for objects that they are warm for.
-	homes, usable := 0, 0
-	pressed := req.sticky() && n.pressures.high(req.service, now)
+	// A server that does not answer its check is probably busy. It counts among the preferred
+	// ones, so that a burst does not move objects to servers that are cold for them.
+	usable, busy := 0, 0
 	for rank, s := range g.rankingFor(req.route).ranked(req.objectHash, req.sticky()) {
 		c, reason := n.evaluateServer(v, req, s, serviceTime, now)
 		c.rank = rank
-		if rank == 0 && req.tries == 0 && req.sticky() && c.server != nil {
-			pressed = n.pressures.record(req.service, c.isFull(reason, now), now)
-		}
 		if reason != reasonNone {
 			why = reason
-			if pressed && c.server != nil && c.isFull(reason, now) {
-				homes++
-			}
 			switch {
+			case reason == reasonUnreachable && req.sticky() && c.server != nil && c.server.withHealth((*fleet.Health).Unanswered):
+				unanswered = c
+				busy++
 			case reason == reasonUnreachable && c.server != nil && reportedDown.server == nil:
 				reportedDown = c
 			case reason == reasonLimited && (limited.server == nil || c.wait < limited.wait):
@@ -104,30 +99,25 @@
 			case reason == reasonLeaving && leaving.server == nil:
 				leaving = c
 			}
+			if usable+busy >= preferredServerCount {
+				break
+			}
 			continue
 		}
 		if c.limit.Named && usable > 0 {
 			// Its permits are kept for the objects whose first usable server it is.
 			continue
 		}
-		homes++
 		usable++
-		if pressed && homes > 1 && !s.isWarm(req.objectHash, now) {
-			if unwarmed.server == nil {
-				unwarmed = c
-			}
-		} else if best.server == nil || c.wait+spillCost(req, c, serviceTime, now) < best.wait {
+		if best.server == nil || c.wait+spillCost(req, c, serviceTime, now) < best.wait {
 			best = c
 		}
-		if homes >= preferredServerCount {
+		if usable+busy >= preferredServerCount {
 			break
 		}
 	}
-	if best.server == nil && pressed && homes > 0 {
-		if unwarmed.server == nil {
-			unwarmed = reportedDown
-		}
-		return unwarmed, reasonFull
+	if best.server == nil && busy > 0 {
+		return unanswered, reasonFull
 	}
 	if best.server == nil {
 		// The server may be unreachable only from the gateway that reported it.
@@ -240,7 +230,7 @@
 	if s.withHealth(func(h *fleet.Health) bool { return h.Shedding(now) }) {
 		if req.coldUnseen {
 			// Its slots may be full of cold runs, and a rejected request counts as well.
-			return c, reasonFull
+			return candidate{}, reasonFull
 		}
 		// The server rejected a request recently because its queue was full.
 		c.load = max(c.load, float64(assumedRequestsPerSlot*s.rec().Slots))
@@ -341,7 +331,7 @@
 		if !alive {
 			return h.Unreachable(now)
 		}
-		return h.Reached(now)
+		return h.CheckPassed(now)
 	})
 	if alive {
 		log.WithField("cold_ms", meta.Cold.Milliseconds()).Info("Server reached again.")
--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -113,6 +113,8 @@
 	// NotRun is set when the server itself said that it did not run the
 	// request.
 	NotRun bool
+	// ResetAtOnce is set when the server reset a new connection as soon as it got the request.
+	ResetAtOnce bool
 	// RetryAfter is how long the server asks to be left alone; zero when it
 	// does not say.
 	RetryAfter time.Duration
