--- a/internal/core/fleet/health.go
+++ b/internal/core/fleet/health.go
@@ -40,8 +40,8 @@
 	// ejectedUntil is until when a good check does not end the last one.
 	ejections    int
 	ejectedUntil time.Time
-	coldUntil   time.Time
-	shedUntil   time.Time
+	coldUntil    time.Time
+	shedUntil    time.Time
 }
 
 // Unreachable records that no connection could be made, or that one broke with
