Refused requests are logged without the malformed line

The texts of net/http's parser quote the line that is malformed or cut short, which may hold a caller's key; at level debug they were logged. Only errors of the connection are kept now.

--- a/internal/adapter/callerconn/read.go
+++ b/internal/adapter/callerconn/read.go
@@ -48,20 +48,22 @@
 		c.timed = false
 		c.nc.SetReadDeadline(time.Time{})
 	}
+	// The texts of the parser's errors quote the line that is malformed, or cut short, which may hold
+	// a caller's key: only errors of the connection are kept.
 	status, reason := 0, ""
 	switch {
 	case err == nil:
 		status, reason = check(r)
 	case c.limit.Exceeded():
-		status, reason = http.StatusRequestHeaderFieldsTooLarge, "head over the limit"
+		status, reason, err = http.StatusRequestHeaderFieldsTooLarge, "head over the limit", nil
 	case isTimeout(c.limit.Err()):
-		status, reason = http.StatusRequestTimeout, "head not whole in time"
+		status, reason, err = http.StatusRequestTimeout, "head not whole in time", c.limit.Err()
 	case c.limit.Err() != nil || errors.Is(err, io.ErrUnexpectedEOF):
-		reason = "head broken off"
+		reason, err = "head broken off", c.limit.Err()
 	case strings.Contains(err.Error(), "unsupported transfer encoding"):
 		status, reason = http.StatusNotImplemented, "transfer encoding not known"
 	default:
-		status, reason = http.StatusBadRequest, "no request"
+		status, reason, err = http.StatusBadRequest, "no request", nil
 	}
 	if reason != "" {
 		return nil, status, &RequestError{Status: status, Reason: reason, Err: err}
--- a/internal/adapter/callerconn/read_test.go
+++ b/internal/adapter/callerconn/read_test.go
@@ -13,6 +13,26 @@
 	"time"
 )
 
+// TestRefusalsQuoteNothing guards against logs with a caller's key from a malformed line.
+func TestRefusalsQuoteNothing(t *testing.T) {
+	for name, text := range map[string]string{
+		"no colon": "GET / HTTP/1.1\r\nHost: h\r\nKey secret\r\n\r\n", "no request line": "Key: secret\r\n\r\n",
+		"bad name": "GET / HTTP/1.1\r\nHost: h\r\nKe y: secret\r\n\r\n", "target": "GET http://secret:%zz/ HTTP/1.1\r\nHost: h\r\n\r\n",
+		"folded": "GET / HTTP/1.1\r\n secret\r\nHost: h\r\n\r\n", "long": "GET / HTTP/1.1\r\nHost: h\r\nKey secret" + strings.Repeat("x", 16<<10),
+		"broken off": "GET / HTTP/1.1\r\nHost: h\r\nKey secret",
+	} {
+		refused := make(chan error, 1)
+		s := open(t, Limits{HeadBytes: 4 << 10}, echo)
+		s.Refused = func(_ string, _ int, err error) { refused <- err }
+		c := s.dial(t)
+		io.WriteString(c, text)
+		c.Conn.(*net.TCPConn).CloseWrite()
+		if err := <-refused; strings.Contains(err.Error(), "secret") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
 // TestBadRequests checks the status of what is no proper request, that nothing
 // behind it is handled, and that answers due before it are sent.
 func TestBadRequests(t *testing.T) {
