Look-up of a key allocates nothing; many customers' priorities are counted once

The look-up hashed a copy of the secret and the key on the heap. Keys longer than any that is known are not hashed.

--- a/internal/core/routing/config.go
+++ b/internal/core/routing/config.go
@@ -152,10 +152,11 @@
 	var own []int
 	inherits := !c.HasCustomers()
 	c.EachCustomer(func(customer *Customer) {
-		if customer.Priority != nil {
-			own = append(own, *customer.Priority)
-		} else {
+		switch {
+		case customer.Priority == nil:
 			inherits = true
+		case !slices.Contains(own, *customer.Priority):
+			own = append(own, *customer.Priority)
 		}
 	})
 	c.EachRoute(func(r *Route) {
--- a/internal/core/routing/customer.go
+++ b/internal/core/routing/customer.go
@@ -39,15 +39,22 @@
 	return secret
 })
 
+// stackKey is the length of a key, in bytes, up to which a look-up allocates nothing.
+const stackKey = 96
+
 func digestOf(key string) keyDigest {
 	secret := digestSecret()
-	return sha256.Sum256(append(secret[:], key...))
+	var buf [len(secret) + stackKey]byte
+	text := append(append(buf[:0], secret[:]...), key...)
+	return sha256.Sum256(text)
 }
 
 // customers are the customers of a configuration by name and by key.
 type customers struct {
 	byName map[string]*Customer
 	byKey  map[keyDigest]*Customer
+	// longest is the length of the longest key. Longer ones are not hashed.
+	longest int
 }
 
 // SetCustomers sets the configuration's customers. It is called before the configuration is used.
@@ -59,6 +66,7 @@
 		c.customers.byName[customer.Name] = customer
 		for _, key := range customer.Keys {
 			c.customers.byKey[digestOf(key)] = customer
+			c.customers.longest = max(c.customers.longest, len(key))
 		}
 		customer.Keys = nil
 	}
@@ -72,7 +80,7 @@
 
 // CustomerOf returns the customer that holds a key, or nil.
 func (c *Config) CustomerOf(key string) *Customer {
-	if key == "" {
+	if key == "" || len(key) > c.customers.longest {
 		return nil
 	}
 	return c.customers.byKey[digestOf(key)]
