Keys end with the version that withdraws them, also for what is under way

A key was looked up once, when the request came. A request whose body took long to come in, or that was repeated, reached servers after a later version had withdrawn its key, and its repeats went to home regions of the earlier version. Before each attempt the request is now held against the configuration in force, if that has changed: it ends with 401 if no server can have run it, else as other failures do.

A gateway that starts takes the store's word for the configuration. With customers such a gateway serves once a peer has said what is in force there, or after 3 s without one. Until then, and after a pause until the view is confirmed, requests that need a key get 503.

--- a/internal/daemon/gateway/customer.go
+++ b/internal/daemon/gateway/customer.go
@@ -2,41 +2,143 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
+
+	"cassiatray/internal/core/routing"
+)
+
+// Reasons for which a request is not admitted for its key.
+const (
+	reasonUnknownKey   = "unknown key"
+	reasonUnknownOld   = "unknown key, but the configuration may be old"
+	reasonUnconfirmed  = "the configuration is not confirmed yet"
+	reasonWithdrawnKey = "key withdrawn before the request was sent"
+	reasonNoCustomer   = "customer removed before the request was sent"
 )
 
+// needsKey reports whether callers need a key for a request of a route. A public route's prefix
+// says nothing of a path that leads out of it at a server that resolves dot segments.
+func needsKey(c *routing.Config, route *routing.Route, uri string) bool {
+	return c.HasCustomers() && !(route.Public && !hasDotSegment(uri))
+}
+
+// hasDotSegment reports whether the path of a request target has a segment of two dots, also an
+// escaped one.
+func hasDotSegment(uri string) bool {
+	path, _, _ := strings.Cut(uri, "?")
+	if !strings.ContainsAny(path, ".%") {
+		return false
+	}
+	path = plainPath.Replace(path)
+	return strings.Contains(path+"/", "/../") || strings.Contains(path, "/..;")
+}
+
+// plainPath spells a path as a server may that decodes it before it resolves dot segments.
+var plainPath = strings.NewReplacer("%2e", ".", "%2E", ".", "%2f", "/", "%2F", "/", "%5c", "/", "%5C", "/", "\\", "/")
+
 // identify sets the request's customer by the caller's key. It reports false if it has rejected
 // the request.
 func (n *Node) identify(w http.ResponseWriter, req *inflightRequest) bool {
 	c := req.view.config
-	if !c.HasCustomers() || req.route.Public {
+	if !needsKey(c, req.route, req.uri) {
 		return true
 	}
-	if req.customer = c.CustomerOf(req.caller.Key); req.customer != nil {
+	now := time.Now()
+	req.customer = c.CustomerOf(req.caller.Key)
+	switch {
+	case !n.keeper.Settled(now):
+		// A process that has just started, or was paused, may know an earlier version only.
+		n.writeError(w, req, http.StatusServiceUnavailable, reasonUnconfirmed)
+	case req.customer != nil:
 		return true
+	case now.Sub(n.keeper.Synced()) > maxNotFoundViewAge:
+		// The key may be in a newer configuration.
+		n.writeError(w, req, http.StatusServiceUnavailable, reasonUnknownOld)
+	default:
+		n.writeError(w, req, http.StatusUnauthorized, reasonUnknownKey)
 	}
-	// The key may be in a newer configuration.
-	if time.Since(n.keeper.Synced()) > maxNotFoundViewAge {
-		n.writeError(w, req, http.StatusServiceUnavailable, "unknown key, but the configuration may be old")
+	return false
+}
+
+// identifyRelayed sets the customer of a relayed request by its name. It reports false if the
+// configuration here differs from the origin's in whether callers need a key, or in the customers.
+func (req *inflightRequest) identifyRelayed(name string) bool {
+	c := req.view.config
+	if needsKey(c, req.route, req.uri) != (name != "") {
 		return false
 	}
-	n.writeError(w, req, http.StatusUnauthorized, "unknown key")
-	return false
+	if name == "" {
+		return true
+	}
+	req.customer = c.Customer(name)
+	return req.customer != nil
 }
 
-// forwardedHeaders returns the headers of a caller's request that backend servers get.
-func (n *Node) forwardedHeaders(r *http.Request, req *inflightRequest) http.Header {
-	h := endToEndHeaders(r.Header)
-	if req.view.config.HasCustomers() {
-		name := ""
-		if req.customer != nil {
-			name = req.customer.Name
+// endUnadmitted ends a request that the configuration in force no longer admits: its key was
+// withdrawn after it was identified. Otherwise the customer is as in that configuration from here
+// on. It is called before each attempt.
+func (n *Node) endUnadmitted(w http.ResponseWriter, r *http.Request, req *inflightRequest) bool {
+	c := n.keeper.View().config
+	if c == req.admittedBy() || !c.HasCustomers() {
+		return false
+	}
+	req.recheckedBy = c
+	if req.origin != "" {
+		// The origin alone knows the key.
+		if req.customer == nil {
+			return false
+		}
+		if customer := c.Customer(req.customer.Name); customer != nil {
+			req.customer = customer
+			return false
 		}
-		n.dialect.Identify(h, name)
+		n.writeFailure(w, req, reasonNoCustomer)
+		return true
+	}
+	route := matchRoute(c, r)
+	if route == nil {
+		route = req.route
+	}
+	if !needsKey(c, route, req.uri) {
+		return false
+	}
+	if customer := c.CustomerOf(req.caller.Key); customer != nil {
+		req.customer = customer
+		return false
 	}
+	if req.mayHaveRun || req.fallbackAnswer != nil {
+		n.writeFailure(w, req, reasonWithdrawnKey)
+	} else {
+		n.writeError(w, req, http.StatusUnauthorized, reasonWithdrawnKey)
+	}
+	return true
+}
+
+// admittedBy returns the configuration that last admitted the request.
+func (req *inflightRequest) admittedBy() *routing.Config {
+	if req.recheckedBy != nil {
+		return req.recheckedBy
+	}
+	return req.view.config
+}
+
+// forwardedHeaders returns the headers of a caller's request that backend servers get. A key is
+// removed also where the configuration has no customers: callers may have one all the same.
+func (n *Node) forwardedHeaders(r *http.Request, req *inflightRequest) http.Header {
+	h := endToEndHeaders(r.Header)
+	n.dialect.Identify(h, req.customerName())
 	return h
 }
 
+// customerName returns the name of the request's customer; empty for none.
+func (req *inflightRequest) customerName() string {
+	if req.customer == nil {
+		return ""
+	}
+	return req.customer.Name
+}
+
 // allowsRegion reports whether servers of a region may serve the request.
 func (req *inflightRequest) allowsRegion(region string) bool {
 	return req.route.AllowsRegion(region) && req.customer.AllowsRegion(region)
--- a/internal/daemon/gateway/fixtures_test.go
+++ b/internal/daemon/gateway/fixtures_test.go
@@ -27,10 +27,16 @@
 
 func (plainDialect) Caller(h http.Header) port.CallerMeta {
 	left, _ := time.ParseDuration(h.Get("Left"))
-	return port.CallerMeta{ID: h.Get("Id"), Object: h.Get("Object"), Left: left}
+	return port.CallerMeta{ID: h.Get("Id"), Object: h.Get("Object"), Left: left, Key: h.Get("Key")}
 }
 
-func (plainDialect) Identify(http.Header, string) {}
+func (plainDialect) Identify(h http.Header, customer string) {
+	h.Del("Key")
+	h.Del("Customer")
+	if customer != "" {
+		h.Set("Customer", customer)
+	}
+}
 
 func (plainDialect) Forward(h http.Header, left time.Duration, instance string) {
 	h.Set("Left", left.String())
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -73,11 +73,17 @@
 	// configRecord is the record of the configuration in force.
 	config       *routing.Config
 	configRecord mirror.Record
-	splits       map[*routing.Route]*lockedSplit
-	priorities   routing.Priorities
-	servers      map[string]*server
-	stored       map[string]*peerv1.GatewayMember
-	heard        map[string]heardMember
+	// configSince is when the process first had a configuration, pageTaken whether a peer has
+	// said which one is in force there.
+	configSince time.Time
+	pageTaken   bool
+	// othersKnown is set once the store held the record of another gateway, also an old one.
+	othersKnown bool
+	splits      map[*routing.Route]*lockedSplit
+	priorities  routing.Priorities
+	servers     map[string]*server
+	stored      map[string]*peerv1.GatewayMember
+	heard       map[string]heardMember
 	// graceUntil is until when records that lapse still count for a while; lapsed are those
 	// kept, by key.
 	graceUntil time.Time
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -161,6 +161,7 @@
 	if c := page.Config; c != nil && !c.Deleted {
 		k.takeLaterConfig(recordOf(c, now), source, now)
 	}
+	k.pageTaken = true
 	if lag := time.Duration(page.LagMicros) * time.Microsecond; lag-k.lag(now) > lagNews {
 		k.extendLag(lag, source, now)
 	}
--- a/internal/daemon/gateway/records.go
+++ b/internal/daemon/gateway/records.go
@@ -93,6 +93,11 @@
 		k.log.WithFields(fields).WithField("version", c.Version).Warn("Configuration is not newer; the last one stays in force.")
 		return
 	}
+	if k.config == nil {
+		k.configSince = time.Now()
+	} else if k.config.HasCustomers() && !c.HasCustomers() {
+		k.log.WithFields(fields).WithField("version", c.Version).Warn("Configuration names no customers any more: callers need no keys.")
+	}
 	k.config, k.configRecord = c, r
 	k.splits, k.priorities = map[*routing.Route]*lockedSplit{}, c.Priorities()
 	c.EachRoute(func(route *routing.Route) {
@@ -187,6 +192,7 @@
 		k.log.WithFields(fields).WithError(err).Warn("Gateway's record refused.")
 		return
 	}
+	k.othersKnown = k.othersKnown || host != k.cfg.Host
 	if isCopiedMember(m, r) {
 		k.log.WithFields(fields).Info("Gateway's record is of before the store came back from a copy.")
 		return
--- a/internal/daemon/gateway/relay.go
+++ b/internal/daemon/gateway/relay.go
@@ -87,6 +87,9 @@
 func (n *Node) relay(w http.ResponseWriter, r *http.Request, req *inflightRequest) bool {
 	tried := map[string]bool{}
 	for len(tried) < maxHelpers && time.Until(req.deadline) >= minTimeLeft {
+		if n.endUnadmitted(w, r, req) {
+			return true
+		}
 		passed := n.relays.pausedNow(time.Now())
 		h := links.Helper(n.keeper.View().helpers, n.cfg.Host, func(g *links.Gateway) bool {
 			return !tried[g.Host] && !passed[g.Host] && req.allowsRegion(g.Region)
@@ -275,10 +278,7 @@
 	offer := &peerv1.RelayOffer{
 		Method: r.Method, Uri: req.uri, Host: r.Host, Headers: headersToWire(n.forwardedHeaders(r, req)), Size: size,
 		Service: req.service, RunsLeft: req.runsLeft(), Repeat: req.repeat,
-		Trial: req.trial,
-	}
-	if req.customer != nil {
-		offer.Customer = req.customer.Name
+		Trial: req.trial, Customer: req.customerName(),
 	}
 	for s := range req.excluded {
 		offer.Tried = append(offer.Tried, s.rec().ID)
--- a/internal/daemon/gateway/relayed.go
+++ b/internal/daemon/gateway/relayed.go
@@ -91,10 +91,8 @@
 	if req.route = relayedRoute(req.view.config, r, offer.Service); req.route == nil {
 		return &RelayRefusedError{Reason: relayOtherConfig}
 	}
-	if offer.Customer != "" {
-		if req.customer = req.view.config.Customer(offer.Customer); req.customer == nil {
-			return &RelayRefusedError{Reason: relayOtherConfig}
-		}
+	if !req.identifyRelayed(offer.Customer) {
+		return &RelayRefusedError{Reason: relayOtherConfig}
 	}
 	if err := x.Send(&peerv1.Reply{Body: &peerv1.Reply_RelayAccept{RelayAccept: &peerv1.RelayAccept{}}}); err != nil {
 		return err
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -23,9 +23,11 @@
 	method string
 	route  *routing.Route
 	// customer is the one that the caller's key belongs to; nil if callers need no keys.
-	customer   *routing.Customer
-	service    string
-	objectHash uint64
+	customer *routing.Customer
+	// recheckedBy is the later configuration that admitted the request again; nil if none did.
+	recheckedBy *routing.Config
+	service     string
+	objectHash  uint64
 	// isHead is set for HEAD requests, whose responses have no body.
 	isHead bool
 	// deadline is when the caller must have received a response.
--- a/internal/daemon/gateway/start.go
+++ b/internal/daemon/gateway/start.go
@@ -107,10 +107,24 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	known := !k.mirror.Synced().IsZero() || !k.loaded.IsZero() && now.Sub(k.loaded) > loadTrust
-	k.settled.Store(known && k.config != nil)
+	k.settled.Store(known && k.config != nil && !k.awaitsPeer(now))
 	return k.settled.Load()
 }
 
+// peerTrust is how long a process that starts waits for a peer to say which configuration is in
+// force, if there are customers: several pulls from either of its sources.
+const peerTrust = 3 * time.Second
+
+// awaitsPeer reports whether a process that starts is to hear from a peer before it serves: a
+// store that came back from a copy confirms an earlier configuration, in which keys hold that were
+// withdrawn. The caller holds k.mu.
+func (k *Keeper) awaitsPeer(now time.Time) bool {
+	if k.config == nil || !k.config.HasCustomers() || k.pageTaken || now.Sub(k.configSince) > peerTrust {
+		return false
+	}
+	return k.othersKnown || len(k.cfg.Seeds) > 1
+}
+
 // Bounds of how long a request that comes while the process starts waits for its
 // view: that takes a few hundred milliseconds, and a caller that is refused meanwhile
 // spends one of its few retries.
--- a/internal/daemon/gateway/trial.go
+++ b/internal/daemon/gateway/trial.go
@@ -144,13 +144,16 @@
 			return n.startTrial(w, req, v, now)
 		}
 		coordinator := view.helper(host)
-		if coordinator == nil || !req.route.AllowsRegion(coordinator.Region) || n.trials.isPassedOver(now, host) {
+		if coordinator == nil || !req.allowsRegion(coordinator.Region) || n.trials.isPassedOver(now, host) {
 			continue
 		}
 		if asked == maxCoordinators || !n.mayRelay(req) || asked == 0 && !n.trials.mayAsk(now, req.fingerprint()) {
 			break
 		}
 		asked++
+		if n.endUnadmitted(w, r, req) {
+			return false, nil
+		}
 		if ended, _ := n.relayTo(w, r, req, coordinator); ended {
 			return false, nil
 		}
