Logs, metrics and the dump tell of customers

The end of each request names its customer; cassiatray_gateway_customer_requests_total counts requests by customer and result, at most 256 customers of a process by name (maxCustomerLabels) and all others as one; cassiatray_gateway_customers and the dump tell how many customers the configuration in force names, beside its version.

--- a/internal/daemon/gateway/answer.go
+++ b/internal/daemon/gateway/answer.go
@@ -113,6 +113,9 @@
 	}
 	if req.origin == "" {
 		n.metrics.request(route, status, took)
+		if req.customer != nil {
+			n.metrics.customers.count(req.customer.Name, status)
+		}
 	} else {
 		n.metrics.relayed.WithLabelValues(strconv.Itoa(status)).Inc()
 	}
@@ -120,6 +123,9 @@
 		"request": req.caller.ID, "object": req.caller.Object, "route": route, "service": req.service, "status": status, "ms": took.Milliseconds(),
 		"left_ms": req.caller.Left.Milliseconds(), "attempts": req.attempts,
 	}
+	if req.customer != nil {
+		fields["customer"] = req.customer.Name
+	}
 	if req.origin != "" {
 		fields["origin"] = req.origin
 	}
--- a/internal/daemon/gateway/dump.go
+++ b/internal/daemon/gateway/dump.go
@@ -9,18 +9,20 @@
 
 // State is the dump of a gateway.
 type State struct {
-	Host        string                  `json:"host"`
-	Domain      string                  `json:"domain"`
-	Incarnation uint64                  `json:"incarnation,string"`
-	Stopping    bool                    `json:"stopping"`
-	Links       string                  `json:"links"`
-	Version     uint64                  `json:"version"`
-	Revision    uint64                  `json:"revision"`
-	ViewAgeMS   int64                   `json:"view_age_ms"`
-	Watching    bool                    `json:"watching"`
-	Evacuated   map[string]bool         `json:"evacuated"`
-	Members     []*peerv1.GatewayMember `json:"members"`
-	Servers     []ServerState           `json:"servers"`
+	Host        string `json:"host"`
+	Domain      string `json:"domain"`
+	Incarnation uint64 `json:"incarnation,string"`
+	Stopping    bool   `json:"stopping"`
+	Links       string `json:"links"`
+	Version     uint64 `json:"version"`
+	Revision    uint64 `json:"revision"`
+	// Customers is how many customers the configuration names; 0 if callers need no keys.
+	Customers int                     `json:"customers"`
+	ViewAgeMS int64                   `json:"view_age_ms"`
+	Watching  bool                    `json:"watching"`
+	Evacuated map[string]bool         `json:"evacuated"`
+	Members   []*peerv1.GatewayMember `json:"members"`
+	Servers   []ServerState           `json:"servers"`
 }
 
 // ServerState is what is known of one backend server, and why it is not used.
@@ -45,7 +47,7 @@
 	out := State{
 		Host: n.cfg.Host, Domain: n.cfg.Domain, Incarnation: n.syncer.identity.Incarnation, Stopping: n.stopping.Load(), Links: n.links.current().String(),
 		Revision: v.revision, ViewAgeMS: now.Sub(n.keeper.Synced()).Milliseconds(), Watching: n.syncer.watching(),
-		Evacuated: v.evacuated, Members: v.members,
+		Customers: n.keeper.customers(), Evacuated: v.evacuated, Members: v.members,
 	}
 	if v.config != nil {
 		out.Version = v.config.Version
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -27,6 +27,8 @@
 	relays   *prometheus.CounterVec
 	relayed  *prometheus.CounterVec
 	trials   *prometheus.CounterVec
+	// customers are the requests by customer.
+	customers *customerCounters
 	// processChecks are those of watchProcess.
 	processChecks *prometheus.CounterVec
 }
@@ -83,7 +85,8 @@
 	m.processChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_process_checks_total", Help: "Checks whether a backend server with unfinished requests still runs, by kind: connect or health.",
 	}, []string{"kind"})
-	reg.MustRegister(m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
+	m.customers = newCustomerCounters()
+	reg.MustRegister(m.customers.requests, m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
 	return m
 }
 
--- a/internal/daemon/gateway/module.go
+++ b/internal/daemon/gateway/module.go
@@ -164,7 +164,7 @@
 	var wg sync.WaitGroup
 	quiet := logging.Discard()
 	reg.MustRegister(downGauges(k)...)
-	reg.MustRegister(linksGauge(n))
+	reg.MustRegister(linksGauge(n), customersGauge(k))
 	callers := newCallerServer(n, logging.Part(log, "caller"))
 	// Until it is asked for, SIGHUP ends the process.
 	hup := make(chan os.Signal, 1)
