--- a/internal/daemon/gateway/customer_test.go
+++ b/internal/daemon/gateway/customer_test.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -262,3 +265,38 @@
 func (*heldStream) Receive(context.Context) (*peerv1.Request, error) {
 	return &peerv1.Request{Body: &peerv1.Request_RelayChunk{RelayChunk: &peerv1.RelayChunk{Last: true}}}, nil
 }
+
+// Guards against a key that works on after its withdrawal on a connection that is open, for requests
+// that were sent ahead while it held.
+func TestWithdrawnKeysEndOnOpenConnections(t *testing.T) {
+	var f *fixture
+	f = newCustomerFixture(func(_ context.Context, n int, _ string) (*port.ForwardAnswer, error) {
+		f.setConfig(customerConfig(3, nil))
+		return okAnswer(), nil
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := newCallerServer(f.node, discardLog())
+	go srv.Serve(l)
+	defer srv.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	head := "POST /post/ HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nKey: " + secretKey + "\r\n\r\n"
+	io.WriteString(c, head+head)
+	answers := bufio.NewReader(c)
+	for i, want := range []int{200, 401, 401} {
+		if i == 2 {
+			io.WriteString(c, head)
+		}
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil || resp.StatusCode != want {
+			t.Fatalf("request %d: %v, %v, want %d", i, resp, err, want)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+}
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -41,7 +41,7 @@
 		with := exchangedWith(reports, m.Host, steady[:min(sources, len(steady))])
 		times := s.times.Load()
 		wait := times.pullWait
-		if !await && (rank > 0 || time.Since(s.keeper.Synced()) > times.staleSource) {
+		if !await && (rank > 0 || time.Since(s.keeper.Synced()) > times.staleSource || s.keeper.AwaitsPeer(time.Now())) {
 			wait = 0
 		}
 		page, err := s.pull(ctx, m, pullOptions{wait: wait, awaitReports: await}, with)
--- a/internal/daemon/gateway/start.go
+++ b/internal/daemon/gateway/start.go
@@ -125,6 +125,13 @@
 	return k.othersKnown || len(k.cfg.Seeds) > 1
 }
 
+// AwaitsPeer reports whether the process serves only once a peer has answered a pull.
+func (k *Keeper) AwaitsPeer(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.awaitsPeer(now)
+}
+
 // Bounds of how long a request that comes while the process starts waits for its
 // view: that takes a few hundred milliseconds, and a caller that is refused meanwhile
 // spends one of its few retries.
