--- a/internal/core/routing/customer.go
+++ b/internal/core/routing/customer.go
@@ -12,6 +12,8 @@
 	Name string
 	// Keys are the keys in force. They are not to be logged or passed on.
 	Keys []string
+	// KeyCount is their number, once the configuration holds only their digests.
+	KeyCount int
 	// Priority replaces that of the route unless it is nil.
 	Priority *int
 	// Rate is how many requests a second all gateways together serve, and Burst how many more
@@ -68,7 +70,7 @@
 			c.customers.byKey[digestOf(key)] = customer
 			c.customers.longest = max(c.customers.longest, len(key))
 		}
-		customer.Keys = nil
+		customer.Keys, customer.KeyCount = nil, len(customer.Keys)
 	}
 }
 
@@ -89,6 +91,18 @@
 // Customer returns the customer with a name, or nil.
 func (c *Config) Customer(name string) *Customer { return c.customers.byName[name] }
 
+// keys returns the digests of the keys of each customer.
+func (c *Config) keys() map[string]map[keyDigest]bool {
+	out := map[string]map[keyDigest]bool{}
+	for digest, customer := range c.customers.byKey {
+		if out[customer.Name] == nil {
+			out[customer.Name] = map[keyDigest]bool{}
+		}
+		out[customer.Name][digest] = true
+	}
+	return out
+}
+
 // EachCustomer calls fn with every customer.
 func (c *Config) EachCustomer(fn func(*Customer)) {
 	for _, customer := range c.customers.byName {
