--- a/cmd/cassiatrayctl/main.go
+++ b/cmd/cassiatrayctl/main.go
@@ -11,6 +11,7 @@
 
 	"cassiatray/internal/ctl"
 	"cassiatray/internal/program"
+	"cassiatray/platform"
 )
 
 type commandLine struct {
@@ -31,6 +32,8 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	err = k.Run(ctl.NewApp(ctx, &cli.CLI, os.Stdout))
+	app := ctl.NewApp(ctx, &cli.CLI, os.Stdout)
+	app.Schema = platform.Schema{}
+	err = k.Run(app)
 	return ctl.Report(os.Stderr, cli.Output, err)
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -35,18 +35,19 @@
 	Platform string `help:"Address of the platform's key-value service." env:"CASSIATRAY_PLATFORM" placeholder:"IP:PORT"`
 	Output   Output `help:"Form of the output: text, or json for scripts." short:"o" enum:"text,json" default:"text"`
 
-	Validate ValidateCmd `cmd:"" help:"Check a document."`
-	Diff     DiffCmd     `cmd:"" help:"Tell in plain words what a change does."`
-	Apply    ApplyCmd    `cmd:"" help:"Put a document in force in an environment."`
-	Promote  PromoteCmd  `cmd:"" help:"Put the sections of one environment in force in another."`
-	Rollback RollbackCmd `cmd:"" help:"Put an earlier change in force again, as a new step forward."`
-	Show     ShowCmd     `cmd:"" help:"Show an environment's document, its head or one change."`
-	History  HistoryCmd  `cmd:"" help:"List the changes of an environment, newest first."`
-	Status   StatusCmd   `cmd:"" help:"Show what each failure domain and host has in force."`
-	Explain  ExplainCmd  `cmd:"" help:"Tell why a client gets the answer it gets."`
-	Suspects SuspectsCmd `cmd:"" help:"List requests suspected of crashing servers."`
-	Dump     DumpCmd     `cmd:"" help:"Print the whole state of one process."`
-	Collect  CollectCmd  `cmd:"" help:"Bound the history and delete what nothing refers to."`
+	Validate ValidateCmd    `cmd:"" help:"Check a document."`
+	Diff     DiffCmd        `cmd:"" help:"Tell in plain words what a change does."`
+	Apply    ApplyCmd       `cmd:"" help:"Put a document in force in an environment."`
+	Promote  PromoteCmd     `cmd:"" help:"Put the sections of one environment in force in another."`
+	Rollback RollbackCmd    `cmd:"" help:"Put an earlier change in force again, as a new step forward."`
+	Show     ShowCmd        `cmd:"" help:"Show an environment's document, its head or one change."`
+	History  HistoryCmd     `cmd:"" help:"List the changes of an environment, newest first."`
+	Status   StatusCmd      `cmd:"" help:"Show what each failure domain and host has in force."`
+	Explain  ExplainCmd     `cmd:"" help:"Tell why a client gets the answer it gets."`
+	Suspects SuspectsCmd    `cmd:"" help:"List requests suspected of crashing servers."`
+	Dump     DumpCmd        `cmd:"" help:"Print the whole state of one process."`
+	Check    CheckConfigCmd `cmd:"" name:"check-config" help:"Check a routing configuration of gateways, and tell what it changes."`
+	Collect  CollectCmd     `cmd:"" help:"Bound the history and delete what nothing refers to."`
 }
 
 // App is what commands run with.
@@ -57,6 +58,8 @@
 	Clock port.Clock
 	// Store is nil when no platform is given.
 	Store *envstore.Store
+	// Schema decodes routing configurations in the platform's format.
+	Schema port.Schema
 }
 
 // NewApp returns an App for a parsed command line.
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -29,6 +29,8 @@
 	// ExitBehind is a status with --strict when some host does not have the
 	// newest document in force.
 	ExitBehind = 7
+	// ExitFindings is a check-config with --strict that found something.
+	ExitFindings = 8
 )
 
 // UsageError is a command line that cannot be run.
@@ -43,6 +45,21 @@
 	return fmt.Sprintf("hosts without the newest document in force: %d", e.Hosts)
 }
 
+// ConfigError is a routing configuration that gateways refuse.
+type ConfigError struct {
+	File string
+	Err  error
+}
+
+func (e *ConfigError) Error() string { return e.File + ": " + e.Err.Error() }
+
+func (e *ConfigError) Unwrap() error { return e.Err }
+
+// FindingsError means that a valid configuration has faults.
+type FindingsError struct{ Findings int }
+
+func (e *FindingsError) Error() string { return fmt.Sprintf("findings: %d", e.Findings) }
+
 // Failure is an error in the output for scripts.
 type Failure struct {
 	// Code is stable: see docs/operations/cassiatrayctl.md.
@@ -68,6 +85,8 @@
 		unknown   *envstore.UnknownChangeError
 		behind    *BehindError
 		store     *port.StoreError
+		config    *ConfigError
+		findings  *FindingsError
 	)
 	switch {
 	case errors.As(err, &usage):
@@ -86,6 +105,10 @@
 		out.Code = "unknown-change"
 	case errors.As(err, &behind):
 		out.Code, out.Exit = "behind", ExitBehind
+	case errors.As(err, &config):
+		out.Code, out.Exit = "invalid", ExitInvalid
+	case errors.As(err, &findings):
+		out.Code, out.Exit = "findings", ExitFindings
 	case errors.As(err, &store):
 		out.Code, out.Exit = storeFailure(store.Code)
 	}
