--- a/internal/core/routing/customer.go
+++ b/internal/core/routing/customer.go
@@ -12,6 +12,8 @@
 	Name string
 	// Keys are the keys in force. They are not to be logged or passed on.
 	Keys []string
+	// KeyCount is their number, once the configuration holds only their digests.
+	KeyCount int
 	// Priority replaces that of the route unless it is nil.
 	Priority *int
 	// Rate is how many requests a second all gateways together serve, and Burst how many more
@@ -39,15 +41,22 @@
 	return secret
 })
 
+// stackKey is the length of a key, in bytes, up to which a look-up allocates nothing.
+const stackKey = 96
+
 func digestOf(key string) keyDigest {
 	secret := digestSecret()
-	return sha256.Sum256(append(secret[:], key...))
+	var buf [len(secret) + stackKey]byte
+	text := append(append(buf[:0], secret[:]...), key...)
+	return sha256.Sum256(text)
 }
 
 // customers are the customers of a configuration by name and by key.
 type customers struct {
 	byName map[string]*Customer
 	byKey  map[keyDigest]*Customer
+	// longest is the length of the longest key. Longer ones are not hashed.
+	longest int
 }
 
 // SetCustomers sets the configuration's customers. It is called before the configuration is used.
@@ -59,8 +68,9 @@
 		c.customers.byName[customer.Name] = customer
 		for _, key := range customer.Keys {
 			c.customers.byKey[digestOf(key)] = customer
+			c.customers.longest = max(c.customers.longest, len(key))
 		}
-		customer.Keys = nil
+		customer.Keys, customer.KeyCount = nil, len(customer.Keys)
 	}
 }
 
@@ -72,7 +82,7 @@
 
 // CustomerOf returns the customer that holds a key, or nil.
 func (c *Config) CustomerOf(key string) *Customer {
-	if key == "" {
+	if key == "" || len(key) > c.customers.longest {
 		return nil
 	}
 	return c.customers.byKey[digestOf(key)]
@@ -81,6 +91,18 @@
 // Customer returns the customer with a name, or nil.
 func (c *Config) Customer(name string) *Customer { return c.customers.byName[name] }
 
+// keys returns the digests of the keys of each customer.
+func (c *Config) keys() map[string]map[keyDigest]bool {
+	out := map[string]map[keyDigest]bool{}
+	for digest, customer := range c.customers.byKey {
+		if out[customer.Name] == nil {
+			out[customer.Name] = map[keyDigest]bool{}
+		}
+		out[customer.Name][digest] = true
+	}
+	return out
+}
+
 // EachCustomer calls fn with every customer.
 func (c *Config) EachCustomer(fn func(*Customer)) {
 	for _, customer := range c.customers.byName {
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -13,21 +13,24 @@
 
 // Metrics are the counters of a gateway.
 type Metrics struct {
-	requests  *prometheus.CounterVec
-	latency   *prometheus.HistogramVec
-	attempts  *prometheus.CounterVec
-	server    *prometheus.HistogramVec
-	calls     *prometheus.CounterVec
-	checks    prometheus.Counter
-	opened    prometheus.Counter
-	limited   *prometheus.CounterVec
-	permits   *prometheus.CounterVec
-	signals   *prometheus.CounterVec
-	unknown   *prometheus.CounterVec
-	relays    *prometheus.CounterVec
-	relayed   *prometheus.CounterVec
-	trials    *prometheus.CounterVec
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	attempts *prometheus.CounterVec
+	server   *prometheus.HistogramVec
+	calls    *prometheus.CounterVec
+	checks   prometheus.Counter
+	opened   prometheus.Counter
+	limited  *prometheus.CounterVec
+	permits  *prometheus.CounterVec
+	signals  *prometheus.CounterVec
+	unknown  *prometheus.CounterVec
+	relays   *prometheus.CounterVec
+	relayed  *prometheus.CounterVec
+	trials   *prometheus.CounterVec
+	// ejections are the servers taken out of use because they reset all connections.
 	ejections prometheus.Counter
+	// customers are the requests by customer.
+	customers *customerCounters
 	// processChecks are those of watchProcess.
 	processChecks *prometheus.CounterVec
 }
@@ -87,7 +90,9 @@
 	m.ejections = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_ejections_total", Help: "Backend servers that were taken out of use because they reset all connections.",
 	})
-	reg.MustRegister(m.ejections, m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
+	reg.MustRegister(m.ejections)
+	m.customers = newCustomerCounters()
+	reg.MustRegister(m.customers.requests, m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
 	return m
 }
 
