Estimate warm and cold run times of a route separately

One average of warm and cold runs is right for neither: on a sticky route a cold run takes three times as long as a warm one, and the average moves with the share of cold runs. loadview.RunTimes keeps an average for each. A run at a server that was not believed warm counts as warm if its time is nearer to the warm average: another gateway has warmed it. Samples are divided by the reported pace and limited to half and twice the average, since 3% of the runs take seven times as long.

Choices of servers are unchanged.

--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -25,6 +25,8 @@
 	Requests float64 `json:"requests"`
 	WaitMS   int64   `json:"wait_ms,omitempty"`
 	ColdMS   int64   `json:"cold_ms,omitempty"`
+	// RunMS is the expected time of the run, after the wait.
+	RunMS int64 `json:"run_ms,omitempty"`
 	// Limit is the rate that the server named before the request was sent.
 	Limit  float64 `json:"limit,omitempty"`
 	Status int     `json:"status,omitempty"`
@@ -111,6 +113,7 @@
 		context.AfterFunc(ctx, cancel)
 	}
 	result := attempt{Server: rec.ID, Rank: c.rank, Requests: c.load, WaitMS: c.wait.Milliseconds(), ColdMS: c.coldFor.Milliseconds(), Limit: c.limit.Rate, MS: took.Milliseconds()}
+	result.RunMS = n.serviceTimes.expectedRun(req.route, started.warm).Milliseconds()
 	if err != nil {
 		result.Error, result.Code = err.Error(), codeOf(err)
 		n.noteFailure(rec.ID, err, took, time.Now())
@@ -133,7 +136,7 @@
 			s.markWarm(req.objectHash, time.Now())
 		}
 		if c.wait == 0 {
-			n.serviceTimes.record(req.route, req.service, a, took)
+			n.serviceTimes.record(req.route, req.service, a, took, started.warm)
 		}
 		if a.Opened {
 			n.metrics.opened.Inc()
--- a/internal/daemon/gateway/servicetime.go
+++ b/internal/daemon/gateway/servicetime.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"cassiatray/internal/core/loadview"
 	"cassiatray/internal/core/overload"
 	"cassiatray/internal/core/routing"
 	"cassiatray/internal/port"
@@ -20,6 +21,8 @@
 	trackers map[string]*overload.Tracker
 	// services are the trackers of all routes of each service together.
 	services map[string]*overload.Tracker
+	// runs are the times of each route's warm and cold runs.
+	runs map[string]*loadview.RunTimes
 }
 
 // ofService returns how long a request of any route takes at a server of the service.
@@ -35,10 +38,7 @@
 // estimate returns how long a request of the route takes at a server, without
 // time spent in the queue.
 func (t *serviceTimes) estimate(r *routing.Route) time.Duration {
-	fallback := r.Target / 2
-	if fallback == 0 {
-		fallback = defaultServiceTime
-	}
+	fallback := assumedServiceTime(r)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if tracker := t.trackers[r.Name]; tracker != nil {
@@ -47,15 +47,50 @@
 	return fallback
 }
 
-// record adds the time of a successful response, unless the server had a queue.
-func (t *serviceTimes) record(r *routing.Route, service string, a *port.ForwardAnswer, took time.Duration) {
+// assumedServiceTime returns the estimate for a route without measurements.
+func assumedServiceTime(r *routing.Route) time.Duration {
+	if r.Target > 0 {
+		return r.Target / 2
+	}
+	return defaultServiceTime
+}
+
+// runTimes returns how long a request of the route runs at a server that is warm, and at
+// one that is cold for its object, at the usual pace. Objects of a route that is not
+// sticky have no servers of their own: both times are those of any run.
+func (t *serviceTimes) runTimes(r *routing.Route) (warm, cold time.Duration) {
+	if !r.Sticky {
+		mean := t.estimate(r)
+		return mean, mean
+	}
+	fallback := assumedServiceTime(r)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if runs := t.runs[r.Name]; runs != nil {
+		return runs.Estimate(fallback)
+	}
+	return fallback, fallback
+}
+
+// expectedRun returns the run time at a server that is believed to be warm or cold.
+func (t *serviceTimes) expectedRun(r *routing.Route, warm bool) time.Duration {
+	ifWarm, ifCold := t.runTimes(r)
+	if warm {
+		return ifWarm
+	}
+	return ifCold
+}
+
+// record adds the time of a successful response, unless the server had a queue. warm says
+// whether the server was believed to be warm for the request's object.
+func (t *serviceTimes) record(r *routing.Route, service string, a *port.ForwardAnswer, took time.Duration, warm bool) {
 	if a.Status < 200 || a.Status >= 300 || a.Meta.Load != nil && a.Meta.Load.Waiting > 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.trackers == nil {
-		t.trackers, t.services = map[string]*overload.Tracker{}, map[string]*overload.Tracker{}
+		t.trackers, t.services, t.runs = map[string]*overload.Tracker{}, map[string]*overload.Tracker{}, map[string]*loadview.RunTimes{}
 	}
 	add := func(trackers map[string]*overload.Tracker, name string) {
 		if trackers[name] == nil {
@@ -65,4 +100,12 @@
 	}
 	add(t.trackers, r.Name)
 	add(t.services, service)
+	if t.runs[r.Name] == nil {
+		t.runs[r.Name] = new(loadview.RunTimes)
+	}
+	slowdown := 0.0
+	if a.Meta.Load != nil {
+		slowdown = a.Meta.Load.Slowdown
+	}
+	t.runs[r.Name].Add(took, warm, slowdown)
 }
