Choose servers by the time to the answer, from reports by their age

Cause: a gateway hears of one server every one to three seconds, and compared the waits of an object's first two servers by what the last report said. An object's second server got requests only after a wait of one run and more, so that servers were full in turn while others had room; a pace was ignored.

Change: for servers that report a pace, loadview estimates the load from the report's age, the average of earlier reports, this gateway's own requests and its share of the arrivals, and the time to the answer at the believed pace, which is forgotten after a second. Candidates that are equally good are chosen at random in proportion to their room. A cold run at the second server costs 0.3 of the difference of a cold and a warm run while the server can keep the object, and twice the difference while it holds many objects and evicts them. Waits are reckoned by the run time without outliers: the mean of all runs had risen to 4.6 s after some long runs, so that every request was refused. Servers that report three figures are chosen as before.

cassiatray_gateway_full_server_attempts_total counts arrivals at full servers; attempts log the pace, the age of the report and whether another had room.

--- a/internal/core/loadview/runtimes_test.go
+++ b/internal/core/loadview/runtimes_test.go
@@ -30,10 +30,10 @@
 		if random.Float64() < 0.03 {
 			took *= 7
 		}
-		r.Add(took, believed, slowdown)
+		r.Add(Run{Took: took, Warm: believed, Known: believed, Slowdown: slowdown})
 	}
-	if warm, cold := r.Estimate(0); !near(warm, 480*ms, 0.2) || !near(cold, 1600*ms, 0.2) {
-		t.Errorf("estimated %v warm and %v cold, want 480ms and 1.6s", warm, cold)
+	if got := r.Times(0); !near(got.Warm, 480*ms, 0.2) || !near(got.Cold, 1600*ms, 0.2) {
+		t.Errorf("estimated %v warm and %v cold, want 480ms and 1.6s", got.Warm, got.Cold)
 	}
 }
 
@@ -41,15 +41,15 @@
 // has been measured.
 func TestRunTimesWithoutSamples(t *testing.T) {
 	var none, warmOnly, coldOnly RunTimes
-	warmOnly.Add(300*ms, true, 0)
-	coldOnly.Add(1000*ms, false, 0)
+	warmOnly.Add(Run{Took: 300 * ms, Warm: true})
+	coldOnly.Add(Run{Took: 1000 * ms})
 	for _, x := range []struct {
 		name       string
 		r          RunTimes
 		warm, cold time.Duration
 	}{{"none", none, 70 * ms, 70 * ms}, {"warm", warmOnly, 300 * ms, 1000 * ms}, {"cold", coldOnly, 300 * ms, 1000 * ms}} {
-		if warm, cold := x.r.Estimate(70 * ms); !near(warm, x.warm, 0.01) || !near(cold, x.cold, 0.01) {
-			t.Errorf("%s: estimated %v warm and %v cold, want %v and %v", x.name, warm, cold, x.warm, x.cold)
+		if got := x.r.Times(70 * ms); !near(got.Warm, x.warm, 0.01) || !near(got.Cold, x.cold, 0.01) {
+			t.Errorf("%s: estimated %v warm and %v cold, want %v and %v", x.name, got.Warm, got.Cold, x.warm, x.cold)
 		}
 	}
 }
--- a/internal/core/warmth/warmth.go
+++ b/internal/core/warmth/warmth.go
@@ -3,7 +3,10 @@
 // of the time. It is pure.
 package warmth
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// maxObjects bounds the objects that are tracked for one server. Servers
@@ -18,7 +21,12 @@
 
 // Set is the set of objects that one server is assumed to be warm for. It is
 // not safe for concurrent use.
-type Set struct{ entries []entry }
+type Set struct {
+	// Size and TTL replace maxObjects and warmTTL unless they are zero.
+	Size    int
+	TTL     time.Duration
+	entries []entry
+}
 
 // entry is an object with the time of its last request.
 type entry struct {
@@ -35,7 +43,7 @@
 			return
 		}
 	}
-	if len(s.entries) < maxObjects {
+	if len(s.entries) < cmp.Or(s.Size, maxObjects) {
 		s.entries = append(s.entries, entry{object, now})
 		return
 	}
@@ -52,8 +60,18 @@
 func (s *Set) Has(object uint64, now time.Time) bool {
 	for i := range s.entries {
 		if s.entries[i].object == object {
-			return now.Sub(s.entries[i].at) < warmTTL
+			return now.Sub(s.entries[i].at) < cmp.Or(s.TTL, warmTTL)
 		}
 	}
 	return false
 }
+
+// Len returns the number of objects that the server is assumed to be warm for.
+func (s *Set) Len(now time.Time) (n int) {
+	for i := range s.entries {
+		if now.Sub(s.entries[i].at) < cmp.Or(s.TTL, warmTTL) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/loadview"
 	"cassiatray/internal/port"
 )
 
@@ -25,8 +26,15 @@
 	Requests float64 `json:"requests"`
 	WaitMS   int64   `json:"wait_ms,omitempty"`
 	ColdMS   int64   `json:"cold_ms,omitempty"`
-	// RunMS is the expected time of the run, after the wait.
+	// RunMS is the expected time of the run at the usual pace, after the wait.
 	RunMS int64 `json:"run_ms,omitempty"`
+	// Pace and ReportAgeMS are the server's pace by its latest report, 0 for none, and how old
+	// the report was when the server was chosen.
+	Pace        float64 `json:"pace,omitempty"`
+	ReportAgeMS int64   `json:"report_age_ms,omitempty"`
+	// OtherRoom is set if another of the object's preferred servers was believed to have a
+	// free slot.
+	OtherRoom bool `json:"other_room,omitempty"`
 	// Limit is the rate that the server named before the request was sent.
 	Limit  float64 `json:"limit,omitempty"`
 	Status int     `json:"status,omitempty"`
@@ -112,8 +120,8 @@
 	} else {
 		context.AfterFunc(ctx, cancel)
 	}
-	result := attempt{Server: rec.ID, Rank: c.rank, Requests: c.load, WaitMS: c.wait.Milliseconds(), ColdMS: c.coldFor.Milliseconds(), Limit: c.limit.Rate, MS: took.Milliseconds()}
-	result.RunMS = n.serviceTimes.expectedRun(req.route, started.warm).Milliseconds()
+	result := attempt{RunMS: n.serviceTimes.expectedRun(req.route, started.warm).Milliseconds(), Pace: c.pace, ReportAgeMS: c.reportAge.Milliseconds(), OtherRoom: c.otherRoom,
+		Server: rec.ID, Rank: c.rank, Requests: c.load, WaitMS: c.wait.Milliseconds(), ColdMS: c.coldFor.Milliseconds(), Limit: c.limit.Rate, MS: took.Milliseconds()}
 	if err != nil {
 		result.Error, result.Code = err.Error(), codeOf(err)
 		n.noteFailure(rec.ID, err, took, time.Now())
@@ -122,6 +130,9 @@
 		result.Status, result.New = a.Status, a.Opened
 		now := time.Now()
 		n.noteResponse(a.Opened, now)
+		if l := a.Meta.Load; a.Meta.NotRun && !a.Meta.OtherInstance && l != nil && !l.HasRoom() {
+			n.metrics.fullServer(req.service, c.otherRoom)
+		}
 		n.recordRuns(s.recordAnswer(a.Meta, ownRequests, started.at, n.coldUnseen(req.view, req.service, now), now))
 		if a.Meta.OtherInstance {
 			n.processEnded(s, endOtherInstance, now)
@@ -135,9 +146,8 @@
 		if req.route.Sticky && a.Status < http.StatusMultipleChoices {
 			s.markWarm(req.objectHash, time.Now())
 		}
-		if c.wait == 0 {
-			n.serviceTimes.record(req.route, req.service, a, took, started.warm)
-		}
+		n.serviceTimes.record(req.route, req.service, a, loadview.Run{Took: took, Warm: started.warm, Known: started.known}, !c.expectsSlot())
+		n.serviceTimes.recordShare(req.service, a.Meta.Load, s.inFlight())
 		if a.Opened {
 			n.metrics.opened.Inc()
 		}
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -27,6 +27,7 @@
 	relays   *prometheus.CounterVec
 	relayed  *prometheus.CounterVec
 	trials   *prometheus.CounterVec
+	full     *prometheus.CounterVec
 	// processChecks are those of watchProcess.
 	processChecks *prometheus.CounterVec
 }
@@ -80,10 +81,13 @@
 	m.trials = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_trials_total", Help: "Trials of requests under which servers crashed: completed, failed, or unsent when no server took them.",
 	}, []string{"result"})
+	m.full = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_full_server_attempts_total", Help: "Sendings that a backend server rejected because all its slots were taken, by service and whether another of the object's preferred servers was believed to have room.",
+	}, []string{"service", "other_room"})
 	m.processChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_process_checks_total", Help: "Checks whether a backend server with unfinished requests still runs, by kind: connect or health.",
 	}, []string{"kind"})
-	reg.MustRegister(m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
+	reg.MustRegister(m.processChecks, m.full, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
 	return m
 }
 
@@ -104,6 +108,12 @@
 	}
 }
 
+// fullServer counts an attempt that met a full server. otherRoom says whether another of the
+// object's preferred servers was believed to have a free slot.
+func (m *Metrics) fullServer(service string, otherRoom bool) {
+	m.full.WithLabelValues(service, strconv.FormatBool(otherRoom)).Inc()
+}
+
 func (m *Metrics) call(kind string, err error) {
 	result := "ok"
 	if err != nil {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -66,7 +67,9 @@
 	completed      suspect.Completed
 	serviceTimes   serviceTimes
 	unknownHeaders unknownHeaders
-	bounds         atomic.Pointer[Bounds]
+	// random returns a number in [0, 1).
+	random func() float64
+	bounds atomic.Pointer[Bounds]
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.Window
@@ -78,7 +81,7 @@
 	n := &Node{
 		cfg: cfg, keeper: k, dialect: d, forwarder: f, prober: p, log: log, metrics: m,
 		ctx: ctx, cancel: cancel, retryBudgets: map[string]*retry.Window{},
-		permitPeers: permitPeers{pool: peers, unreachable: map[string]time.Time{}}, relays: newRelayPeers(relays), links: newLinkWatch(), trials: newTrials(),
+		permitPeers: permitPeers{pool: peers, unreachable: map[string]time.Time{}}, relays: newRelayPeers(relays), links: newLinkWatch(), trials: newTrials(), random: rand.Float64,
 	}
 	n.bounds.Store(&cfg.Bounds)
 	k.replaced = func(s *server) {
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiatray/internal/core/fleet"
-	"cassiatray/internal/core/overload"
+	"cassiatray/internal/core/loadview"
 	"cassiatray/internal/core/pace"
 	"cassiatray/internal/core/ratelimit"
 	"cassiatray/internal/port"
@@ -31,6 +31,15 @@
 	coldFor time.Duration
 	// limit is the rate that the server names for all gateways together.
 	limit ratelimit.Limit
+	// state is the estimated state by which servers that report their pace are compared;
+	// paced is set if this one does.
+	paced bool
+	state loadview.State
+	// pace and reportAge are those of the latest report; zero if there is none.
+	pace      float64
+	reportAge time.Duration
+	// otherRoom is set if another of the preferred servers is believed to have a free slot.
+	otherRoom bool
 }
 
 // rejectReason is why a request was not sent to any server. The values appear
@@ -73,14 +82,14 @@
 	if g == nil {
 		return candidate{}, reasonNoServer
 	}
-	serviceTime := n.serviceTimes.estimate(req.route)
+	times := n.serviceTimes.times(req.route, req.service)
 	req.coldUnseen = n.coldUnseen(v, req.service, now)
-	maxWait := overload.MaxWait(req.route.Target, req.deadline.Sub(now), serviceTime, v.priorities.Level(req.route, req.priority()))
 	var best, reportedDown, limited, paused, leaving candidate
 	why := reasonNoServer
+	var preferred [preferredServerCount]candidate
 	usable := 0
 	for rank, s := range g.ranked(req.objectHash, req.sticky()) {
-		c, reason := n.evaluateServer(v, req, s, serviceTime, now)
+		c, reason := n.evaluateServer(v, req, s, &times, now)
 		c.rank = rank
 		if reason != reasonNone {
 			why = reason
@@ -100,14 +109,13 @@
 			// Its permits are kept for the objects whose first usable server it is.
 			continue
 		}
+		preferred[usable] = c
 		usable++
-		if best.server == nil || c.wait+spillCost(req, c, serviceTime, now) < best.wait {
-			best = c
-		}
 		if usable == preferredServerCount {
 			break
 		}
 	}
+	best = n.preferServer(req, preferred[:usable], &times, now)
 	if best.server == nil {
 		// The server may be unreachable only from the gateway that reported it.
 		best = reportedDown
@@ -122,7 +130,7 @@
 		return limited, reasonLimited
 	case best.server == nil:
 		return candidate{}, why
-	case best.wait > maxWait:
+	case best.wait > n.maxWait(v, req, &best, &times, now):
 		return best, reasonFull
 	case best.coldFor > 0 && !n.takeColdPermit(v, best.server, now):
 		return candidate{}, reasonCold
@@ -175,16 +183,16 @@
 // be used. It returns both for a server that is unreachable only by other
 // gateways' reports, for one that is at its limit or paused, with the time until it
 // may be asked, and for one that leaves and that nothing else speaks against.
-func (n *Node) evaluateServer(v *view, req *inflightRequest, s *server, serviceTime time.Duration, now time.Time) (candidate, rejectReason) {
+func (n *Node) evaluateServer(v *view, req *inflightRequest, s *server, times *loadview.Times, now time.Time) (candidate, rejectReason) {
 	switch {
 	case !req.allowsRegion(s.region):
 		return candidate{}, reasonNoServer
 	case req.excluded[s]:
 		return candidate{}, reasonAllTried
 	case !s.isLeaving():
-		return n.evaluateStaying(v, req, s, serviceTime, now)
+		return n.evaluateStaying(v, req, s, times, now)
 	case s.leftFor(now) < n.lastUse():
-		if c, reason := n.evaluateStaying(v, req, s, serviceTime, now); reason == reasonNone {
+		if c, reason := n.evaluateStaying(v, req, s, times, now); reason == reasonNone {
 			return c, reasonLeaving
 		}
 	}
@@ -192,7 +200,7 @@
 }
 
 // evaluateStaying evaluates a server as one that does not leave.
-func (n *Node) evaluateStaying(v *view, req *inflightRequest, s *server, serviceTime time.Duration, now time.Time) (candidate, rejectReason) {
+func (n *Node) evaluateStaying(v *view, req *inflightRequest, s *server, times *loadview.Times, now time.Time) (candidate, rejectReason) {
 	if left, oneAtATime := s.pauseLeft(now); left > 0 || oneAtATime && s.inFlight() > 0 {
 		return candidate{server: s, wait: left}, reasonPaused
 	}
@@ -209,14 +217,15 @@
 			return candidate{}, reasonUnreachable
 		}
 	}
-	c := candidate{server: s, load: s.estimatedRequests(now, serviceTime), coldFor: s.coldFor(now), limit: limit}
+	c := candidate{server: s, load: s.estimatedRequests(now, times.Mean), coldFor: s.coldFor(now), limit: limit}
 	if c.coldFor > 0 && !(n.ownsColdServer(v, s) && n.hasColdPermit(v, s, now)) {
 		return candidate{}, reasonCold
 	}
 	if down {
 		return c, reasonUnreachable
 	}
-	if s.withHealth(func(h *fleet.Health) bool { return h.Shedding(now) }) {
+	shedding := s.withHealth(func(h *fleet.Health) bool { return h.Shedding(now) })
+	if shedding {
 		if req.coldUnseen {
 			// Its slots may be full of cold runs, and a rejected request counts as well.
 			return candidate{}, reasonFull
@@ -224,8 +233,7 @@
 		// The server rejected a request recently because its queue was full.
 		c.load = max(c.load, float64(assumedRequestsPerSlot*s.rec().Slots))
 	}
-	c.wait = overload.Load{Requests: c.load, Slots: s.rec().Slots, Service: serviceTime}.Wait()
-	c.wait = max(c.wait, s.stallTime(now, serviceTime))
+	n.estimateLoad(&c, shedding, times, now)
 	return c, reasonNone
 }
 
--- a/internal/daemon/gateway/server.go
+++ b/internal/daemon/gateway/server.go
@@ -33,7 +33,10 @@
 	runningRequests []runningRequest
 	coldLimiter     pace.Limiter
 	warmObjects     warmth.Set
-	namedLimit      ratelimit.Limit
+	// sentObjects are the objects for which this gateway sent requests here lately. They
+	// tell how many objects the server has to keep.
+	sentObjects warmth.Set
+	namedLimit  ratelimit.Limit
 	// permits are issued from here while this gateway is the issuer or the deputy.
 	permits ratelimit.Bucket
 	// nextPermitAsk is when this gateway may ask for a permit again.
@@ -51,8 +54,15 @@
 	capacityShare float64
 }
 
+// maxSentObjects is above the number of objects that servers keep warm. sentObjectsTTL is
+// longer than a gateway's requests for an object are usually apart.
+const (
+	maxSentObjects = 32
+	sentObjectsTTL = 30 * time.Second
+)
+
 func newServer(rec fleet.Record, region string) *server {
-	s := &server{region: region}
+	s := &server{region: region, sentObjects: warmth.Set{Size: maxSentObjects, TTL: sentObjectsTTL}}
 	s.record.Store(&rec)
 	return s
 }
@@ -74,7 +84,9 @@
 	// otherRequests is the number of requests from other gateways, and average
 	// its moving average over the reports.
 	otherRequests, average float64
-	at                     time.Time
+	// slowdown is the server's pace, 0 if it was not reported.
+	slowdown float64
+	at       time.Time
 }
 
 // averageWeight is the weight of a new report in the moving average.
@@ -95,7 +107,7 @@
 	if l == nil {
 		return
 	}
-	r := &loadReport{otherRequests: float64(max(0, l.Running+l.Waiting-ownRequests)), at: now}
+	r := &loadReport{otherRequests: float64(max(0, l.Running+l.Waiting-ownRequests)), slowdown: l.Slowdown, at: now}
 	r.average = r.otherRequests
 	if old := s.load.Load(); old != nil {
 		r.average = old.average + averageWeight*(r.otherRequests-old.average)
@@ -119,11 +131,20 @@
 	return n
 }
 
+// warmthOf reports whether the server is warm for an object, and for how many objects this
+// gateway sent requests there lately.
+func (s *server) warmthOf(object uint64, now time.Time) (warm bool, objects int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.warmObjects.Has(object, now), s.sentObjects.Len(now)
+}
+
 // runningRequest is a request of this gateway that is in flight at a server.
 type runningRequest struct {
 	at time.Time
-	// warm is set when the server was believed to be warm for the request's object.
-	warm bool
+	// warm is set when the server was believed to be warm for the request's object, known
+	// when this gateway had sent requests for the object there lately.
+	warm, known bool
 }
 
 // startRequest records that a request for an object is sent to the server. It returns
@@ -132,7 +153,7 @@
 func (s *server) startRequest(object uint64, now time.Time) (runningRequest, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	started := runningRequest{at: now, warm: s.warmObjects.Has(object, now)}
+	started := runningRequest{at: now, warm: s.warmObjects.Has(object, now), known: s.sentObjects.Has(object, now)}
 	s.runningRequests = append(s.runningRequests, started)
 	return started, len(s.runningRequests)
 }
@@ -180,6 +201,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.warmObjects.Note(object, now)
+	s.sentObjects.Note(object, now)
 }
 
 func (s *server) isWarm(object uint64, now time.Time) bool {
--- a/internal/daemon/gateway/servicetime.go
+++ b/internal/daemon/gateway/servicetime.go
@@ -23,6 +23,8 @@
 	services map[string]*overload.Tracker
 	// runs are the times of each route's warm and cold runs.
 	runs map[string]*loadview.RunTimes
+	// shares are this gateway's shares of the requests at each service's servers.
+	shares map[string]*loadview.Share
 }
 
 // ofService returns how long a request of any route takes at a server of the service.
@@ -35,41 +37,37 @@
 	return defaultServiceTime
 }
 
-// estimate returns how long a request of the route takes at a server, without
-// time spent in the queue.
-func (t *serviceTimes) estimate(r *routing.Route) time.Duration {
-	fallback := assumedServiceTime(r)
+// times returns how long a request of the route runs at a server, without time spent in the
+// queue. Objects of a route that is not sticky have no servers of their own: its cold runs
+// take as long as the warm ones.
+func (t *serviceTimes) times(r *routing.Route, service string) loadview.Times {
+	mean := r.Target / 2
+	if mean == 0 {
+		mean = defaultServiceTime
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if tracker := t.trackers[r.Name]; tracker != nil {
-		return tracker.Mean(fallback)
+		mean = tracker.Mean(mean)
 	}
-	return fallback
-}
-
-// assumedServiceTime returns the estimate for a route without measurements.
-func assumedServiceTime(r *routing.Route) time.Duration {
-	if r.Target > 0 {
-		return r.Target / 2
+	out := loadview.Times{Mean: mean, Warm: mean, Cold: mean, Typical: mean}
+	if runs := t.runs[r.Name]; runs != nil {
+		out = runs.Times(mean)
 	}
-	return defaultServiceTime
-}
-
-// runTimes returns how long a request of the route runs at a server that is warm, and at
-// one that is cold for its object, at the usual pace. Objects of a route that is not
-// sticky have no servers of their own: both times are those of any run.
-func (t *serviceTimes) runTimes(r *routing.Route) (warm, cold time.Duration) {
 	if !r.Sticky {
-		mean := t.estimate(r)
-		return mean, mean
+		out.Cold, out.Typical = out.Warm, out.Warm
 	}
-	fallback := assumedServiceTime(r)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if runs := t.runs[r.Name]; runs != nil {
-		return runs.Estimate(fallback)
+	if share := t.shares[service]; share != nil {
+		out.OthersPerOwn = share.OthersPerOwn()
 	}
-	return fallback, fallback
+	return out
+}
+
+// runTimes returns how long a request of the route runs at a server that is warm, and at one
+// that is cold for its object, at the usual pace.
+func (t *serviceTimes) runTimes(r *routing.Route) (warm, cold time.Duration) {
+	times := t.times(r, "")
+	return times.Warm, times.Cold
 }
 
 // expectedRun returns the run time at a server that is believed to be warm or cold.
@@ -81,10 +79,28 @@
 	return ifCold
 }
 
-// record adds the time of a successful response, unless the server had a queue. warm says
-// whether the server was believed to be warm for the request's object.
-func (t *serviceTimes) record(r *routing.Route, service string, a *port.ForwardAnswer, took time.Duration, warm bool) {
-	if a.Status < 200 || a.Status >= 300 || a.Meta.Load != nil && a.Meta.Load.Waiting > 0 {
+// recordShare adds a report of a server of the service that came with a response, when own
+// other requests of this gateway were there.
+func (t *serviceTimes) recordShare(service string, l *port.ServerLoad, own int) {
+	if l == nil || l.Slowdown <= 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.shares == nil {
+		t.shares = map[string]*loadview.Share{}
+	}
+	if t.shares[service] == nil {
+		t.shares[service] = new(loadview.Share)
+	}
+	t.shares[service].Add(own, max(0, l.Running+l.Waiting-1-own))
+}
+
+// record adds the time of a successful response, unless the server had a queue. waited says
+// whether the request was expected to wait for a slot.
+func (t *serviceTimes) record(r *routing.Route, service string, a *port.ForwardAnswer, run loadview.Run, waited bool) {
+	l := a.Meta.Load
+	if a.Status < 200 || a.Status >= 300 || l != nil && l.Waiting > 0 {
 		return
 	}
 	t.mu.Lock()
@@ -96,16 +112,25 @@
 		if trackers[name] == nil {
 			trackers[name] = new(overload.Tracker)
 		}
-		trackers[name].Add(took)
+		trackers[name].Add(run.Took)
 	}
-	add(t.trackers, r.Name)
-	add(t.services, service)
+	if !waited {
+		add(t.trackers, r.Name)
+		add(t.services, service)
+	}
+	if l == nil && waited || l != nil && l.Running >= l.Slots {
+		// It may have waited. The estimate of the load may be wrong, and the report is exact.
+		return
+	}
+	if !r.Sticky {
+		run.Warm = true
+	}
+	if l != nil {
+		run.Slowdown = l.Slowdown
+	}
+	run.Known = run.Known && !waited && l != nil && 2*l.Running <= l.Slots+1
 	if t.runs[r.Name] == nil {
 		t.runs[r.Name] = new(loadview.RunTimes)
 	}
-	slowdown := 0.0
-	if a.Meta.Load != nil {
-		slowdown = a.Meta.Load.Slowdown
-	}
-	t.runs[r.Name].Add(took, warm, slowdown)
+	t.runs[r.Name].Add(run)
 }
