--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -29,6 +29,8 @@
 	trials   *prometheus.CounterVec
 	// ejections are the servers taken out of use because they reset all connections.
 	ejections prometheus.Counter
+	// full are the arrivals at servers without a free slot.
+	full *prometheus.CounterVec
 	// customers are the requests by customer.
 	customers *customerCounters
 	// processChecks are those of watchProcess.
@@ -84,13 +86,16 @@
 	m.trials = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_trials_total", Help: "Trials of requests under which servers crashed: completed, failed, or unsent when no server took them.",
 	}, []string{"result"})
+	m.full = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_full_server_attempts_total", Help: "Sendings that a backend server rejected because all its slots were taken, by service and whether another of the object's preferred servers was believed to have room.",
+	}, []string{"service", "other_room"})
 	m.processChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_process_checks_total", Help: "Checks whether a backend server with unfinished requests still runs, by kind: connect or health.",
 	}, []string{"kind"})
 	m.ejections = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_ejections_total", Help: "Backend servers that were taken out of use because they reset all connections.",
 	})
-	reg.MustRegister(m.ejections)
+	reg.MustRegister(m.ejections, m.full)
 	m.customers = newCustomerCounters()
 	reg.MustRegister(m.customers.requests, m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
 	return m
@@ -113,6 +118,12 @@
 	}
 }
 
+// fullServer counts an attempt that met a full server. otherRoom says whether another of the
+// object's preferred servers was believed to have a free slot.
+func (m *Metrics) fullServer(service string, otherRoom bool) {
+	m.full.WithLabelValues(service, strconv.FormatBool(otherRoom)).Inc()
+}
+
 func (m *Metrics) call(kind string, err error) {
 	result := "ok"
 	if err != nil {
--- a/internal/daemon/gateway/view.go
+++ b/internal/daemon/gateway/view.go
@@ -238,15 +238,15 @@
 	}
 }
 
-// share is the part of this gateway's objects that is placed on a group of servers, and the
+// groupShare is the part of this gateway's objects that is placed on a group of servers, and the
 // capacity of these.
-type share struct{ part, capacity float64 }
+type groupShare struct{ part, capacity float64 }
 
 // regionShares returns the share of each region. All gateways of a region place objects alike,
 // since they share their callers. Every failure domain is assumed to send the same number of
 // requests. A server that names a limit gets fewer objects, so that its requests for those are
 // within the limit and the others' objects stay warm at other servers.
-func (g *serverGroup) regionShares(cfg *Settings) map[string]share {
+func (g *serverGroup) regionShares(cfg *Settings) map[string]groupShare {
 	callers := map[string]float64{}
 	for _, d := range cfg.Domains {
 		callers[d.Region]++
@@ -257,7 +257,7 @@
 // domainShares returns the share of each failure domain of this gateway's region in what is placed
 // in the region: the gateway's own domain comes first, as far as its servers can carry the
 // requests of its callers.
-func (g *serverGroup) domainShares(cfg *Settings) map[string]share {
+func (g *serverGroup) domainShares(cfg *Settings) map[string]groupShare {
 	callers := map[string]float64{}
 	for _, d := range cfg.Domains {
 		if d.Region == cfg.Region {
@@ -274,7 +274,7 @@
 }
 
 // shares returns the share of each group of servers for callers in the group own.
-func shares(callers map[string]float64, own string, servers []*server, groupOf func(*server) string) map[string]share {
+func shares(callers map[string]float64, own string, servers []*server, groupOf func(*server) string) map[string]groupShare {
 	names := slices.Sorted(maps.Keys(callers))
 	capacity := map[string]float64{}
 	for _, s := range servers {
@@ -284,9 +284,9 @@
 	for i, name := range names {
 		zones[i] = placement.Zone{Capacity: capacity[name], Callers: callers[name]}
 	}
-	out := map[string]share{}
+	out := map[string]groupShare{}
 	for i, part := range placement.Shares(zones, slices.Index(names, own)) {
-		out[names[i]] = share{part: part, capacity: capacity[names[i]]}
+		out[names[i]] = groupShare{part: part, capacity: capacity[names[i]]}
 	}
 	return out
 }
@@ -303,7 +303,7 @@
 
 // newRing returns the ring for the given shares of regions and, unless nil, of the failure domains
 // of this gateway's region.
-func (g *serverGroup) newRing(regions, domains map[string]share) *placement.Ring {
+func (g *serverGroup) newRing(regions, domains map[string]groupShare) *placement.Ring {
 	list := make([]placement.Server, len(g.servers))
 	for i, s := range g.servers {
 		region := regions[s.region]
