callerconn: budget of bytes, bound on connections, stalled bodies

Requests, answers, heads and connections of callers count towards the budget, and exchanges are ended in favour of others: with an answer of the handler while the body is still read, by a reset else. Beyond the bound on connections the one that is idle for longest is closed. A caller that sends none of its body for 30 s ends the read; answers are written in pieces of 32 KiB, each of which has that time. The kernel keeps at most 128 KiB unsent, and a small receive buffer while the budget is short.

--- a/internal/adapter/callerconn/conn.go
+++ b/internal/adapter/callerconn/conn.go
@@ -31,6 +31,12 @@
 	// whether that is a deadline of the connection already.
 	headUntil time.Time
 	timed     bool
+	// smallBuffer is set once the kernel keeps little of what the caller sends.
+	smallBuffer atomic.Bool
+	// head counts what the request that is being read holds.
+	head headHold
+	// bodyWait is writing for the read of a request's body that has not ended.
+	bodyWait atomic.Int64
 	// writing is how long after opened the write began that has not ended, in
 	// nanoseconds; zero without one.
 	writing atomic.Int64
@@ -81,6 +87,7 @@
 // serve reads requests until the connection ends, and returns when the last
 // answer is sent.
 func (c *conn) serve() {
+	defer c.head.release()
 	err := c.readAll()
 	if !errors.Is(err, errStop) {
 		// The caller is gone, and nobody waits for its answers.
@@ -162,16 +169,22 @@
 	if err != nil {
 		return err
 	}
+	x := &exchange{c: c, r: r, sent: make(chan struct{}), ahead: ahead}
+	x.hold.Init(c.s.Budget, time.Now(), x)
+	if held := c.head.taken(); held > 0 {
+		x.hold.Force(held)
+	}
 	c.mu.Lock()
 	if c.ending() {
 		c.mu.Unlock()
+		x.hold.Release()
 		if ahead {
 			c.s.ahead.Add(-1)
 		}
 		return c.watch()
 	}
 	c.inHand++
-	x := &exchange{c: c, r: r, before: c.last, sent: make(chan struct{}), ahead: ahead}
+	x.before = c.last
 	c.last, c.newest = x.sent, x
 	c.mu.Unlock()
 	if !hasBody(r) {
@@ -291,10 +304,17 @@
 // sweep wakes the reader of a connection that has been idle for too long, and
 // ends one whose caller takes none of an answer.
 func (c *conn) sweep(now time.Time, idle time.Duration) {
-	if at := c.writing.Load(); at > 0 && now.Sub(c.opened)-time.Duration(at) > stallTimeout {
+	if c.stalled(&c.writing, now) > stallTimeout {
+		c.s.closed(CauseStalledAnswer, c)
+		c.dropUnsent()
 		c.abort()
 		return
 	}
+	if c.stalled(&c.bodyWait, now) > stallTimeout {
+		c.s.closed(CauseStalledBody, c)
+		c.stopBody()
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.inHand == 0 && (c.s.draining.Load() || idle > 0 && now.Sub(c.idleSince) >= idle) {
@@ -312,7 +332,11 @@
 		c.timed = true
 		c.nc.SetReadDeadline(c.headUntil)
 	}
-	return h.c.nc.Read(p)
+	n, err := h.c.nc.Read(p)
+	if h.c.limit.On() && !h.c.head.add(h.c, n) {
+		return 0, errNoRoom
+	}
+	return n, err
 }
 
 // ended notes that a request's answer is sent whole, or never will be.
--- a/internal/adapter/callerconn/exchange.go
+++ b/internal/adapter/callerconn/exchange.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"cassiatray/internal/core/membudget"
 )
 
 // exchange is one request and its answer. It implements http.ResponseWriter.
@@ -22,7 +24,9 @@
 	before, sent chan struct{}
 	// ahead is set when the request took room of those handled ahead.
 	ahead bool
-	body  *requestBody
+	// hold counts what the request and its answer hold.
+	hold membudget.Holder
+	body *requestBody
 	// bodyRead is closed once the body is read or given up; nil without one.
 	bodyRead chan struct{}
 
@@ -91,6 +95,7 @@
 			x.held = nil
 		}
 		<-x.before
+		x.hold.Release()
 		x.c.ended(x, broken)
 		if x.body != nil {
 			x.body.release()
@@ -199,6 +204,11 @@
 			x.held = heldPool.Get().(*bytes.Buffer)
 		}
 		if x.held.Len()+len(p) <= maxHeld {
+			if more := int64(x.held.Len()+len(p)) - x.hold.Bytes(); more > smallAnswer {
+				// Until earlier answers are sent, or the caller takes it. What the handler
+				// holds of it is counted already.
+				x.hold.Force(more)
+			}
 			return x.held.Write(p)
 		}
 		if x.err = x.start(false); x.err != nil {
@@ -267,6 +277,11 @@
 	x.writeHead(head)
 	switch {
 	case x.bodyless():
+	case !x.chunked && len(body) > smallAnswer:
+		if err := x.raw(head.Bytes()); err != nil {
+			return err
+		}
+		return x.raw(body)
 	case x.chunked && len(body) == 0:
 		// An empty chunk would end the body.
 	case x.chunked:
@@ -343,10 +358,16 @@
 }
 
 func (x *exchange) raw(p []byte) error {
-	x.c.writing.Store(max(1, int64(time.Since(x.c.opened))))
-	_, err := x.c.nc.Write(p)
-	x.c.writing.Store(0)
-	return err
+	for {
+		now := time.Now()
+		x.c.writing.Store(max(1, int64(now.Sub(x.c.opened))))
+		n, err := x.c.nc.Write(p[:min(len(p), writePiece)])
+		x.c.writing.Store(0)
+		if p = p[n:]; err != nil || len(p) == 0 {
+			return err
+		}
+		x.hold.Moved(n, time.Now())
+	}
 }
 
 // expecting reports whether the caller waits to be told to send its body.
--- a/internal/adapter/callerconn/read.go
+++ b/internal/adapter/callerconn/read.go
@@ -52,6 +52,8 @@
 	switch {
 	case err == nil:
 		status, reason = check(r)
+	case errors.Is(c.limit.Err(), errNoRoom):
+		status, reason = http.StatusServiceUnavailable, "no memory for the head"
 	case c.limit.Exceeded():
 		status, reason = http.StatusRequestHeaderFieldsTooLarge, "head over the limit"
 	case isTimeout(c.limit.Err()):
@@ -123,6 +125,9 @@
 	c.inHand++
 	c.mu.Unlock()
 	x.header = http.Header{"Content-Length": {"0"}, "Connection": {"close"}}
+	if status == http.StatusServiceUnavailable {
+		x.header.Set("Retry-After", retryAfter)
+	}
 	x.WriteHeader(status)
 	broken := x.finish() != nil
 	c.ended(x, broken)
@@ -163,7 +168,12 @@
 	if err := b.x.sendContinue(); err != nil {
 		return 0, err
 	}
+	c := b.x.c
+	c.bodyWait.Store(max(1, int64(time.Since(c.opened))))
 	n, err := b.from.Read(p)
+	c.bodyWait.Store(0)
+	b.x.hold.Moved(n, time.Now())
+	c.narrow()
 	if err != nil {
 		b.end(!errors.Is(err, io.EOF))
 	}
--- /dev/null
+++ b/internal/adapter/callerconn/room.go
@@ -0,0 +1,268 @@
+package callerconn
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"cassiatray/internal/adapter/tcp"
+	"cassiatray/internal/core/membudget"
+)
+
+const (
+	// smallAnswer is up to which size an answer, and a request's head, count as part of their
+	// connection, in bytes.
+	smallAnswer = 8 << 10
+	// writePiece is how much of an answer is written at once, in bytes: a caller that takes a
+	// piece makes progress.
+	writePiece = 32 << 10
+	// unsentBytes bounds what the kernel keeps unsent of a connection's answers, in bytes. It
+	// keeps megabytes else for a caller that reads nothing.
+	unsentBytes = 128 << 10
+	// narrowBuffer is the receive buffer of connections while the budget is short, in bytes: the
+	// kernel takes twice as much memory. A caller 80 ms away sends 6 Mbit/s through it.
+	narrowBuffer = 64 << 10
+	// closeAfter is how long a caller must have made no progress for its connection to be closed
+	// in favour of a new one.
+	closeAfter = time.Second
+	// mostLooked bounds the connections that are looked at to make room for a new one.
+	mostLooked = 8
+)
+
+// Cause is why a connection was closed, or not accepted. The values label metrics.
+type Cause string
+
+// Values of Cause.
+const (
+	CauseIdle          Cause = "idle"
+	CauseSlow          Cause = "slow"
+	CauseNoConnections Cause = "no_connections"
+	CauseMemory        Cause = "memory"
+	CauseStalledBody   Cause = "stalled_body"
+	CauseStalledAnswer Cause = "stalled_answer"
+)
+
+// errNoRoom ends the reading of a head for which there is no memory.
+const errNoRoom = readEnd("no memory")
+
+// retryAfter is when a caller may come back that was refused for lack of room, in seconds.
+const retryAfter = "1"
+
+// refusal is sent on a connection that is not accepted: nothing of a request was read.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + retryAfter + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// Connections returns how many connections are open.
+func (s *Server) Connections() int { return int(s.open.Load()) }
+
+func (s *Server) closed(cause Cause, c *conn) {
+	if s.Closed != nil {
+		s.Closed(cause, c.remote)
+	}
+}
+
+// makeRoom counts a new connection. If there are too many, it closes the one that has been idle
+// or without progress for longest, and if there is none it refuses the new one.
+func (s *Server) makeRoom(nc net.Conn) bool {
+	open := s.open.Add(1)
+	s.Budget.Add(membudget.ConnectionBytes)
+	if s.MaxConns > 0 && int(open) > s.MaxConns && !s.closeSlowest() {
+		if s.Closed != nil {
+			s.Closed(CauseNoConnections, nc.RemoteAddr().String())
+		}
+		// It fits the send buffer of a new connection. The caller may be gone.
+		nc.SetWriteDeadline(time.Now().Add(closeAfter))
+		nc.Write([]byte(refusal))
+		nc.Close()
+		s.left()
+		return false
+	}
+	return true
+}
+
+func (s *Server) left() {
+	s.open.Add(-1)
+	s.Budget.Add(-membudget.ConnectionBytes)
+}
+
+// closeSlowest closes the connection that has been without a request for longest, or, if all
+// have one, the one whose caller has made no progress for longest.
+func (s *Server) closeSlowest() bool {
+	now := time.Now()
+	for range mostLooked {
+		var idle, slow *conn
+		var idleFor, slowFor time.Duration
+		s.each(func(c *conn) {
+			if for_, ok := c.idleFor(now); ok && (idle == nil || for_ > idleFor) {
+				idle, idleFor = c, for_
+			}
+			if for_ := max(c.stalled(&c.writing, now), c.stalled(&c.bodyWait, now)); for_ > slowFor {
+				slow, slowFor = c, for_
+			}
+		})
+		switch {
+		case idle != nil && idle.closeIdle():
+			s.closed(CauseIdle, idle)
+			return true
+		case idle != nil:
+			// Its next request has just arrived.
+		case slow != nil && slowFor >= closeAfter:
+			s.closed(CauseSlow, slow)
+			slow.dropUnsent()
+			slow.abort()
+			return true
+		default:
+			return false
+		}
+	}
+	return false
+}
+
+// idleFor returns how long the connection has had no request, or how long the head of one has
+// been incomplete.
+func (c *conn) idleFor(now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inHand > 0 || c.broken || c.closing {
+		return 0, false
+	}
+	return now.Sub(c.idleSince), true
+}
+
+// closeIdle ends a connection without a request, unless bytes of one have just arrived.
+func (c *conn) closeIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inHand > 0 || c.broken {
+		return false
+	}
+	if tcp.Peek(c.nc) == tcp.Stray {
+		// It is looked at again after those without.
+		c.idleSince = time.Now()
+		return false
+	}
+	c.broken = true
+	c.cancel()
+	c.nc.Close()
+	c.signal()
+	return true
+}
+
+// stalled returns for how long the write or read has lasted that at tells of.
+func (c *conn) stalled(at *atomic.Int64, now time.Time) time.Duration {
+	if since := at.Load(); since > 0 {
+		return now.Sub(c.opened) - time.Duration(since)
+	}
+	return 0
+}
+
+// limitBuffers bounds what the kernel keeps of a new connection. Connections of a listener do not
+// inherit that from one that accepts multipath TCP.
+func (c *conn) limitBuffers() {
+	if c.s.Budget.Limit() <= 0 {
+		return
+	}
+	if err := tcp.LimitUnsent(c.nc, unsentBytes); err != nil && c.s.Refused != nil {
+		c.s.Refused(c.remote, 0, err)
+	}
+	c.narrow()
+}
+
+// narrow bounds what the kernel keeps of a caller's bytes once the budget is short: they count
+// towards the memory of the machine before they are read.
+func (c *conn) narrow() {
+	if !c.s.Budget.Short() || c.smallBuffer.Load() || c.smallBuffer.Swap(true) {
+		return
+	}
+	if t, ok := c.nc.(interface{ SetReadBuffer(int) error }); ok && t.SetReadBuffer(narrowBuffer) != nil {
+		// The connection is closed already.
+		return
+	}
+}
+
+// stopBody ends the read of a request's body: its reader gets a time-out.
+func (c *conn) stopBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.woken = true
+	c.nc.SetReadDeadline(time.Unix(1, 0))
+}
+
+// EndForOthers implements membudget.Owner. While no byte of its request has been sent
+// on, its handler answers.
+func (x *exchange) EndForOthers(p membudget.Phase) {
+	x.c.s.closed(CauseMemory, x.c)
+	if p == membudget.Receiving {
+		x.c.stopBody()
+		return
+	}
+	x.c.dropUnsent()
+	x.c.cancel()
+	x.c.nc.Close()
+}
+
+// dropUnsent has the kernel drop what the caller does not take once the connection is closed. It
+// keeps that for minutes else.
+func (c *conn) dropUnsent() {
+	if t, ok := c.nc.(interface{ SetLinger(int) error }); ok && t.SetLinger(0) != nil {
+		// The connection is closed already.
+		return
+	}
+}
+
+// EndForOthers implements membudget.Owner: the head that is read is given up.
+func (c *conn) EndForOthers(membudget.Phase) {
+	c.s.closed(CauseMemory, c)
+	c.cancel()
+	c.nc.Close()
+}
+
+// GiveUpBody notes that no more of the request's body is read. Its answer is the connection's
+// last.
+func (x *exchange) GiveUpBody() {
+	if x.body != nil {
+		x.body.end(true)
+	}
+}
+
+// Hold returns what counts the bytes of the request and of its answer.
+func (x *exchange) Hold() *membudget.Holder { return &x.hold }
+
+// headHold counts what a request's head holds while it is read. Heads of usual sizes count as
+// part of their connection.
+type headHold struct {
+	read int64
+	hold *membudget.Holder
+}
+
+// add counts n bytes, and reports whether there is room for them.
+func (h *headHold) add(c *conn, n int) bool {
+	if h.read += int64(n); h.read <= smallAnswer || c.s.Budget.Limit() <= 0 {
+		return true
+	}
+	if h.hold == nil {
+		h.hold = new(membudget.Holder)
+		h.hold.Init(c.s.Budget, time.Now(), c)
+	}
+	now := time.Now()
+	h.hold.Moved(n, now)
+	// The parsed head takes as much again.
+	return h.hold.Grow(2*int64(n), now)
+}
+
+// taken returns what the head that was read holds, which is counted elsewhere from then on.
+func (h *headHold) taken() int64 {
+	bytes := int64(0)
+	if h.hold != nil {
+		bytes = h.hold.Bytes()
+	}
+	h.release()
+	return bytes
+}
+
+func (h *headHold) release() {
+	h.read = 0
+	if h.hold != nil {
+		h.hold.Release()
+		h.hold = nil
+	}
+}
--- a/internal/adapter/callerconn/server.go
+++ b/internal/adapter/callerconn/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cassiatray/internal/adapter/tcp"
+	"cassiatray/internal/core/membudget"
 )
 
 const (
@@ -71,6 +72,13 @@
 	Limits func() Limits
 	// Refused is told of what was no proper request; nil for nobody.
 	Refused func(remote string, status int, err error)
+	// Budget bounds what requests, answers and connections hold; nil for no bound.
+	Budget *membudget.Budget
+	// MaxConns bounds the open connections; 0 for no bound.
+	MaxConns int
+	// Closed is told of a connection that was closed to make room, or because its caller made no
+	// progress; nil for nobody.
+	Closed func(cause Cause, remote string)
 
 	draining    atomic.Bool
 	ahead       atomic.Int32
@@ -86,6 +94,7 @@
 	accepted    chan struct{}
 	acceptUntil time.Time
 	conns       map[*conn]struct{}
+	open        atomic.Int32
 	done        sync.WaitGroup
 }
 
@@ -135,12 +144,17 @@
 			return err
 		}
 		pause = 0
+		if !s.makeRoom(nc) {
+			continue
+		}
 		c := newConn(s, nc)
+		c.limitBuffers()
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
 		s.done.Go(func() {
 			c.serve()
+			s.left()
 			s.mu.Lock()
 			delete(s.conns, c)
 			s.mu.Unlock()
--- a/internal/adapter/headlimit/headlimit.go
+++ b/internal/adapter/headlimit/headlimit.go
@@ -30,6 +30,9 @@
 // End lifts the bound.
 func (l *Reader) End() { l.on = false }
 
+// On reports whether a head is due.
+func (l *Reader) On() bool { return l.on }
+
 // Exceeded reports whether a read was refused since Begin.
 func (l *Reader) Exceeded() bool { return l.exceeded }
 
--- a/internal/adapter/tcp/dial.go
+++ b/internal/adapter/tcp/dial.go
@@ -118,3 +118,24 @@
 	})
 	return err == nil && pending
 }
+
+// LimitUnsent bounds the bytes that the kernel takes of a connection and has not sent yet. It does
+// not slow a connection down whose peer reads.
+func LimitUnsent(conn net.Conn, bytes int) error {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var fault error
+	err = raw.Control(func(fd uintptr) {
+		fault = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, bytes)
+	})
+	if err != nil {
+		return err
+	}
+	return fault
+}
