Gateways hold no more than their memory budget

A gateway buffered up to 256 KiB of each request and of each answer, and opened any number of connections. Bodies are now read within the budget, 0.35 of the setting memory by default (memoryBudget): a request for which there is no room gets 503 with Retry-After before any more of its body is read, and one whose body stalls 408; neither has been sent to a server. An answer for which there is no room is streamed. Callers' connections are bounded by the descriptors (descriptors, rendered from limits.maxFds; connections), those for look-ups, readiness and operators too.

--- a/internal/adapter/serverconn/exchange.go
+++ b/internal/adapter/serverconn/exchange.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"cassiatray/internal/adapter/bounded"
 	"cassiatray/internal/port"
 )
 
@@ -23,6 +24,9 @@
 	// maxForeign is how many answers to other requests are passed over before
 	// the connection is given up.
 	maxForeign = 3
+	// maxCopied is up to which size a request's body is copied, to be written with its head, in
+	// bytes.
+	maxCopied = 16 << 10
 	// drainLimit bounds the body of an answer that is passed over, in bytes.
 	drainLimit = 1 << 20
 )
@@ -81,7 +85,12 @@
 	if !a.Meta.Signed && resp.StatusCode < http.StatusMultipleChoices {
 		return nil, brokenError(ctx, address, true, &UnsignedError{ID: r.ID})
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeLimit))
+	hold := r.HoldBytes
+	if a.Meta.NotRun {
+		// It is a proof only once it is read whole.
+		hold = func(int) bool { return true }
+	}
+	body, whole, _, err := bounded.Read(resp.Body, resp.ContentLength, wholeLimit, hold)
 	if err != nil {
 		be := shortError(ctx, address, err)
 		be.Meta = a.Meta
@@ -95,7 +104,7 @@
 	c.answers++
 	// Behind an answer without an ID, a later one could be its copy.
 	reuse := a.Meta.ID != "" && !resp.Close && skipped == 0 && !early && len(c.refused) < maxRefused
-	if len(body) == wholeLimit {
+	if !whole {
 		a.Rest = &rest{ctx: ctx, address: address, body: resp.Body, end: func() { stop(); c.Close() }}
 		return a, nil
 	}
@@ -184,10 +193,16 @@
 	default:
 		b.WriteString("\r\n")
 	}
-	if !chunked {
+	apart := len(r.Body) > maxCopied
+	if !chunked && !apart {
 		b.Write(r.Body)
 	}
 	n, err := c.Write(b.Bytes())
+	if err == nil && !chunked && apart {
+		var m int
+		m, err = c.Write(r.Body)
+		n += m
+	}
 	if err != nil || r.Rest == nil {
 		return int64(n), err
 	}
--- a/internal/daemon/gateway/answer.go
+++ b/internal/daemon/gateway/answer.go
@@ -47,6 +47,12 @@
 	} else if size := a.Header.Get("Content-Length"); size != "" {
 		h.Set("Content-Length", size)
 	}
+	if a.Rest != nil {
+		req.hold.Force(passBuffer)
+	}
+	req.dropBody()
+	// A holder that was ended fails to write.
+	req.enterPassing()
 	w.WriteHeader(a.Status)
 	_, err := w.Write(a.Body)
 	if a.Rest != nil {
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -94,6 +94,7 @@
 	forward := &port.ForwardRequest{
 		Method: r.Method, URI: req.uri, Host: r.Host, Header: n.forwardedHeaders(r, req), Body: req.body, Rest: req.unreadBody,
 		Size: r.ContentLength, ID: req.caller.ID, SameProcess: n.limitsColdServers(req.view, req.service),
+		Hold: req,
 	}
 	if req.unreadBody == nil {
 		forward.Size = int64(len(req.body))
--- a/internal/daemon/gateway/callers.go
+++ b/internal/daemon/gateway/callers.go
@@ -20,7 +20,9 @@
 
 // newCallerServer returns the server for callers' connections.
 func newCallerServer(n *Node, log *logrus.Entry) *callerconn.Server {
+	closed := &closings{log: log, metrics: n.metrics}
 	return &callerconn.Server{
+		Budget: n.memory, MaxConns: n.cfg.maxConnections(descriptorLimit()), Closed: closed.note,
 		Handler: n, Independent: n.isIdempotent, Limits: n.callerLimits,
 		Refused: func(remote string, status int, err error) {
 			entry := log.WithFields(logrus.Fields{"remote": remote, "status": status}).WithError(err)
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -27,6 +27,8 @@
 	relays   *prometheus.CounterVec
 	relayed  *prometheus.CounterVec
 	trials   *prometheus.CounterVec
+	// closed counts callers' connections that were closed to make room.
+	closed *prometheus.CounterVec
 	// processChecks are those of watchProcess.
 	processChecks *prometheus.CounterVec
 }
@@ -83,7 +85,11 @@
 	m.processChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_process_checks_total", Help: "Checks whether a backend server with unfinished requests still runs, by kind: connect or health.",
 	}, []string{"kind"})
-	reg.MustRegister(m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
+	m.closed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_caller_connections_closed_total",
+		Help: "Connections of callers closed or not accepted, by cause: idle or slow in favour of a new one, no_connections, memory, stalled_body, stalled_answer.",
+	}, []string{"cause"})
+	reg.MustRegister(m.closed, m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
 	return m
 }
 
--- a/internal/daemon/gateway/module.go
+++ b/internal/daemon/gateway/module.go
@@ -24,6 +24,7 @@
 	"cassiatray/internal/adapter/serverconn"
 	"cassiatray/internal/adapter/tcp"
 	"cassiatray/internal/core/document"
+	"cassiatray/internal/core/membudget"
 	"cassiatray/internal/logging"
 	"cassiatray/internal/port"
 	"cassiatray/internal/program"
@@ -166,6 +167,7 @@
 	reg.MustRegister(downGauges(k)...)
 	reg.MustRegister(linksGauge(n))
 	callers := newCallerServer(n, logging.Part(log, "caller"))
+	reg.MustRegister(memoryGauges(n.memory, callers)...)
 	// Until it is asked for, SIGHUP ends the process.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -176,11 +178,15 @@
 				return err
 			}
 			srv.Start(l.peer)
+			descriptors := cfg.descriptors(descriptorLimit())
+			few := membudget.ServiceConnections(descriptors)
 			for _, x := range []struct {
-				l net.Listener
-				h http.Handler
-			}{{l.ready, h.Ready(n)}, {l.directory, h.Directory(n)}, {l.operator, operatorhttp.NewRouter(&operatorSource{node: n}, reg)}} {
-				side := &http.Server{Handler: x.h, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: newServerLog(quiet)}
+				l     net.Listener
+				h     http.Handler
+				conns int
+			}{{l.ready, h.Ready(n), few}, {l.directory, h.Directory(n), membudget.LookupConnections(descriptors)}, {l.operator, operatorhttp.NewRouter(&operatorSource{node: n}, reg), few}} {
+				conns := newSideConns(x.conns)
+				side := &http.Server{ConnState: conns.state, Handler: x.h, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: newServerLog(quiet)}
 				go side.Serve(x.l)
 			}
 			go func() {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"cassiatray/internal/core/membudget"
 	"cassiatray/internal/core/retry"
 	"cassiatray/internal/core/suspect"
 	"cassiatray/internal/port"
@@ -68,6 +69,9 @@
 	unknownHeaders unknownHeaders
 	bounds         atomic.Pointer[Bounds]
 
+	// memory bounds what is held for others.
+	memory *membudget.Budget
+
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.Window
 }
@@ -77,7 +81,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg: cfg, keeper: k, dialect: d, forwarder: f, prober: p, log: log, metrics: m,
-		ctx: ctx, cancel: cancel, retryBudgets: map[string]*retry.Window{},
+		ctx: ctx, cancel: cancel, retryBudgets: map[string]*retry.Window{}, memory: membudget.New(cfg.budgetBytes()),
 		permitPeers: permitPeers{pool: peers, unreachable: map[string]time.Time{}}, relays: newRelayPeers(relays), links: newLinkWatch(), trials: newTrials(),
 	}
 	n.bounds.Store(&cfg.Bounds)
@@ -95,6 +99,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := n.newRequest(r)
+	req.hold = holderOf(w)
 	if n.refusing.Load() {
 		req.view = n.keeper.View()
 		// Other gateways take it at once.
@@ -126,6 +131,7 @@
 	}
 	n.prepare(req)
 	if status, why := n.readBody(w, r, req); status != 0 {
+		refuseBody(w, req, status)
 		n.writeError(w, req, status, why)
 		return
 	}
--- a/internal/daemon/gateway/relay.go
+++ b/internal/daemon/gateway/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"cassiatray/internal/adapter/bounded"
 	"cassiatray/internal/core/fleet"
 	"cassiatray/internal/core/links"
 	"cassiatray/internal/port"
@@ -205,7 +206,7 @@
 // such as the view of a process that has just started, so that another gateway may serve it.
 func mayBeHelpersOwn(reason rejectReason) bool {
 	switch reason {
-	case reasonUnreachable, reasonCold, reasonNoServer:
+	case reasonUnreachable, reasonCold, reasonNoServer, reasonNoMemory:
 		return true
 	}
 	return false
@@ -323,12 +324,13 @@
 		}
 		return reply.GetRelayChunk(), nil
 	}}
-	begin, err := io.ReadAll(io.LimitReader(body, maxBufferedBody))
+	begin, whole, _, err := bounded.Read(body, -1, maxBufferedBody, req.HoldBytes)
 	if err != nil {
 		return nil, nil, err
 	}
 	a.Body = begin
-	if len(begin) == maxBufferedBody {
+	if !whole {
+		req.hold.Force(relayWindow)
 		a.Rest = io.NopCloser(body)
 	}
 	return head, a, nil
--- a/internal/daemon/gateway/relay_test.go
+++ b/internal/daemon/gateway/relay_test.go
@@ -14,6 +14,7 @@
 
 	"cassiatray/internal/core/fleet"
 	"cassiatray/internal/core/links"
+	"cassiatray/internal/core/membudget"
 	"cassiatray/internal/core/retry"
 	"cassiatray/internal/core/routing"
 	"cassiatray/internal/port"
@@ -137,6 +138,7 @@
 		{name: "helper stops", path: "/post/", before: func(w *relayWorld) { w.hosts["a1-1"].node.refusing.Store(true) }, status: 200, arrivals: 1},
 		{name: "helper breaks", path: "/get/", answer: slow, before: breakHelper, status: 200, arrivals: 2},
 		{name: "not idempotent, helper breaks", path: "/post/", answer: slow, before: breakHelper, status: 502, arrivals: 1},
+		{name: "helper without memory", path: "/post/", before: func(w *relayWorld) { w.hosts["a1-1"].node.memory = membudget.New(1) }, status: 200, arrivals: 1},
 		{name: "no helper has links", path: "/post/", before: func(w *relayWorld) {
 			w.links.set(func(string, string) linkFault { return linkResets })
 		}, status: 503, arrivals: 0},
--- a/internal/daemon/gateway/relayed.go
+++ b/internal/daemon/gateway/relayed.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"cassiatray/internal/core/membudget"
 	"cassiatray/internal/core/routing"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
@@ -96,14 +97,28 @@
 			return &RelayRefusedError{Reason: relayOtherConfig}
 		}
 	}
+	bodyCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	hold := new(membudget.Holder)
+	hold.Init(n.memory, time.Now(), relayHolder{cancel})
+	defer hold.Release()
+	room := int64(relayChunk)
+	if holdsWindow(offer) {
+		room += relayWindow
+	}
+	if !hold.Grow(room, time.Now()) {
+		return &RelayRefusedError{Reason: relayNoRoom}
+	}
+	req.hold = hold
 	if err := x.Send(&peerv1.Reply{Body: &peerv1.Reply_RelayAccept{RelayAccept: &peerv1.RelayAccept{}}}); err != nil {
 		return err
 	}
 	body := &chunkReader{receive: func() (*peerv1.RelayChunk, error) {
-		m, err := x.Receive(ctx)
+		m, err := x.Receive(bodyCtx)
 		if err != nil {
 			return nil, err
 		}
+		hold.Moved(len(m.GetRelayChunk().GetData()), time.Now())
 		return m.GetRelayChunk(), nil
 	}}
 	// The first chunk says that the request is to run.
@@ -118,11 +133,14 @@
 	// The process may have been paused since it accepted the request.
 	n.awaitStart(ctx, time.Until(req.deadline))
 	if status, why := n.readBody(w, r, req); status != 0 {
+		refuseBody(w, req, status)
 		n.writeError(w, req, status, why)
 	} else {
 		n.forwardWithRetries(w, r, req)
 	}
 	err = w.finish()
+	// A body that was given up for lack of memory is read to its end, too.
+	bodyCtx = ctx
 	// The other gateway reads the response once it has sent the whole body.
 	if _, rest := io.Copy(io.Discard, body); err == nil && rest != nil {
 		n.log.WithField("request", req.caller.ID).WithError(rest).Debug("Body of a relayed request not read to its end.")
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -5,8 +5,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
+	"cassiatray/internal/adapter/bounded"
+	"cassiatray/internal/core/membudget"
 	"cassiatray/internal/core/placement"
 	"cassiatray/internal/core/retry"
 	"cassiatray/internal/core/routing"
@@ -32,6 +35,8 @@
 	deadline   time.Time
 	body       []byte
 	unreadBody io.Reader
+	// hold counts what is held for the request; nil for nobody.
+	hold *membudget.Holder
 	// bodySize is the declared size of the body, -1 if it comes in chunks.
 	bodySize int64
 	// excluded holds the servers that this request is not sent to again,
@@ -143,6 +148,9 @@
 // returns the response status and the reason.
 func (n *Node) readBody(w http.ResponseWriter, r *http.Request, req *inflightRequest) (int, string) {
 	if r.Body == nil || r.ContentLength == 0 {
+		if !req.enterWorking() {
+			return http.StatusServiceUnavailable, string(reasonNoMemory)
+		}
 		return 0, ""
 	}
 	limit := req.view.config.Limits.BodyBytes
@@ -153,17 +161,23 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBody))
+	buffered, whole, refused, err := bounded.Read(body, r.ContentLength, maxBufferedBody, req.HoldBytes)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return http.StatusRequestEntityTooLarge, "body over the limit"
+	case refused || !req.enterWorking():
+		return http.StatusServiceUnavailable, string(reasonNoMemory)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout, "body stalled"
 	case err != nil:
 		return http.StatusBadRequest, "body broken off: " + err.Error()
 	}
 	req.body, req.bodySize = buffered, r.ContentLength
-	if len(buffered) == maxBufferedBody {
-		req.unreadBody = callerBody{body}
+	if !whole {
+		req.hold.Force(passBuffer)
+		req.enterPassing()
+		req.unreadBody = callerBody{body, req}
 	}
 	return 0, ""
 }
@@ -186,13 +200,19 @@
 }
 
 // callerBody is the unread part of a caller's body.
-type callerBody struct{ io.Reader }
+type callerBody struct {
+	io.Reader
+	req *inflightRequest
+}
 
 // Read implements io.Reader.
 //
 // Errors: *port.BodyError.
 func (b callerBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.req.enterWorking()
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		err = &port.BodyError{Err: err}
 	}
@@ -208,6 +228,10 @@
 		return false
 	case errors.As(err, &large):
 		n.writeError(w, req, http.StatusRequestEntityTooLarge, "body over the limit")
+	case req.hold.Ended():
+		n.recordEnd(req, 0, string(reasonNoMemory))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		n.recordEnd(req, 0, "body stalled")
 	default:
 		n.recordEnd(req, 0, "caller left")
 	}
--- a/internal/daemon/gateway/settings_test.go
+++ b/internal/daemon/gateway/settings_test.go
@@ -56,6 +56,36 @@
 	}
 }
 
+// Guards against bounds that settings do not reach, or that are in force without any: the
+// process's own limit of descriptors holds where the settings name a higher one.
+func TestMemorySettings(t *testing.T) {
+	for extra, want := range map[string]struct {
+		budget int64
+		conns  int
+	}{
+		"":                                       {75602329, 1602},
+		"memoryBudget: \"64MiB\"\n":              {64 << 20, 1602},
+		"descriptors: 1200\n":                    {75602329, 600},
+		"descriptors: 9000\n":                    {75602329, 1602},
+		"connections: 5000\ndescriptors: 1200\n": {75602329, 5000},
+	} {
+		cfg, err := load(t, extra+goodSettings)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if cfg.budgetBytes() != want.budget || cfg.maxConnections(2870) != want.conns {
+			t.Errorf("%q: %d bytes, %d connections, want %+v", extra, cfg.budgetBytes(), cfg.maxConnections(2870), want)
+		}
+	}
+	cfg, err := load(t, strings.Replace(goodSettings, "memory: \"206MiB\"\n", "", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cfg.budgetBytes() != 0 || cfg.maxConnections(0) != 0 {
+		t.Errorf("without limits: %d bytes, %d connections", cfg.budgetBytes(), cfg.maxConnections(0))
+	}
+}
+
 // TestWrongSettings checks that every fault is named with its key, all at once.
 func TestWrongSettings(t *testing.T) {
 	for key, edit := range map[string][2]string{
@@ -65,6 +95,9 @@
 		"domains":           {`region: "a"}`, `region: "c"}`},
 		"capacity":          {"0.224", "0"},
 		"bounds.retryRatio": {"retryExtra: 139", "retryExtra: -1"},
+		"memoryBudget":      {`memory: "206MiB"`, "memory: \"206MiB\"\nmemoryBudget: \"207MiB\""},
+		"descriptors":       {`memory: "206MiB"`, `descriptors: 200`},
+		"connections":       {`memory: "206MiB"`, `connections: -1`},
 		"bounds.grace":      {`"6s"`, `"6"`},
 		"log.format":        {"json", "xml"},
 		"wrong":             {"capacity:", "wrong: 1\ncapacity:"},
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -20,6 +20,9 @@
 	Body []byte
 	Rest io.Reader
 	Size int64
+	// Hold is asked for room to keep bytes of the answer, and told of bytes that are no longer
+	// kept (negative). What gets no room is streamed. Nil gives room for all.
+	Hold AnswerHolder
 	// ID is echoed by the server; an answer with another one is not ours.
 	ID string
 	// Fresh asks for a connection on which nothing was sent before.
@@ -29,6 +32,15 @@
 	SameProcess bool
 }
 
+// AnswerHolder decides how much of an answer is kept in memory.
+type AnswerHolder interface {
+	// HoldBytes asks for room for bytes, or frees them if negative.
+	HoldBytes(bytes int) bool
+}
+
+// HoldBytes calls Hold.
+func (r *ForwardRequest) HoldBytes(bytes int) bool { return r.Hold == nil || r.Hold.HoldBytes(bytes) }
+
 // BodyError is a request's body that cannot be read to its end. Whoever passes the body on has
 // done nothing wrong.
 type BodyError struct{ Err error }
