--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -31,6 +31,8 @@
 	ejections prometheus.Counter
 	// full are the arrivals at servers without a free slot.
 	full *prometheus.CounterVec
+	// closed counts callers' connections that were closed to make room.
+	closed *prometheus.CounterVec
 	// customers are the requests by customer.
 	customers *customerCounters
 	// processChecks are those of watchProcess.
@@ -95,7 +97,11 @@
 	m.ejections = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_ejections_total", Help: "Backend servers that were taken out of use because they reset all connections.",
 	})
-	reg.MustRegister(m.ejections, m.full)
+	m.closed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_caller_connections_closed_total",
+		Help: "Connections of callers closed or not accepted, by cause: idle or slow in favour of a new one, no_connections, memory, stalled_body, stalled_answer.",
+	}, []string{"cause"})
+	reg.MustRegister(m.ejections, m.full, m.closed)
 	m.customers = newCustomerCounters()
 	reg.MustRegister(m.customers.requests, m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
 	return m
