A repeat for which no key is needed any more names no customer

After a version that makes the route public, or names no customers, servers were told of the customer of the version before. Two cases of TestWithdrawnKeysEnd failed on it.

--- a/internal/daemon/gateway/customer.go
+++ b/internal/daemon/gateway/customer.go
@@ -80,13 +80,13 @@
 // on. It is called before each attempt.
 func (n *Node) endUnadmitted(w http.ResponseWriter, r *http.Request, req *inflightRequest) bool {
 	c := n.keeper.View().config
-	if c == req.admittedBy() || !c.HasCustomers() {
+	if c == req.admittedBy() {
 		return false
 	}
 	req.recheckedBy = c
 	if req.origin != "" {
-		// The origin alone knows the key.
-		if req.customer == nil {
+		// The origin alone knows the key, and whether one is needed.
+		if req.customer == nil || !c.HasCustomers() {
 			return false
 		}
 		if customer := c.Customer(req.customer.Name); customer != nil {
@@ -101,6 +101,7 @@
 		route = req.route
 	}
 	if !needsKey(c, route, req.uri) {
+		req.customer = nil
 		return false
 	}
 	if customer := c.CustomerOf(req.caller.Key); customer != nil {
--- a/internal/daemon/gateway/customer_test.go
+++ b/internal/daemon/gateway/customer_test.go
@@ -112,19 +112,26 @@
 	refused := func() (*port.ForwardAnswer, error) { return notRunAnswer(), nil }
 	lost := func() (*port.ForwardAnswer, error) { return nil, brokenError(true) }
 	failed := func() (*port.ForwardAnswer, error) { return statusAnswer(500), nil }
+	public := customerConfig(3, nil)
+	for i := range public.Routes {
+		public.Routes[i].Public = true
+	}
 	for _, c := range []struct {
 		name   string
 		first  func() (*port.ForwardAnswer, error)
 		config plainConfig
 		status int
 		sent   int
+		// customer is what the last server was told.
+		customer string
 	}{
-		{"refused", refused, customerConfig(3, nil), 401, 1},
-		{"lost", lost, customerConfig(3, nil), 502, 1},
-		{"failed", failed, customerConfig(3, nil), 500, 1},
-		{"another key is added", refused, customerConfig(3, []string{secretKey, "new"}), 200, 2},
-		{"no server in the new home region", refused, customerConfig(3, []string{secretKey}, "nowhere"), 503, 1},
-		{"no customers any more", refused, plainConfig{Version: 3, Services: []routing.Service{{Name: "s"}}, Routes: testRoutes()}, 200, 2},
+		{"refused", refused, customerConfig(3, nil), 401, 1, "x"},
+		{"lost", lost, customerConfig(3, nil), 502, 1, "x"},
+		{"failed", failed, customerConfig(3, nil), 500, 1, "x"},
+		{"another key is added", refused, customerConfig(3, []string{secretKey, "new"}), 200, 2, "x"},
+		{"no server in the new home region", refused, customerConfig(3, []string{secretKey}, "nowhere"), 503, 1, "x"},
+		{"no customers any more", refused, plainConfig{Version: 3, Services: []routing.Service{{Name: "s"}}, Routes: testRoutes()}, 200, 2, ""},
+		{"public by now", refused, public, 200, 2, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var f *fixture
@@ -138,6 +145,9 @@
 			if w := f.do("GET", "/get/", "Key", secretKey); w.Code != c.status || f.servers.count() != c.sent {
 				t.Errorf("status %d after %d attempts, want %d after %d", w.Code, f.servers.count(), c.status, c.sent)
 			}
+			if got := f.servers.sent[len(f.servers.sent)-1].req.Header.Get("Customer"); got != c.customer {
+				t.Errorf("the last server was told of customer %q, want %q", got, c.customer)
+			}
 		})
 	}
 	f := newCustomerFixture(nil)
