--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,6 +63,7 @@
 	confirming atomic.Bool
 
 	permitPeers    permitPeers
+	quotas         *quotas
 	relays         *relayPeers
 	links          *linkWatch
 	trials         *trials
@@ -87,6 +89,7 @@
 		ctx: ctx, cancel: cancel, retryBudgets: map[string]*retry.Window{}, memory: membudget.New(cfg.budgetBytes()),
 		permitPeers: permitPeers{pool: peers, unreachable: map[string]time.Time{}}, relays: newRelayPeers(relays), links: newLinkWatch(), trials: newTrials(), random: rand.Float64,
 	}
+	n.quotas = newQuotas(n, peers)
 	n.bounds.Store(&cfg.Bounds)
 	k.replaced = func(s *server) {
 		n.background.Go(func() { n.processEnded(s, endReplaced, time.Now()) })
@@ -132,6 +135,11 @@
 	if !n.identify(w, req) {
 		return
 	}
+	if ok, after := n.quotas.admit(r.Context(), req); !ok {
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+		n.writeError(w, req, http.StatusTooManyRequests, "over the customer's limit")
+		return
+	}
 	n.prepare(req)
 	if status, why := n.readBody(w, r, req); status != 0 {
 		refuseBody(w, req, status)
