--- a/internal/core/loadview/loadview_test.go
+++ b/internal/core/loadview/loadview_test.go
@@ -46,8 +46,10 @@
 	if early, late := stretch(300*ms, time.Second), stretch(700*ms, time.Second); early <= late || late <= time.Second {
 		t.Errorf("work of 1s takes %v 300 ms after the report, %v after 700 ms", early, late)
 	}
-	if got := stretch(time.Second, time.Second); got != time.Second {
-		t.Errorf("work of 1s takes %v a second after the report", got)
+	for _, age := range []time.Duration{time.Second, 3 * time.Second} {
+		if got := stretch(age, time.Second); got != time.Second {
+			t.Errorf("work of 1s takes %v when the report is %v old", got, age)
+		}
 	}
 	if got := (Report{}).State(0, 3, testTimes()).Stretch(time.Second); got != time.Second {
 		t.Errorf("work of 1s takes %v without a report", got)
--- a/internal/core/loadview/runtimes_test.go
+++ b/internal/core/loadview/runtimes_test.go
@@ -19,6 +19,7 @@
 func TestRunTimesSeparateWarmAndCold(t *testing.T) {
 	random := rand.New(rand.NewPCG(7, 7))
 	var r RunTimes
+	r.Add(Run{Took: 7 * 1600 * ms})
 	for range 3000 {
 		warm, believed, took, slowdown := random.Float64() < 0.7, false, 1600*ms, 1.0
 		if warm {
--- a/internal/daemon/gateway/bench_test.go
+++ b/internal/daemon/gateway/bench_test.go
@@ -80,3 +80,31 @@
 		}
 	}
 }
+
+// BenchmarkChooseServer measures the choice of a server for objects whose first servers have
+// reported their load, with or without their pace.
+func BenchmarkChooseServer(b *testing.B) {
+	for _, slowdown := range []float64{0, 1} {
+		b.Run(fmt.Sprintf("paced=%t", slowdown > 0), func(b *testing.B) {
+			g := newBenchmarkFixture(400, false)
+			now := time.Now()
+			for _, s := range g.keeper.Servers() {
+				s.recordLoad(&port.ServerLoad{Running: 4, Slots: 9, Slowdown: slowdown}, 1, now)
+				for object := range uint64(maxSentObjects) {
+					s.markWarm(object, now)
+				}
+			}
+			var requests []*inflightRequest
+			for i := range 200 {
+				req := &inflightRequest{start: now, caller: port.CallerMeta{Object: fmt.Sprint(i), Left: time.Hour}, view: g.keeper.View()}
+				req.route = req.view.config.Match("h", "/get/a")
+				g.node.prepare(req)
+				requests = append(requests, req)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				g.node.chooseServer(requests[i%len(requests)].view, requests[i%len(requests)], now)
+			}
+		})
+	}
+}
