Statuses that HTTP has not end an exchange

A server's status below 100, or 101, was taken for an interim one: the exchange took the next answer on the connection, waited for one until its deadline, or, in the entry process, handed the status on. callerhttp wrote such an answer cut short (status 0), and an interim one as that status and a 200 behind it.

Statuses 600 to 999 stay final, since HTTP carries them and RFC 9110 has clients treat them as server errors.

The tests of callerhttp share their server with the new one (serveService).

--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -159,6 +159,13 @@
 }
 
 func (h *Handler) write(w http.ResponseWriter, a *port.CallerAnswer) {
+	if !port.IsFinalStatus(a.Status) {
+		// Answers come from hosts of other builds, too. net/http follows an interim status by 200
+		// on its own, which callers would take for a success.
+		err := &port.StatusError{Status: a.Status}
+		h.fail(w, &api.Error{Code: api.CodeBackend, Message: err.Error(), Outcome: api.OutcomeUnknown})
+		return
+	}
 	out := w.Header()
 	for name, values := range a.Header {
 		out[name] = values
--- a/internal/adapter/callerhttp/handler_test.go
+++ b/internal/adapter/callerhttp/handler_test.go
@@ -64,6 +64,11 @@
 func (f *fake) Leaving() bool { return f.leaving }
 
 func serve(t *testing.T, f *fake, perSource int) string {
+	t.Helper()
+	return serveService(t, f, perSource)
+}
+
+func serveService(t *testing.T, f port.CallerService, perSource int) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/adapter/serverconn/head.go
+++ b/internal/adapter/serverconn/head.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"cassiatray/internal/port"
 )
 
 const (
@@ -29,17 +31,19 @@
 // readHead reads the head of a final answer; the body is still to be read. The
 // caller has begun the bound.
 //
-// Errors: *OversizedHeadError, or what net/http says of an answer that is none.
+// Errors: *OversizedHeadError, *port.StatusError, or what net/http says of an answer that is none.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	for interim := 0; ; interim++ {
 		resp, err := http.ReadResponse(c.r, req)
 		switch {
-		case c.limit.Exceeded() || err == nil && resp.StatusCode < http.StatusOK && interim == maxInterim:
+		case c.limit.Exceeded() || err == nil && port.IsInterimStatus(resp.StatusCode) && interim == maxInterim:
 			return nil, &OversizedHeadError{Bytes: maxHead - c.limit.Left(), Interim: interim}
 		case err != nil:
 			return nil, err
-		case resp.StatusCode >= http.StatusOK:
+		case port.IsFinalStatus(resp.StatusCode):
 			return resp, nil
+		case !port.IsInterimStatus(resp.StatusCode):
+			return nil, &port.StatusError{Status: resp.StatusCode}
 		}
 	}
 }
--- a/internal/daemon/gateway/relay.go
+++ b/internal/daemon/gateway/relay.go
@@ -38,8 +38,6 @@
 	// noRelayPause is for how long no requests to a service are relayed after a helper could
 	// not reach its servers or found them full, while this gateway's links are whole.
 	noRelayPause = time.Second
-	// maxStatus is the highest status that HTTP can carry.
-	maxStatus = 999
 	// relayChunk is the size of the parts in which bodies are sent, in bytes.
 	relayChunk = 32 << 10
 )
@@ -311,7 +309,7 @@
 		return nil, nil, err
 	}
 	head := reply.GetRelayHead()
-	if head == nil || head.Status < http.StatusOK || head.Status > maxStatus {
+	if head == nil || !port.IsFinalStatus(int(head.Status)) {
 		return nil, nil, &port.PeerError{Code: port.PeerMismatch, Sent: true}
 	}
 	a := &port.ForwardAnswer{Status: int(head.Status), Header: headersFromWire(head.Headers)}
