--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -67,9 +67,12 @@
 }
 
 // Spend counts a retry and returns true if the bound allows one more now.
-func (w *Window) Spend(now time.Time) bool {
+func (w *Window) Spend(now time.Time) bool { return w.SpendPart(now, 1) }
+
+// SpendPart is Spend within a part of the bound: the rest is left for others.
+func (w *Window) SpendPart(now time.Time, part float64) bool {
 	w.requests, w.retries = dropExpired(w.requests, now, w.Span), dropExpired(w.retries, now, w.Span)
-	if float64(len(w.retries)+1) > usedShare*(w.Ratio*float64(len(w.requests))+w.extra(now)) {
+	if float64(len(w.retries)+1) > part*usedShare*(w.Ratio*float64(len(w.requests))+w.extra(now)) {
 		return false
 	}
 	w.retries = append(w.retries, now)
--- a/internal/core/retry/window_test.go
+++ b/internal/core/retry/window_test.go
@@ -130,3 +130,30 @@
 	}
 	return time.Time{}, true
 }
+
+// Guards against a part of the bound that takes from the rest of it: what is spent within the part
+// never uses more than it, and retries beside it still get the rest.
+func TestPartOfTheWindowLeavesTheRest(t *testing.T) {
+	const span, ratio, extra, part = 10 * time.Second, 0.2, 20.0, 0.5
+	rapid.Check(t, func(t *rapid.T) {
+		w := settledWindow(span, ratio, extra)
+		now := time.Unix(0, 0)
+		requests := rapid.IntRange(0, 500).Draw(t, "requests")
+		for range requests {
+			w.Request(now)
+		}
+		used, total := 0, 0
+		for range 1000 {
+			if w.SpendPart(now, part) {
+				used++
+			}
+		}
+		for w.Spend(now) {
+			total++
+		}
+		bound := ratio*float64(requests) + extra
+		if float64(used) > part*bound || float64(used+total) > bound || float64(total) < part*usedShare*bound-1 {
+			t.Fatalf("%d within the part and %d beside it, of %.0f", used, total, bound)
+		}
+	})
+}
