Gateways send a second attempt beside one that takes unusually long

On services whose servers report a pace, an attempt at a warm server that takes longer than core/hedge expects gets a second one beside it. Both run in goroutines of their own; results go over a channel to the goroutine of the request, which alone changes its state. The first response to deliver wins, the other attempt is cancelled at once and recorded as lost: it counts as a run and a try, but neither as a failure of its server nor as a run time, and it is noted as unfinished only while nothing shows that the request can be run to its end.

No hedges on a full system.

--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -42,6 +42,11 @@
 	Skipped int    `json:"answers_skipped,omitempty"`
 	// Unnamed is set if the refusal names no request.
 	Unnamed bool `json:"unnamed,omitempty"`
+	// Hedge is set for the second attempt of a pair. Won is set for the one of a pair whose response
+	// was delivered, Lost for the other if it was given up.
+	Hedge bool `json:"hedge,omitempty"`
+	Won   bool `json:"won,omitempty"`
+	Lost  bool `json:"lost,omitempty"`
 }
 
 // notRunProof is how a gateway knows that an attempt has not run. The values appear in the log.
@@ -79,8 +84,29 @@
 	}
 }
 
+// outgoing is one sending of a request to a server, from its start to its result.
+type outgoing struct {
+	candidate
+	to          sending
+	started     runningRequest
+	ownRequests int
+	forward     *port.ForwardRequest
+	// ctx ends with the caller, if the request may be cancelled, with the time that a response is
+	// waited for, and by cancel.
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
 // sendAttempt sends the request to the candidate and records the result.
 func (n *Node) sendAttempt(r *http.Request, req *inflightRequest, c candidate, left time.Duration) (*port.ForwardAnswer, error) {
+	o := n.startAttempt(r, req, c, left)
+	a, took, err := n.forward(&o)
+	n.finishAttempt(req, &o, a, took, err, attempt{})
+	return a, err
+}
+
+// startAttempt prepares the sending of the request to the candidate.
+func (n *Node) startAttempt(r *http.Request, req *inflightRequest, c candidate, left time.Duration) outgoing {
 	s := c.server
 	rec := s.rec()
 	// A request that is not idempotent is not canceled when its caller
@@ -101,16 +127,37 @@
 	told := max(minTimeLeft/2, left-n.answerDelayFrom(s))
 	n.dialect.Forward(forward.Header, told, rec.ID)
 	started, ownRequests := s.startRequest(req.objectHash, time.Now())
-	to := sending{server: s, at: started.at, until: started.at.Add(told)}
-	a, err := n.forwarder.Forward(ctx, rec.Address, forward)
-	s.endRequest(started)
-	took := time.Since(started.at)
+	return outgoing{
+		candidate: c, to: sending{server: s, at: started.at, until: started.at.Add(told)}, started: started, ownRequests: ownRequests,
+		forward: forward, ctx: ctx, cancel: cancel,
+	}
+}
+
+// forward sends the request and waits for the response. It changes nothing of the request's state.
+func (n *Node) forward(o *outgoing) (*port.ForwardAnswer, time.Duration, error) {
+	a, err := n.forwarder.Forward(o.ctx, o.server.rec().Address, o.forward)
+	o.server.endRequest(o.started)
+	took := time.Since(o.started.at)
 	if a == nil || a.Rest == nil {
-		cancel()
+		o.cancel()
 	} else {
-		context.AfterFunc(ctx, cancel)
+		context.AfterFunc(o.ctx, o.cancel)
 	}
-	result := attempt{Server: rec.ID, Rank: c.rank, Requests: c.load, WaitMS: c.wait.Milliseconds(), ColdMS: c.coldFor.Milliseconds(), Limit: c.limit.Rate, MS: took.Milliseconds()}
+	return a, took, err
+}
+
+// describe completes what the log tells of an attempt that took some time.
+func (o *outgoing) describe(result attempt, took time.Duration) attempt {
+	result.Server, result.Rank, result.Requests, result.WaitMS = o.server.rec().ID, o.rank, o.load, o.wait.Milliseconds()
+	result.ColdMS, result.Limit, result.MS = o.coldFor.Milliseconds(), o.limit.Rate, took.Milliseconds()
+	return result
+}
+
+// finishAttempt records the result of an attempt. Result holds what the log tells of it beside that.
+func (n *Node) finishAttempt(req *inflightRequest, o *outgoing, a *port.ForwardAnswer, took time.Duration, err error, result attempt) {
+	s, to, started := o.server, o.to, o.started
+	rec := s.rec()
+	result = o.describe(result, took)
 	if err != nil {
 		result.Error, result.Code = err.Error(), codeOf(err)
 		n.noteFailure(rec.ID, err, took, time.Now())
@@ -119,7 +166,7 @@
 		result.Status, result.New = a.Status, a.Opened
 		now := time.Now()
 		n.noteResponse(a.Opened, now)
-		n.recordRuns(s.recordAnswer(a.Meta, ownRequests, started.at, n.coldUnseen(req.view, req.service, now), now))
+		n.recordRuns(s.recordAnswer(a.Meta, o.ownRequests, started.at, n.coldUnseen(req.view, req.service, now), now))
 		if a.Meta.OtherInstance {
 			n.processEnded(s, endOtherInstance, now)
 		}
@@ -132,9 +179,10 @@
 		if req.route.Sticky && a.Status < http.StatusMultipleChoices {
 			s.markWarm(req.objectHash, time.Now())
 		}
-		if c.wait == 0 {
+		if o.wait == 0 {
 			n.serviceTimes.record(req.route, req.service, a, took)
 		}
+		n.hedges.record(req, o, a, took, now)
 		if a.Opened {
 			n.metrics.opened.Inc()
 		}
@@ -142,8 +190,7 @@
 	result.noteNotRun(a, err)
 	req.tries++
 	req.attempts = append(req.attempts, result)
-	n.metrics.attempt(req.service, result, c.limit.Named, took)
-	return a, err
+	n.metrics.attempt(req.service, result, o.limit.Named, took)
 }
 
 // Time reserved for a response to travel from a server of the same or of another
@@ -174,13 +221,18 @@
 	n.recordSignals(s, be.Meta, now)
 	switch {
 	case be.Code == port.BackendRestarted:
-		n.checkForRestart(req, s, err, now)
+		n.checkForRestart(req.view, s, err, now)
 		return
 	case be.Code == port.BackendRefused:
 		n.processEnded(s, endRefused, now)
 	case be.Sent:
 		n.noteFailedExchange(req, to, be, now)
 	}
+	n.recordHealth(s, be, err, took, now)
+}
+
+// recordHealth updates the health of a server whose exchange failed after some time.
+func (n *Node) recordHealth(s *server, be *port.BackendError, err error, took time.Duration, now time.Time) {
 	switch be.Code {
 	case port.BackendRefused, port.BackendConnect, port.BackendBroken:
 	default:
@@ -218,11 +270,11 @@
 
 // checkForRestart checks a server that closed its connections before it gets further
 // requests: a new process is cold, and the store may not say so yet.
-func (n *Node) checkForRestart(req *inflightRequest, s *server, err error, now time.Time) {
+func (n *Node) checkForRestart(v *view, s *server, err error, now time.Time) {
 	if s.withHealth(func(h *fleet.Health) bool { return h.Suspect(now) }) {
 		n.log.WithField("server", s.rec().ID).WithError(err).Info("Server may have restarted; it is checked.")
 	}
-	n.checkIfDue(req.view, s, now)
+	n.checkIfDue(v, s, now)
 }
 
 // reportCrash reports the server's crash for each of the requests that were
--- /dev/null
+++ b/internal/daemon/gateway/hedge.go
@@ -0,0 +1,450 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"cassiatray/internal/core/fleet"
+	"cassiatray/internal/core/hedge"
+	"cassiatray/internal/core/retry"
+	"cassiatray/internal/port"
+)
+
+// Some runs take many times as long as usual, and servers are slow for a moment. A request that
+// may run again, at a service whose servers report a pace, is then sent to a second server of its
+// object beside the first (core/hedge). The first whole response, or the beginning of a streamed
+// one, is delivered, and the other attempt is cancelled.
+
+const (
+	// pacedFor is for how long after the last report of a pace a service counts as one whose
+	// servers report it: longer than the pause between two requests to a service with little load.
+	pacedFor = 10 * time.Second
+	// maxHedgedNames bounds the routes, and the services, whose run times and load are kept.
+	maxHedgedNames = 1024
+)
+
+// hedges is what a gateway knows of the services whose servers report a pace.
+type hedges struct {
+	// active is set once any server has reported a pace.
+	active atomic.Bool
+
+	mu       sync.Mutex
+	services map[string]*hedgedService
+	routes   map[string]*routeRuns
+}
+
+// hedgedService is the state of a service whose servers report a pace.
+type hedgedService struct {
+	pacedAt  time.Time
+	pressure hedge.Pressure
+}
+
+// routeRuns are the run times of a route at servers that are warm for the object, and at others.
+type routeRuns struct{ warm, cold hedge.RunTimes }
+
+// named returns the entry of a name, which is made if there is none.
+func named[T any](entries *map[string]*T, name string) *T {
+	if e := (*entries)[name]; e != nil {
+		return e
+	}
+	if *entries == nil || len(*entries) >= maxHedgedNames {
+		*entries = map[string]*T{}
+	}
+	e := new(T)
+	(*entries)[name] = e
+	return e
+}
+
+// countsAsWarm reports whether a run counts as a warm one: on routes that are not sticky all do.
+func countsAsWarm(req *inflightRequest, warm bool) bool { return !req.route.Sticky || warm }
+
+// record records a response to an attempt that took some time. Only servers that report a pace
+// count, and their services' refusals.
+func (h *hedges) record(req *inflightRequest, o *outgoing, a *port.ForwardAnswer, took time.Duration, now time.Time) {
+	l := a.Meta.Load
+	paced := l != nil && l.Slowdown > 0
+	if !paced && !h.active.Load() {
+		return
+	}
+	if a.Meta.NotRun && !a.Meta.OtherInstance && !l.HasRoom() {
+		h.refused(req.service, now)
+	}
+	if !paced {
+		return
+	}
+	h.active.Store(true)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := named(&h.services, req.service)
+	s.pacedAt = now
+	if a.Meta.NotRun {
+		return
+	}
+	s.pressure.Answered(l.Waiting > 0)
+	if o.wait > 0 || l.Waiting > 0 || a.Status >= http.StatusMultipleChoices {
+		return
+	}
+	runs := named(&h.routes, req.route.Name)
+	if countsAsWarm(req, o.started.warm) {
+		runs.warm.Add(took)
+	} else {
+		runs.cold.Add(took)
+	}
+}
+
+// recordCut records a first attempt that was given up after some time, since the second one won:
+// its run takes at least that long.
+func (h *hedges) recordCut(req *inflightRequest, o *outgoing, took time.Duration) {
+	if o.wait > 0 || !countsAsWarm(req, o.started.warm) {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	named(&h.routes, req.route.Name).warm.Add(took)
+}
+
+// refused records that a request to a service was refused for want of room.
+func (h *hedges) refused(service string, now time.Time) {
+	if !h.active.Load() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.services[service]; s != nil {
+		s.pressure.Refused(now)
+	}
+}
+
+// state returns the run times of the request's route, and whether its service is overloaded. It
+// returns false if the servers of the service report no pace.
+func (h *hedges) state(req *inflightRequest, now time.Time) (times hedge.Times, overloaded, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.services[req.service]
+	if s == nil || now.Sub(s.pacedAt) > pacedFor {
+		return hedge.Times{}, false, false
+	}
+	if runs := h.routes[req.route.Name]; runs != nil {
+		times = hedge.Times{Known: runs.warm.High() > 0, Usual: runs.warm.Usual(), High: runs.warm.High(), Cold: runs.cold.Usual()}
+	}
+	return times, s.pressure.Overloaded(now), true
+}
+
+// hedgeRequest describes a request as hedge.Delay and hedge.Decide take it, with an attempt in
+// flight.
+func hedgeRequest(req *inflightRequest, now time.Time) hedge.Request {
+	return hedge.Request{
+		Idempotent: req.route.Idempotent, WholeBody: req.unreadBody == nil, Trial: req.trial, Runs: req.runs + 1, MaxRuns: req.maxRuns,
+		Target: req.route.Target, Age: now.Sub(req.start), Left: req.deadline.Sub(now),
+	}
+}
+
+// hedgeDelay returns how long after its sending an attempt at the candidate is to have a second one
+// beside it; ok is false if it is to have none.
+func (n *Node) hedgeDelay(req *inflightRequest, c candidate, now time.Time) (delay time.Duration, ok bool) {
+	if !n.hedges.active.Load() || req.coldUnseen || c.coldFor > 0 || req.tries+2 > req.maxTries || !n.linksWhole() {
+		return 0, false
+	}
+	times, _, ok := n.hedges.state(req, now)
+	if !ok {
+		return 0, false
+	}
+	warm := countsAsWarm(req, c.server.isWarm(req.objectHash, now))
+	delay, cause := hedge.Delay(hedgeRequest(req, now), times, warm, c.wait)
+	return delay, cause == hedge.None
+}
+
+// secondServer returns the best server of the request's object beside the first. Servers that are
+// out of reach, or that name a limit, are no candidates: one would be checked, the other needs a
+// permit of another gateway.
+func (n *Node) secondServer(v *view, req *inflightRequest, first *server, now time.Time) (candidate, bool) {
+	g := v.groups[req.service]
+	if g == nil {
+		return candidate{}, false
+	}
+	serviceTime := n.serviceTimes.estimate(req.route)
+	for rank, s := range g.ranked(req.objectHash, req.sticky()) {
+		if s == first || req.secondChance[s] || s.isDown() || s.limit().Named {
+			continue
+		}
+		if c, reason := n.evaluateServer(v, req, s, serviceTime, now); reason == reasonNone {
+			c.rank = rank
+			return c, true
+		}
+	}
+	return candidate{}, false
+}
+
+// decideHedge returns the server for a second attempt beside one at the first, or why none is sent.
+// It spends the retry budget.
+func (n *Node) decideHedge(v *view, req *inflightRequest, first *server, now time.Time) (candidate, hedge.Cause) {
+	times, overloaded, ok := n.hedges.state(req, now)
+	if !ok {
+		return candidate{}, hedge.CauseUnmeasured
+	}
+	c, usable := n.secondServer(v, req, first, now)
+	second := hedge.Second{Usable: usable}
+	if usable {
+		second.Warm = countsAsWarm(req, c.server.isWarm(req.objectHash, now))
+		second.Cold, second.Load, second.Wait, second.Slots = c.coldFor > 0, c.load, c.wait, c.server.rec().Slots
+	}
+	if cause := hedge.Decide(hedgeRequest(req, now), times, second, overloaded); cause != hedge.None {
+		return candidate{}, cause
+	}
+	if !n.withRetryBudget(req.service, func(b *retry.Window) bool { return b.SpendPart(now, hedge.BudgetShare) }) {
+		return candidate{}, hedge.CauseBudget
+	}
+	return c, hedge.None
+}
+
+// States of a paired attempt.
+const (
+	// pairRunning is that of an attempt in flight.
+	pairRunning int32 = iota
+	// pairEnded means that the attempt's result is, or will be at once, in the channel.
+	pairEnded
+	// pairLost means that the request has ended without the attempt: nobody waits for its result.
+	pairLost
+)
+
+// pairedAttempt is an attempt that another one may run beside. Its goroutine changes nothing of
+// the request: the result goes to the request's own goroutine, or, once the attempt is lost, into
+// the state of the server only.
+type pairedAttempt struct {
+	outgoing
+	isHedge bool
+	state   atomic.Int32
+
+	// What is needed of the request once the attempt is lost; set before that. unfinished is set if
+	// the server may still run the request, run, while nothing shows that it can be run to its end.
+	run        fleet.InFlight
+	unfinished bool
+	coldUnseen bool
+}
+
+// pairedResult is the result of a paired attempt.
+type pairedResult struct {
+	p    *pairedAttempt
+	a    *port.ForwardAnswer
+	took time.Duration
+	err  error
+	// fault is what the sending panicked with.
+	fault any
+}
+
+// PairedAttemptError is a panic in the sending of a paired attempt, passed on to the goroutine of
+// its request.
+type PairedAttemptError struct{ Fault any }
+
+func (e *PairedAttemptError) Error() string { return fmt.Sprintf("attempt failed: %v", e.Fault) }
+
+// startPaired sends the request to the candidate in a goroutine of its own.
+func (n *Node) startPaired(r *http.Request, req *inflightRequest, c candidate, isHedge bool, results chan<- pairedResult) *pairedAttempt {
+	p := &pairedAttempt{outgoing: n.startAttempt(r, req, c, time.Until(req.deadline)), isHedge: isHedge}
+	n.background.Go(func() {
+		res := n.runPaired(p)
+		if p.state.CompareAndSwap(pairRunning, pairEnded) {
+			results <- res
+			return
+		}
+		n.settleLost(res)
+	})
+	return p
+}
+
+func (n *Node) runPaired(p *pairedAttempt) (res pairedResult) {
+	res.p = p
+	defer func() { res.fault = recover() }()
+	res.a, res.took, res.err = n.forward(&p.outgoing)
+	return res
+}
+
+// sendWithHedge sends the request to the candidate and, if that takes longer than a delay, to a
+// second server beside it. It returns the result that decides how the request goes on, with the
+// server that it came from: the first response that is delivered, or else the last result. The
+// other one is recorded and counted.
+func (n *Node) sendWithHedge(r *http.Request, req *inflightRequest, c candidate, delay time.Duration) (candidate, *port.ForwardAnswer, error) {
+	// A result of each attempt has room, so that none waits for a request that has ended.
+	results := make(chan pairedResult, 2)
+	first := n.startPaired(r, req, c, false, results)
+	due := time.NewTimer(delay)
+	defer due.Stop()
+	var second *pairedAttempt
+	for ended := 0; ; {
+		var res pairedResult
+		select {
+		case <-due.C:
+			// A result that is there already decides.
+			if len(results) == 0 {
+				second = n.startHedge(r, req, first, results)
+			}
+			continue
+		case res = <-results:
+		}
+		ended++
+		wins := res.fault == nil && endsPair(res)
+		// other is the attempt that is still in flight.
+		var other *pairedAttempt
+		switch {
+		case second == nil || ended == 2:
+		case res.p == first:
+			other = second
+		default:
+			other = first
+		}
+		if res.fault != nil {
+			if other != nil {
+				n.lose(req, other, nil, results)
+			}
+			panic(&PairedAttemptError{Fault: res.fault})
+		}
+		result := attempt{Hedge: res.p.isHedge, Won: wins && second != nil}
+		n.finishAttempt(req, &res.p.outgoing, res.a, res.took, res.err, result)
+		switch {
+		case other != nil && !wins:
+			n.countAttempt(req, res.p.server, res.a, res.err)
+			keepFailure(req, res)
+			continue
+		case other != nil:
+			n.lose(req, other, res.a, results)
+		}
+		if second != nil {
+			n.metrics.hedges.WithLabelValues(hedgeResult(wins, res.p.isHedge)).Inc()
+		}
+		return res.p.candidate, res.a, res.err
+	}
+}
+
+// hedgeResult is the label of a second attempt in the metrics.
+func hedgeResult(wins, byHedge bool) string {
+	switch {
+	case !wins:
+		return "failed"
+	case byHedge:
+		return "won"
+	}
+	return "lost"
+}
+
+// startHedge sends the second attempt, if it may be sent.
+func (n *Node) startHedge(r *http.Request, req *inflightRequest, first *pairedAttempt, results chan<- pairedResult) *pairedAttempt {
+	if r.Context().Err() != nil {
+		return nil
+	}
+	now := time.Now()
+	c, cause := n.decideHedge(n.keeper.View(), req, first.server, now)
+	if cause != hedge.None {
+		n.metrics.unhedged.WithLabelValues(string(cause)).Inc()
+		return nil
+	}
+	n.metrics.hedges.WithLabelValues("sent").Inc()
+	return n.startPaired(r, req, c, true, results)
+}
+
+// endsPair reports whether a result is a response to deliver: not a failure, a refusal, or a
+// server error of which nothing would be streamed.
+func endsPair(res pairedResult) bool {
+	return res.err == nil && !res.a.Meta.NotRun && (res.a.Status < http.StatusInternalServerError || res.a.Rest != nil)
+}
+
+// keepFailure keeps what a request may end with from a failed attempt whose twin is still running.
+func keepFailure(req *inflightRequest, res pairedResult) {
+	switch {
+	case res.err != nil:
+	case !res.a.Meta.NotRun:
+		req.fallbackAnswer = res.a
+	case res.a.Rest != nil:
+		res.a.Rest.Close()
+	}
+}
+
+// lose gives up an attempt whose request ends with the winner's response, or, if that is nil,
+// without one. The attempt counts like any other, but not as a failure of its server.
+func (n *Node) lose(req *inflightRequest, p *pairedAttempt, winner *port.ForwardAnswer, results <-chan pairedResult) {
+	now := time.Now()
+	took := now.Sub(p.started.at)
+	// A request that has just run to its end at another server is not suspected of crashing this one.
+	if p.unfinished = winner == nil || winner.Rest != nil || winner.Unframed; p.unfinished {
+		p.run = n.describeInFlight(req, p.to)
+		p.run.Exchange, p.run.Abandoned = "hedge-lost", true
+	}
+	p.coldUnseen = n.coldUnseen(req.view, req.service, now)
+	lost := p.state.CompareAndSwap(pairRunning, pairLost)
+	p.cancel()
+	if !lost {
+		// Its result came at the same moment.
+		n.settleLost(<-results)
+	}
+	if !p.isHedge {
+		n.hedges.recordCut(req, &p.outgoing, took)
+	}
+	req.tries++
+	req.runs++
+	req.attempts = append(req.attempts, p.describe(attempt{Hedge: p.isHedge, Lost: true, Code: port.BackendCanceled}, took))
+	n.metrics.lostAttempt(req.service, p.limit.Named)
+}
+
+// settleLost records what the result of a lost attempt says about its server. It is never
+// delivered.
+func (n *Node) settleLost(res pairedResult) {
+	s, now := res.p.server, time.Now()
+	rec := s.rec()
+	switch {
+	case res.fault != nil:
+		n.log.WithFields(logrus.Fields{"server": rec.ID}).WithError(&PairedAttemptError{Fault: res.fault}).Error("Lost attempt failed here.")
+		return
+	case res.err == nil:
+		n.settleLostAnswer(res, now)
+		return
+	}
+	var be *port.BackendError
+	if !errors.As(res.err, &be) {
+		return
+	}
+	if be.Sent && res.p.unfinished {
+		n.noteUnfinished(s, res.p.run, now)
+	}
+	if be.Code == port.BackendCanceled {
+		return
+	}
+	n.noteFailure(rec.ID, res.err, res.took, now)
+	if be.Code == port.BackendRefused {
+		n.processEnded(s, endRefused, now)
+	}
+	n.recordHealth(s, be, res.err, res.took, now)
+}
+
+// settleLostAnswer is settleLost for a response that came too late.
+func (n *Node) settleLostAnswer(res pairedResult, now time.Time) {
+	s, a := res.p.server, res.a
+	if a.Rest != nil {
+		a.Rest.Close()
+	}
+	n.noteResponse(a.Opened, now)
+	n.recordRuns(s.recordAnswer(a.Meta, res.p.ownRequests, res.p.started.at, res.p.coldUnseen, now))
+	if a.Meta.OtherInstance {
+		n.processEnded(s, endOtherInstance, now)
+	}
+	n.recordLimit(s, a.Meta, now)
+	n.recordSignals(s, a.Meta, now)
+	if a.Opened {
+		n.metrics.opened.Inc()
+	}
+	if a.Meta.NotRun {
+		return
+	}
+	s.resume(res.p.started.at)
+	switch run := res.p.run; {
+	case !res.p.unfinished:
+	case a.Rest == nil && !a.Unframed:
+		n.recordRun(run.Key, func() string { return run.Request }, run.Sent)
+	default:
+		n.noteUnfinished(s, run, now)
+	}
+}
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -27,6 +27,9 @@
 	relays   *prometheus.CounterVec
 	relayed  *prometheus.CounterVec
 	trials   *prometheus.CounterVec
+	// hedges counts second attempts by what became of them, unhedged those that were due and not
+	// sent by cause.
+	hedges, unhedged *prometheus.CounterVec
 	// processChecks are those of watchProcess.
 	processChecks *prometheus.CounterVec
 }
@@ -77,13 +80,19 @@
 	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_relayed_requests_total", Help: "Requests that other gateways relayed here, by status; 0 when the caller left.",
 	}, []string{"status"})
+	m.hedges = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_hedges_total", Help: "Second attempts beside first ones: sent, and then won, lost, or failed if neither got a response to deliver.",
+	}, []string{"result"})
+	m.unhedged = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_hedges_suppressed_total", Help: "Second attempts that were due and not sent, by cause.",
+	}, []string{"cause"})
 	m.trials = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_trials_total", Help: "Trials of requests under which servers crashed: completed, failed, or unsent when no server took them.",
 	}, []string{"result"})
 	m.processChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_process_checks_total", Help: "Checks whether a backend server with unfinished requests still runs, by kind: connect or health.",
 	}, []string{"kind"})
-	reg.MustRegister(m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
+	reg.MustRegister(m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials, m.hedges, m.unhedged)
 	return m
 }
 
@@ -104,6 +113,14 @@
 	}
 }
 
+// lostAttempt counts an attempt that was cancelled because another one of its request won.
+func (m *Metrics) lostAttempt(service string, limited bool) {
+	m.attempts.WithLabelValues(service, "hedge-lost").Inc()
+	if limited {
+		m.limited.WithLabelValues(service).Inc()
+	}
+}
+
 func (m *Metrics) call(kind string, err error) {
 	result := "ok"
 	if err != nil {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -65,6 +65,7 @@
 	trials         *trials
 	completed      suspect.Completed
 	serviceTimes   serviceTimes
+	hedges         hedges
 	unknownHeaders unknownHeaders
 	bounds         atomic.Pointer[Bounds]
 
@@ -173,6 +174,9 @@
 				return
 			}
 			req.fullServer = c
+			if reason == reasonFull {
+				n.hedges.refused(req.service, now)
+			}
 			if reason == reasonPaused {
 				req.comeBackAfter = c.wait
 			}
@@ -183,16 +187,15 @@
 			n.writeFailure(w, req, "retry budget spent")
 			return
 		}
-		a, err := n.sendAttempt(r, req, c, req.deadline.Sub(now))
-		req.excludeServer(c.server, a, err)
-		var be *port.BackendError
-		if err == nil || errors.As(err, &be) && be.Sent {
-			n.count(req)
-			req.repeat, req.bodyTouched = true, true
+		var a *port.ForwardAnswer
+		var err error
+		if delay, ok := n.hedgeDelay(req, c, now); ok {
+			c, a, err = n.sendWithHedge(r, req, c, delay)
+		} else {
+			a, err = n.sendAttempt(r, req, c, req.deadline.Sub(now))
 		}
+		be := n.countAttempt(req, c.server, a, err)
 		if err == nil && !a.Meta.NotRun {
-			req.runs++
-			req.answeredBy = c.server.rec().ID
 			if !n.shouldRetryAnswer(req, a) {
 				n.writeAnswer(w, req, a)
 				return
@@ -204,8 +207,6 @@
 			a.Rest.Close()
 		}
 		if be != nil && be.Sent {
-			req.mayHaveRun = true
-			req.runs++
 			if n.endBrokenBody(w, req, err) {
 				return
 			}
@@ -229,6 +230,26 @@
 	}
 }
 
+// countAttempt counts an attempt that has ended towards the limits of its request. It returns the
+// failure of the exchange, if that is what the error is.
+func (n *Node) countAttempt(req *inflightRequest, s *server, a *port.ForwardAnswer, err error) *port.BackendError {
+	req.excludeServer(s, a, err)
+	var be *port.BackendError
+	if err == nil || errors.As(err, &be) && be.Sent {
+		n.count(req)
+		req.repeat, req.bodyTouched = true, true
+	}
+	switch {
+	case err == nil && !a.Meta.NotRun:
+		req.runs++
+		req.answeredBy = s.rec().ID
+	case be != nil && be.Sent:
+		req.mayHaveRun = true
+		req.runs++
+	}
+	return be
+}
+
 // shouldRetryAnswer reports whether the response is a server error that may be
 // retried on another server.
 func (n *Node) shouldRetryAnswer(req *inflightRequest, a *port.ForwardAnswer) bool {
