--- a/internal/core/hedge/hedge_test.go
+++ b/internal/core/hedge/hedge_test.go
@@ -220,7 +220,7 @@
 	if late*2 > lateWithout {
 		t.Errorf("%d of %d responses are late with hedges, %d without", late, requests, lateWithout)
 	}
-	if float64(sent) > BudgetShare*ratio*requests {
+	if float64(sent) > 0.5*ratio*requests {
 		t.Errorf("%d second attempts for %d requests", sent, requests)
 	}
 	t.Logf("late %d, without hedges %d, second attempts %d of %d", late, lateWithout, sent, requests)
--- a/internal/daemon/gateway/hedge_test.go
+++ b/internal/daemon/gateway/hedge_test.go
@@ -215,7 +215,7 @@
 		took := time.Since(start)
 		synctest.Wait()
 		if w.Code != 200 || took > 600*time.Millisecond || s.count("long") != 2 {
-			t.Errorf("status %d after %v and %d arrivals", w.Code, took, s.count("long"))
+			t.Fatalf("status %d after %v and %d arrivals", w.Code, took, s.count("long"))
 		}
 		if len(s.cancelled) != 1 || s.cancelled[0].Sub(start) > took {
 			t.Errorf("cancelled at %v, answered after %v", s.cancelled, took)
@@ -274,6 +274,7 @@
 		"broken, then refused":          {[]pacedRun{{after: long, err: brokenError(true)}, {answer: notRunAnswer()}, {answer: named("3")}}, 200, "3", 3, time.Second},
 		"both refused":                  {[]pacedRun{{after: long, answer: notRunAnswer()}, {answer: notRunAnswer()}, {answer: named("3")}}, 200, "3", 3, time.Second},
 		"first breaks before the hedge": {[]pacedRun{{after: warmRun, err: brokenError(true)}, {answer: named("2")}}, 200, "2", 2, 590 * time.Millisecond},
+		"no hedge of a retry":           {[]pacedRun{{after: 1, err: brokenError(true)}, {after: long, answer: named("2")}, {answer: named("3")}}, 200, "2", 2, 590 * time.Millisecond},
 		"loser answers late":            {[]pacedRun{{after: time.Second, answer: named("1"), deaf: true}, {answer: named("2")}}, 200, "2", 2, 590 * time.Millisecond},
 		"both answer at once":           {[]pacedRun{{after: 570 * time.Millisecond}, {}}, 200, "body", 2, 590 * time.Millisecond},
 		"neither answers":               {[]pacedRun{{after: time.Minute}, {after: time.Minute}}, 504, "", 2, 1500 * time.Millisecond},
@@ -594,7 +595,8 @@
 		if float64(with.late) > part*float64(without.late) || without.hedges != 0 {
 			t.Errorf("slow servers %t: late %d of %d with hedges, %d without; %d hedges without a pace", spells, with.late, with.requests, without.late, without.hedges)
 		}
-		if limit := hedge.BudgetShare * ratio * float64(with.requests); with.hedges == 0 || float64(with.hedges) > limit {
+		// Half of the retry budget.
+		if limit := 0.5 * ratio * float64(with.requests); with.hedges == 0 || float64(with.hedges) > limit {
 			t.Errorf("%d hedges for %d requests, %.0f are allowed", with.hedges, with.requests, limit)
 		}
 	}
