Merge statuses and second attempts

Attempts of a pair count what their answers hold under a lock, and a lost one gives it back: both would change the request's holder at once.

--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -52,6 +52,11 @@
 	Skipped int    `json:"answers_skipped,omitempty"`
 	// Unnamed is set if the refusal names no request.
 	Unnamed bool `json:"unnamed,omitempty"`
+	// Hedge is set for the second attempt of a pair. Won is set for the one of a pair whose response
+	// was delivered, Lost for the other if it was given up.
+	Hedge bool `json:"hedge,omitempty"`
+	Won   bool `json:"won,omitempty"`
+	Lost  bool `json:"lost,omitempty"`
 }
 
 // notRunProof is how a gateway knows that an attempt has not run. The values appear in the log.
@@ -89,8 +94,29 @@
 	}
 }
 
+// outgoing is one sending of a request to a server, from its start to its result.
+type outgoing struct {
+	candidate
+	to          sending
+	started     runningRequest
+	ownRequests int
+	forward     *port.ForwardRequest
+	// ctx ends with the caller, if the request may be cancelled, with the time that a response is
+	// waited for, and by cancel.
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
 // sendAttempt sends the request to the candidate and records the result.
 func (n *Node) sendAttempt(r *http.Request, req *inflightRequest, c candidate, left time.Duration) (*port.ForwardAnswer, error) {
+	o := n.startAttempt(r, req, c, left)
+	a, took, err := n.forward(&o)
+	n.finishAttempt(req, &o, a, took, err, attempt{})
+	return a, err
+}
+
+// startAttempt prepares the sending of the request to the candidate.
+func (n *Node) startAttempt(r *http.Request, req *inflightRequest, c candidate, left time.Duration) outgoing {
 	s := c.server
 	rec := s.rec()
 	// A request that is not idempotent is not canceled when its caller
@@ -112,17 +138,39 @@
 	told := max(minTimeLeft/2, left-n.answerDelayFrom(s))
 	n.dialect.Forward(forward.Header, told, rec.ID)
 	started, ownRequests := s.startRequest(req.objectHash, time.Now())
-	to := sending{server: s, at: started.at, until: started.at.Add(told)}
-	a, err := n.forwarder.Forward(ctx, rec.Address, forward)
-	s.endRequest(started)
-	took := time.Since(started.at)
+	return outgoing{
+		candidate: c, to: sending{server: s, at: started.at, until: started.at.Add(told)}, started: started, ownRequests: ownRequests,
+		forward: forward, ctx: ctx, cancel: cancel,
+	}
+}
+
+// forward sends the request and waits for the response. It changes nothing of the request's state.
+func (n *Node) forward(o *outgoing) (*port.ForwardAnswer, time.Duration, error) {
+	a, err := n.forwarder.Forward(o.ctx, o.server.rec().Address, o.forward)
+	o.server.endRequest(o.started)
+	took := time.Since(o.started.at)
 	if a == nil || a.Rest == nil {
-		cancel()
+		o.cancel()
 	} else {
-		context.AfterFunc(ctx, cancel)
+		context.AfterFunc(o.ctx, o.cancel)
 	}
-	result := attempt{RunMS: n.serviceTimes.expectedRun(req.route, started.warm).Milliseconds(), Pace: c.pace, ReportAgeMS: c.reportAge.Milliseconds(), OtherRoom: c.otherRoom,
-		Server: rec.ID, Rank: c.rank, Requests: c.load, WaitMS: c.wait.Milliseconds(), ColdMS: c.coldFor.Milliseconds(), Limit: c.limit.Rate, MS: took.Milliseconds()}
+	return a, took, err
+}
+
+// describe completes what the log tells of an attempt that took some time.
+func (o *outgoing) describe(result attempt, took time.Duration) attempt {
+	result.Server, result.Rank, result.Requests, result.WaitMS = o.server.rec().ID, o.rank, o.load, o.wait.Milliseconds()
+	result.Pace, result.ReportAgeMS, result.OtherRoom = o.pace, o.reportAge.Milliseconds(), o.otherRoom
+	result.ColdMS, result.Limit, result.MS = o.coldFor.Milliseconds(), o.limit.Rate, took.Milliseconds()
+	return result
+}
+
+// finishAttempt records the result of an attempt. Result holds what the log tells of it beside that.
+func (n *Node) finishAttempt(req *inflightRequest, o *outgoing, a *port.ForwardAnswer, took time.Duration, err error, result attempt) {
+	s, to, started := o.server, o.to, o.started
+	rec := s.rec()
+	result = o.describe(result, took)
+	result.RunMS = n.serviceTimes.expectedRun(req.route, started.warm).Milliseconds()
 	if err != nil {
 		result.Error, result.Code = err.Error(), codeOf(err)
 		n.noteFailure(rec.ID, err, took, time.Now())
@@ -132,9 +180,9 @@
 		now := time.Now()
 		n.noteResponse(a.Opened, now)
 		if l := a.Meta.Load; a.Meta.NotRun && !a.Meta.OtherInstance && l != nil && !l.HasRoom() {
-			n.metrics.fullServer(req.service, c.otherRoom)
+			n.metrics.fullServer(req.service, o.otherRoom)
 		}
-		n.recordRuns(s.recordAnswer(a.Meta, ownRequests, started.at, n.coldUnseen(req.view, req.service, now), now))
+		n.recordRuns(s.recordAnswer(a.Meta, o.ownRequests, started.at, n.coldUnseen(req.view, req.service, now), now))
 		if a.Meta.OtherInstance {
 			n.processEnded(s, endOtherInstance, now)
 		}
@@ -147,8 +195,9 @@
 		if req.route.Sticky && a.Status < http.StatusMultipleChoices {
 			s.markWarm(req.objectHash, time.Now())
 		}
-		n.serviceTimes.record(req.route, req.service, a, loadview.Run{Took: took, Warm: started.warm, Known: started.known}, !c.expectsSlot())
+		n.serviceTimes.record(req.route, req.service, a, loadview.Run{Took: took, Warm: started.warm, Known: started.known}, !o.expectsSlot())
 		n.serviceTimes.recordShare(req.service, a.Meta.Load, s.inFlight())
+		n.hedges.record(req, o, a, took, now)
 		if a.Opened {
 			n.metrics.opened.Inc()
 		}
@@ -156,8 +205,7 @@
 	result.noteNotRun(a, err)
 	req.tries++
 	req.attempts = append(req.attempts, result)
-	n.metrics.attempt(req.service, result, c.limit.Named, took)
-	return a, err
+	n.metrics.attempt(req.service, result, o.limit.Named, took)
 }
 
 // Time reserved for a response to travel from a server of the same or of another
@@ -188,19 +236,24 @@
 	n.recordSignals(s, be.Meta, now)
 	switch {
 	case be.Code == port.BackendRestarted:
-		n.checkForRestart(req, s, err, now)
+		n.checkForRestart(req.view, s, err, now)
 		return
 	case be.Code == port.BackendRefused:
 		n.processEnded(s, endRefused, now)
 	case be.Sent:
 		n.noteFailedExchange(req, to, be, now)
 	}
+	n.recordHealth(s, be, err, took, now)
+}
+
+// recordHealth updates the health of a server whose exchange failed after some time.
+func (n *Node) recordHealth(s *server, be *port.BackendError, err error, took time.Duration, now time.Time) {
 	switch be.Code {
 	case port.BackendRefused, port.BackendConnect, port.BackendBroken:
 	default:
 		return
 	}
-	if be.ResetAtOnce && n.recordResetAtOnce(req, s, took, now) {
+	if be.ResetAtOnce && n.recordResetAtOnce(s, took, now) {
 		return
 	}
 	// One broken connection does not make a server unreachable: responses are lost
@@ -215,10 +268,10 @@
 
 // recordResetAtOnce records that a server reset a new connection as soon as it got the request. It
 // reports whether the server was ejected for it.
-func (n *Node) recordResetAtOnce(req *inflightRequest, s *server, took time.Duration, now time.Time) bool {
+func (n *Node) recordResetAtOnce(s *server, took time.Duration, now time.Time) bool {
 	rec := s.rec()
 	// A server with a long queue takes fewer connections, and is not at fault.
-	full := s.estimatedRequests(now, n.serviceTimes.times(req.route, req.service).Mean) >= float64(rec.Slots)
+	full := s.estimatedRequests(now, n.serviceTimes.ofService(rec.Service)) >= float64(rec.Slots)
 	if full || !s.withHealth(func(h *fleet.Health) bool { return h.ResetAtOnce(now) }) {
 		return false
 	}
@@ -251,11 +304,11 @@
 
 // checkForRestart checks a server that closed its connections before it gets further
 // requests: a new process is cold, and the store may not say so yet.
-func (n *Node) checkForRestart(req *inflightRequest, s *server, err error, now time.Time) {
+func (n *Node) checkForRestart(v *view, s *server, err error, now time.Time) {
 	if s.withHealth(func(h *fleet.Health) bool { return h.Suspect(now) }) {
 		n.log.WithField("server", s.rec().ID).WithError(err).Info("Server may have restarted; it is checked.")
 	}
-	n.checkIfDue(req.view, s, now)
+	n.checkIfDue(v, s, now)
 }
 
 // reportCrash reports the server's crash for each of the requests that were
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -35,6 +35,9 @@
 	closed *prometheus.CounterVec
 	// quotaDecisions and quotaAsks are those of customers with a limit.
 	quotaDecisions, quotaAsks *prometheus.CounterVec
+	// hedges counts second attempts by what became of them, unhedged those that were due and not
+	// sent by cause.
+	hedges, unhedged *prometheus.CounterVec
 	// customers are the requests by customer.
 	customers *customerCounters
 	// processChecks are those of watchProcess.
@@ -87,6 +90,12 @@
 	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_relayed_requests_total", Help: "Requests that other gateways relayed here, by status; 0 when the caller left.",
 	}, []string{"status"})
+	m.hedges = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_hedges_total", Help: "Second attempts beside first ones: sent, and then won, lost, or failed if neither got a response to deliver.",
+	}, []string{"result"})
+	m.unhedged = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_hedges_suppressed_total", Help: "Second attempts that were due and not sent, by cause.",
+	}, []string{"cause"})
 	m.trials = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_trials_total", Help: "Trials of requests under which servers crashed: completed, failed, or unsent when no server took them.",
 	}, []string{"result"})
@@ -109,7 +118,7 @@
 	m.quotaAsks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_quota_asks_total", Help: "Asks to issuers of customers' quotas, by result: ok, refused or unreachable.",
 	}, []string{"result"})
-	reg.MustRegister(m.ejections, m.full, m.closed, m.quotaDecisions, m.quotaAsks)
+	reg.MustRegister(m.ejections, m.full, m.closed, m.quotaDecisions, m.quotaAsks, m.hedges, m.unhedged)
 	m.customers = newCustomerCounters()
 	reg.MustRegister(m.customers.requests, m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
 	return m
@@ -138,6 +147,14 @@
 	m.full.WithLabelValues(service, strconv.FormatBool(otherRoom)).Inc()
 }
 
+// lostAttempt counts an attempt that was cancelled because another one of its request won.
+func (m *Metrics) lostAttempt(service string, limited bool) {
+	m.attempts.WithLabelValues(service, "hedge-lost").Inc()
+	if limited {
+		m.limited.WithLabelValues(service).Inc()
+	}
+}
+
 func (m *Metrics) call(kind string, err error) {
 	result := "ok"
 	if err != nil {
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"cassiatray/internal/adapter/bounded"
@@ -39,6 +40,8 @@
 	unreadBody io.Reader
 	// hold counts what is held for the request; nil for nobody.
 	hold *membudget.Holder
+	// pairHolding protects hold while attempts run beside each other.
+	pairHolding sync.Mutex
 	// bodySize is the declared size of the body, -1 if it comes in chunks.
 	bodySize int64
 	// excluded holds the servers that this request is not sent to again,
