--- a/internal/adapter/serverconn/pool.go
+++ b/internal/adapter/serverconn/pool.go
@@ -203,13 +203,12 @@
 	now := p.now()
 	soon := reset && isSoonReset(now.Sub(began), c.roundTrip)
 	switch {
-	case c.waited > 0 && soon:
+	case soon:
 		p.trust.reset(address, c.waited, now)
-	case c.since.IsZero() && (reset || err == nil):
-		p.trust.fresh(address, err == nil, now)
-		return soon
+	case err == nil:
+		p.trust.answered(address, c.waited, now)
 	}
-	return false
+	return soon && c.waited == 0
 }
 
 // Expire closes idle connections that are past their time, and those to
