--- a/internal/core/quota/client.go
+++ b/internal/core/quota/client.go
@@ -12,6 +12,8 @@
 	// probeIssuers is the number of other issuers that a probe names, so that the receiver counts
 	// the sender for next to nothing.
 	probeIssuers = 1000
+	// sweepEvery is how often idle accounts are looked for.
+	sweepEvery = time.Second
 	// maxUses is how many customers one ask covers; the others are in the next.
 	maxUses = 2000
 )
@@ -20,7 +22,11 @@
 // concurrent use.
 type Client struct {
 	accounts map[string]*Account
-	links    map[string]*link
+	// active are the accounts that may need an ask: of many thousand, few do at a time.
+	active map[string]*Account
+	links  map[string]*link
+	// swept is when idle accounts were last forgotten.
+	swept time.Time
 	// next is when Due is to be called again, lastSent when it last returned an ask.
 	next, lastSent time.Time
 }
@@ -50,7 +56,7 @@
 
 // NewClient returns a client without accounts.
 func NewClient() *Client {
-	return &Client{accounts: map[string]*Account{}, links: map[string]*link{}}
+	return &Client{accounts: map[string]*Account{}, active: map[string]*Account{}, links: map[string]*link{}}
 }
 
 // Admit decides on a request as Account.Admit does. It also returns whether Due is to be called
@@ -61,6 +67,7 @@
 		a = new(Account)
 		c.accounts[customer] = a
 	}
+	c.active[customer] = a
 	if v, after = a.Admit(now, limit, n, repeated); v == ByToken {
 		return v, after, false
 	}
@@ -111,13 +118,13 @@
 			needs[targets[i]] = Idle
 		}
 	}
-	for customer, a := range c.accounts {
-		if a.Idle(now) {
-			delete(c.accounts, customer)
-			continue
-		}
+	c.sweep(now)
+	for customer, a := range c.active {
 		need := a.Need(now)
 		if need == Idle {
+			if len(a.held) == 0 {
+				delete(c.active, customer)
+			}
 			continue
 		}
 		issuer, _ := s.Of(customer)
@@ -130,8 +137,8 @@
 		needs[to] = max(needs[to], need)
 	}
 	var out []Ask
-	for to, need := range needs {
-		l := c.link(to)
+	for _, to := range slices.Sorted(maps.Keys(needs)) {
+		need, l := needs[to], c.link(to)
 		if l.outstanding {
 			// The reply calls for the next.
 			continue
@@ -153,6 +160,24 @@
 	return c.probe(now, s, out), c.next
 }
 
+// sweep forgets idle accounts.
+func (c *Client) sweep(now time.Time) {
+	if now.Sub(c.swept) < sweepEvery {
+		return
+	}
+	c.swept = now
+	for customer, a := range c.accounts {
+		if a.Idle(now) {
+			c.forget(customer)
+		}
+	}
+}
+
+func (c *Client) forget(customer string) {
+	delete(c.accounts, customer)
+	delete(c.active, customer)
+}
+
 // probe adds asks to the issuers that did not reply: whether they do again.
 func (c *Client) probe(now time.Time, s Issuers, out []Ask) []Ask {
 	for _, i := range append(slices.Clone(s.first), s.deputy) {
@@ -182,6 +207,7 @@
 
 func (c *Client) ask(now time.Time, to string, customers []string) Ask {
 	ask := Ask{To: to, Sent: now}
+	slices.Sort(customers)
 	for _, customer := range customers[:min(len(customers), maxUses)] {
 		if use, ok := c.accounts[customer].Report(now, to); ok {
 			ask.Uses = append(ask.Uses, CustomerUse{Customer: customer, Use: use})
@@ -242,7 +268,7 @@
 	for customer, a := range c.accounts {
 		limit, ok := limitOf(customer)
 		if !ok {
-			delete(c.accounts, customer)
+			c.forget(customer)
 			continue
 		}
 		a.Clip(limit)
--- a/internal/daemon/gateway/peers_test.go
+++ b/internal/daemon/gateway/peers_test.go
@@ -47,6 +47,7 @@
 	if req.GetQuotaAsk() != nil {
 		p.w.mu.Lock()
 		p.w.asks++
+		p.w.askBytes += proto.Size(req)
 		p.w.mu.Unlock()
 	}
 	// Cloned, since the caller may change the request later.
@@ -58,11 +59,14 @@
 	if err != nil {
 		return nil, &port.PeerError{Code: port.PeerRefused, Address: address, Sent: true, Err: err}
 	}
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	if req.GetQuotaAsk() != nil {
+		p.w.askBytes += proto.Size(reply)
+	}
 	if req.GetMirrorPull() == nil {
 		return reply, nil
 	}
-	p.w.mu.Lock()
-	defer p.w.mu.Unlock()
 	p.w.pulls++
 	p.w.pullBytes += proto.Size(req) + proto.Size(reply)
 	return reply, nil
