Gateways refuse requests over their customer's limit with 429

Cause: rate and burst of a customer were read from the configuration, and bound nothing.

Change: Node.ServeHTTP asks quotas.admit once the customer is known and before the body is read; a relayed request does not come there and counts only at the gateway that took it from its caller. Metrics, one log line for each burst of refusals, and the state in the dump.

--- a/internal/daemon/gateway/dump.go
+++ b/internal/daemon/gateway/dump.go
@@ -21,6 +21,8 @@
 	Evacuated   map[string]bool         `json:"evacuated"`
 	Members     []*peerv1.GatewayMember `json:"members"`
 	Servers     []ServerState           `json:"servers"`
+	// Quotas is absent if no customer has a limit.
+	Quotas *QuotaState `json:"quotas,omitempty"`
 }
 
 // ServerState is what is known of one backend server, and why it is not used.
@@ -45,7 +47,7 @@
 	out := State{
 		Host: n.cfg.Host, Domain: n.cfg.Domain, Incarnation: n.syncer.identity.Incarnation, Stopping: n.stopping.Load(), Links: n.links.current().String(),
 		Revision: v.revision, ViewAgeMS: now.Sub(n.keeper.Synced()).Milliseconds(), Watching: n.syncer.watching(),
-		Evacuated: v.evacuated, Members: v.members,
+		Evacuated: v.evacuated, Members: v.members, Quotas: n.quotas.dump(now),
 	}
 	if v.config != nil {
 		out.Version = v.config.Version
--- a/internal/daemon/gateway/fixtures_test.go
+++ b/internal/daemon/gateway/fixtures_test.go
@@ -27,7 +27,7 @@
 
 func (plainDialect) Caller(h http.Header) port.CallerMeta {
 	left, _ := time.ParseDuration(h.Get("Left"))
-	return port.CallerMeta{ID: h.Get("Id"), Object: h.Get("Object"), Left: left}
+	return port.CallerMeta{ID: h.Get("Id"), Object: h.Get("Object"), Left: left, Key: h.Get("Key")}
 }
 
 func (plainDialect) Identify(http.Header, string) {}
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -27,6 +27,8 @@
 	relays   *prometheus.CounterVec
 	relayed  *prometheus.CounterVec
 	trials   *prometheus.CounterVec
+	// quotaDecisions and quotaAsks are those of customers with a limit.
+	quotaDecisions, quotaAsks *prometheus.CounterVec
 	// processChecks are those of watchProcess.
 	processChecks *prometheus.CounterVec
 }
@@ -83,7 +85,13 @@
 	m.processChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_process_checks_total", Help: "Checks whether a backend server with unfinished requests still runs, by kind: connect or health.",
 	}, []string{"kind"})
-	reg.MustRegister(m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
+	m.quotaDecisions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_quota_decisions_total", Help: "Requests of customers with a limit: admitted by token, credit or fallback, or refused.",
+	}, []string{"result"})
+	m.quotaAsks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_quota_asks_total", Help: "Asks to issuers of customers' quotas, by result: ok, refused or unreachable.",
+	}, []string{"result"})
+	reg.MustRegister(m.quotaDecisions, m.quotaAsks, m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
 	return m
 }
 
--- a/internal/daemon/gateway/module.go
+++ b/internal/daemon/gateway/module.go
@@ -100,6 +100,7 @@
 func newNode(cfg *Settings, k *Keeper, s *Syncer, d port.Dialect, f *serverconn.Pool, pool *peer.Pool, relays *relayPool, log *logrus.Logger, m *Metrics) *Node {
 	n := NewNode(cfg, k, d, f, f, pool, relays, logging.Part(log, "request"), m)
 	n.syncer = s
+	n.quotas.boot = bootClock
 	return n
 }
 
@@ -125,6 +126,9 @@
 		}
 		return &peerv1.Reply{Body: &peerv1.Reply_PermitReply{PermitReply: reply}}, nil
 	}
+	if ask := req.GetQuotaAsk(); ask != nil {
+		return &peerv1.Reply{Body: &peerv1.Reply_QuotaReply{QuotaReply: e.node.quotas.issue(ask, req.FromHost)}}, nil
+	}
 	return nil, &port.PeerError{Code: port.PeerRefused, Reason: "not for gateways"}
 }
 
@@ -201,6 +205,7 @@
 			})
 			wg.Go(func() { n.checkColdServers(ctx) })
 			wg.Go(func() { n.watchLinks(ctx) })
+			wg.Go(func() { n.watchQuotas(ctx) })
 			wg.Go(func() { n.reloadOnHangup(ctx, hup, reload) })
 			return nil
 		},
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,7 @@
 	confirming atomic.Bool
 
 	permitPeers    permitPeers
+	quotas         *quotas
 	relays         *relayPeers
 	links          *linkWatch
 	trials         *trials
@@ -80,6 +82,7 @@
 		ctx: ctx, cancel: cancel, retryBudgets: map[string]*retry.Window{},
 		permitPeers: permitPeers{pool: peers, unreachable: map[string]time.Time{}}, relays: newRelayPeers(relays), links: newLinkWatch(), trials: newTrials(),
 	}
+	n.quotas = newQuotas(n, peers)
 	n.bounds.Store(&cfg.Bounds)
 	k.replaced = func(s *server) {
 		n.background.Go(func() { n.processEnded(s, endReplaced, time.Now()) })
@@ -124,6 +127,11 @@
 	if !n.identify(w, req) {
 		return
 	}
+	if ok, after := n.quotas.admit(r.Context(), req); !ok {
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+		n.writeError(w, req, http.StatusTooManyRequests, "over the customer's limit")
+		return
+	}
 	n.prepare(req)
 	if status, why := n.readBody(w, r, req); status != 0 {
 		n.writeError(w, req, status, why)
--- a/internal/daemon/gateway/peers_test.go
+++ b/internal/daemon/gateway/peers_test.go
@@ -44,19 +44,29 @@
 		<-ctx.Done()
 		return nil, &port.PeerError{Code: port.PeerTimeout, Address: address, Sent: true, Err: ctx.Err()}
 	}
+	if req.GetQuotaAsk() != nil {
+		p.w.mu.Lock()
+		p.w.asks++
+		p.w.askBytes += proto.Size(req)
+		p.w.mu.Unlock()
+	}
 	// Cloned, since the caller may change the request later.
 	req = proto.CloneOf(req)
+	req.FromHost = p.self
 	time.Sleep(p.w.latency)
 	reply, err := (&exchanges{node: to.node, epoch: to.syncer.identity.Incarnation}).Serve(ctx, req)
 	time.Sleep(p.w.latency)
 	if err != nil {
 		return nil, &port.PeerError{Code: port.PeerRefused, Address: address, Sent: true, Err: err}
 	}
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	if req.GetQuotaAsk() != nil {
+		p.w.askBytes += proto.Size(reply)
+	}
 	if req.GetMirrorPull() == nil {
 		return reply, nil
 	}
-	p.w.mu.Lock()
-	defer p.w.mu.Unlock()
 	p.w.pulls++
 	p.w.pullBytes += proto.Size(req) + proto.Size(reply)
 	return reply, nil
--- /dev/null
+++ b/internal/daemon/gateway/quota.go
@@ -0,0 +1,430 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"cassiatray/internal/core/balance"
+	"cassiatray/internal/core/quota"
+	"cassiatray/internal/core/routing"
+	"cassiatray/internal/port"
+	"cassiatray/internal/sleep"
+	peerv1 "cassiatray/proto/peer/v1"
+)
+
+const (
+	// quotaTimeout bounds an ask: the longest that was seen takes 150 ms.
+	quotaTimeout = 250 * time.Millisecond
+	// maxQuotaWait and quotaWaitShare, of its remaining time, are the longest that a request
+	// waits for the reply to an ask.
+	maxQuotaWait   = 250 * time.Millisecond
+	quotaWaitShare = 0.1
+	// quotaServingTime is how long after a request of a limited customer a gateway that the
+	// directory does not name counts as one that serves callers.
+	quotaServingTime = 10 * time.Second
+	// quotaRefusalGap is the time without a refusal after which the next begins a new burst,
+	// which is logged.
+	quotaRefusalGap = 5 * time.Second
+	// suspensionGap is by how much the clock that counts suspensions must pass the other one.
+	suspensionGap = 100 * time.Millisecond
+)
+
+// quotas bounds the requests of customers with a limit, and answers other gateways as issuer.
+type quotas struct {
+	node *Node
+	pool port.PeerCaller
+	// boot returns the time since the host started, suspensions included; nil in tests, whose
+	// time is virtual.
+	boot func() (time.Duration, error)
+
+	mu     sync.Mutex
+	client *quota.Client
+	ledger *quota.Ledger
+	// plan is who serves callers, by the view it was made from.
+	plan quotaPlan
+	// served is when a limited customer's request last came from a caller.
+	served time.Time
+	// running is set while a goroutine asks; kick wakes it.
+	running bool
+	kick    chan struct{}
+	// replied is closed and replaced with each reply.
+	replied chan struct{}
+	// refusals are the bursts of refused requests that are under way.
+	refusals map[string]*refusalBurst
+	// skew is the difference of the clocks when last seen.
+	skew time.Duration
+}
+
+// quotaPlan is what a view says of quotas.
+type quotaPlan struct {
+	members []*peerv1.GatewayMember
+	config  *routing.Config
+	// limited is set if a customer has a limit, serving if the directory names this gateway.
+	limited, serving bool
+	count            int
+	issuers          quota.Issuers
+	hosts            []string
+	addresses        map[string]string
+}
+
+// refusalBurst counts a customer's refused requests since one that was logged.
+type refusalBurst struct {
+	count int
+	last  time.Time
+}
+
+func newQuotas(n *Node, pool port.PeerCaller) *quotas {
+	return &quotas{
+		node: n, pool: pool, client: quota.NewClient(), ledger: quota.NewLedger(),
+		kick: make(chan struct{}, 1), replied: make(chan struct{}), refusals: map[string]*refusalBurst{},
+	}
+}
+
+func limitOfCustomer(c *routing.Customer) quota.Limit {
+	return quota.Limit{Rate: c.Rate, Burst: c.Burst}
+}
+
+// admit decides whether a request is within its customer's limit. If not, it returns when the
+// customer should come back. It is called once for each request that comes from a caller.
+func (q *quotas) admit(ctx context.Context, req *inflightRequest) (bool, time.Duration) {
+	c := req.customer
+	if !c.Limited() {
+		return true, 0
+	}
+	left := req.caller.Left
+	if left <= 0 {
+		left = defaultTimeout
+	}
+	if req.route.Timeout > 0 {
+		left = min(left, req.route.Timeout)
+	}
+	end := time.Now().Add(min(maxQuotaWait, time.Duration(quotaWaitShare*float64(left))))
+	for repeated := false; ; repeated = true {
+		verdict, after, replied := q.decide(c, repeated)
+		if verdict == quota.Wait {
+			rest := time.Until(end)
+			if rest > 0 && waitFor(ctx, replied, rest) {
+				continue
+			}
+			verdict = quota.Refused
+		}
+		q.node.metrics.quotaDecisions.WithLabelValues(verdict.String()).Inc()
+		if verdict == quota.Refused {
+			q.noteRefusal(c, after)
+			return false, after
+		}
+		return true, 0
+	}
+}
+
+// waitFor waits until done is closed, and reports whether that came within the time.
+func waitFor(ctx context.Context, done <-chan struct{}, most time.Duration) bool {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (q *quotas) decide(c *routing.Customer, repeated bool) (quota.Verdict, time.Duration, <-chan struct{}) {
+	v := q.node.keeper.View()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	q.served = now
+	q.noteSuspension(now)
+	plan := q.planOf(v)
+	// The view may be newer than the request's, and its limit is the one in force.
+	limit := limitOfCustomer(c)
+	if current := v.config.Customer(c.Name); current != nil {
+		if !current.Limited() {
+			return quota.ByToken, 0, nil
+		}
+		limit = limitOfCustomer(current)
+	}
+	verdict, after, wake := q.client.Admit(now, c.Name, limit, plan.count, repeated)
+	if !q.running {
+		q.running = true
+		q.node.background.Go(q.run)
+	} else if wake {
+		select {
+		case q.kick <- struct{}{}:
+		default:
+		}
+	}
+	return verdict, after, q.replied
+}
+
+// noteSuspension drops all tokens if the host was suspended: the time of the process, by which
+// they expire, has stood still. The caller holds q.mu.
+func (q *quotas) noteSuspension(now time.Time) {
+	if q.boot == nil {
+		return
+	}
+	boot, err := q.boot()
+	if err != nil {
+		return
+	}
+	skew := boot - now.Sub(q.node.keeper.born)
+	if q.skew != 0 && skew-q.skew > suspensionGap {
+		q.client.Drop()
+	}
+	q.skew = skew
+}
+
+// planOf returns what the view says of quotas. The caller holds q.mu.
+func (q *quotas) planOf(v *view) *quotaPlan {
+	if sameMembers(q.plan.members, v.reaching) && q.plan.config == v.config && q.plan.addresses != nil {
+		return &q.plan
+	}
+	old := q.plan.config
+	q.plan = quotaPlan{members: v.reaching, config: v.config, addresses: map[string]string{}}
+	p := &q.plan
+	domains := map[string][]balance.Gateway{}
+	for _, m := range v.reaching {
+		domains[m.Domain] = append(domains[m.Domain], balance.Gateway{Host: m.Host, Capacity: float64(m.Capacity)})
+		p.addresses[m.Host] = m.PeerAddress
+	}
+	for _, list := range domains {
+		for _, g := range balance.Narrow(list) {
+			p.hosts = append(p.hosts, g.Host)
+			p.serving = p.serving || g.Host == q.node.cfg.Host
+		}
+	}
+	p.count, p.issuers = len(p.hosts), quota.ChooseIssuers(p.hosts)
+	if v.config == nil {
+		return p
+	}
+	v.config.EachCustomer(func(c *routing.Customer) { p.limited = p.limited || c.Limited() })
+	if old != v.config {
+		q.client.Limited(func(customer string) (quota.Limit, bool) {
+			c := v.config.Customer(customer)
+			if !c.Limited() {
+				return quota.Limit{}, false
+			}
+			return limitOfCustomer(c), true
+		})
+	}
+	return p
+}
+
+// sameMembers reports whether two lists hold the same records.
+func sameMembers(a, b []*peerv1.GatewayMember) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// quotaWatch is how often a gateway looks whether customers have limits.
+const quotaWatch = 200 * time.Millisecond
+
+// watchQuotas starts the asks for quotas once they are needed.
+func (n *Node) watchQuotas(ctx context.Context) {
+	for sleep.For(ctx, quotaWatch) {
+		if v := n.keeper.View(); v.config != nil && v.config.HasCustomers() {
+			n.quotas.watch(v)
+		}
+	}
+}
+
+// watch starts the asks of a gateway that the directory names once a customer has a limit, so
+// that issuers count it before its first request.
+func (q *quotas) watch(v *view) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if p := q.planOf(v); p.limited && p.serving && !q.running {
+		q.running = true
+		q.node.background.Go(q.run)
+	}
+}
+
+// run asks issuers until no customer has a limit, or this gateway serves no callers.
+func (q *quotas) run() {
+	for {
+		wait, ok := q.step()
+		if !ok {
+			return
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-q.kick:
+			timer.Stop()
+		case <-q.node.ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
+// step sends the asks that are due and returns the time until the next. It reports false if no
+// more are needed.
+func (q *quotas) step() (time.Duration, bool) {
+	v := q.node.keeper.View()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	p := q.planOf(v)
+	if !p.limited || !p.serving && now.Sub(q.served) > quotaServingTime {
+		q.running = false
+		return 0, false
+	}
+	asks, next := q.client.Due(now, p.issuers, true)
+	for _, ask := range asks {
+		address := p.addresses[ask.To]
+		q.node.background.Go(func() { q.ask(ask, address) })
+	}
+	for customer, r := range q.refusals {
+		if now.Sub(r.last) > quotaRefusalGap {
+			q.endRefusals(customer, r)
+		}
+	}
+	return max(time.Millisecond, next.Sub(now)), true
+}
+
+// ask sends an ask and takes in its reply.
+func (q *quotas) ask(ask quota.Ask, address string) {
+	grants, err := q.call(ask, address)
+	result := "ok"
+	if err != nil {
+		result = "unreachable"
+		if port.IsPeerCode(err, port.PeerRefused) {
+			result = "refused"
+		}
+		q.node.log.WithField("peer", ask.To).WithError(err).Debug("No reply to an ask for quotas.")
+	}
+	q.node.metrics.quotaAsks.WithLabelValues(result).Inc()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if err != nil {
+		q.client.Failed(time.Now(), ask)
+	} else {
+		q.client.Replied(time.Now(), ask, grants)
+	}
+	close(q.replied)
+	q.replied = make(chan struct{})
+	select {
+	case q.kick <- struct{}{}:
+	default:
+	}
+}
+
+// call asks a gateway as issuer, which may be this one.
+//
+// Errors: *port.PeerError.
+func (q *quotas) call(ask quota.Ask, address string) (map[string]quota.Grant, error) {
+	msg := &peerv1.QuotaAsk{OtherIssuers: uint32(ask.OtherIssuers)}
+	for _, u := range ask.Uses {
+		msg.Uses = append(msg.Uses, &peerv1.QuotaUse{Customer: u.Customer, OnCredit: u.OnCredit, TokensWanted: u.Wanted, TokensReturned: u.Returned})
+	}
+	var reply *peerv1.QuotaReply
+	if ask.To == q.node.cfg.Host {
+		reply = q.issue(msg, ask.To)
+	} else {
+		ctx, cancel := context.WithTimeout(q.node.ctx, quotaTimeout)
+		defer cancel()
+		r, err := q.pool.Call(ctx, address, &peerv1.Request{Body: &peerv1.Request_QuotaAsk{QuotaAsk: msg}})
+		if err != nil {
+			return nil, err
+		}
+		if reply = r.GetQuotaReply(); reply == nil {
+			return nil, &port.PeerError{Code: port.PeerMismatch, Address: address, Sent: true}
+		}
+	}
+	out := make(map[string]quota.Grant, len(reply.Grants))
+	for _, g := range reply.Grants {
+		out[g.Customer] = quota.Grant{Tokens: g.Tokens, Denied: g.Denied, RetryAfter: max(0, time.Duration(g.RetryAfterMicros)*time.Microsecond)}
+	}
+	return out, nil
+}
+
+// issue answers an ask by the limits of this gateway's configuration. Whoever is asked issues:
+// what it grants depends on how many gateways ask it.
+func (q *quotas) issue(msg *peerv1.QuotaAsk, from string) *peerv1.QuotaReply {
+	v := q.node.keeper.View()
+	age := time.Since(q.node.keeper.Synced())
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	q.ledger.Ask(now, from, quota.Counts{Listed: q.planOf(v).count, ViewAge: age, OtherIssuers: int(msg.OtherIssuers)})
+	out := &peerv1.QuotaReply{}
+	if v.config == nil {
+		return out
+	}
+	for _, u := range msg.Uses {
+		c := v.config.Customer(u.Customer)
+		if !c.Limited() {
+			continue
+		}
+		g := q.ledger.Grant(now, from, c.Name, limitOfCustomer(c), quota.Use{OnCredit: u.OnCredit, Wanted: u.TokensWanted, Returned: u.TokensReturned})
+		out.Grants = append(out.Grants, &peerv1.QuotaGrant{Customer: c.Name, Tokens: g.Tokens, Denied: g.Denied, RetryAfterMicros: g.RetryAfter.Microseconds()})
+	}
+	return out
+}
+
+// noteRefusal logs the first refusal of a burst.
+func (q *quotas) noteRefusal(c *routing.Customer, after time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.refusals[c.Name]
+	if r == nil {
+		r = new(refusalBurst)
+		q.refusals[c.Name] = r
+		s := q.client.Status(time.Now(), c.Name)
+		q.node.log.WithFields(logrus.Fields{
+			"customer": c.Name, "rate": c.Rate, "burst": c.Burst, "retry_after_ms": after.Milliseconds(), "demand": s.Demand, "admitted": s.Admitted,
+			"denied_ms": s.DeniedMS, "fallback_ms": s.FallbackMS, "gateways": q.plan.count,
+		}).Warn("Customer is over its limit.")
+	}
+	r.count++
+	r.last = time.Now()
+}
+
+// endRefusals logs the end of a burst of refusals. The caller holds q.mu.
+func (q *quotas) endRefusals(customer string, r *refusalBurst) {
+	delete(q.refusals, customer)
+	q.node.log.WithFields(logrus.Fields{"customer": customer, "refused": r.count}).Info("Customer is within its limit again.")
+}
+
+// QuotaState is the dump of quotas.
+type QuotaState struct {
+	// Gateways is how many serve callers, Issuers who issues, and Serving whether this one asks
+	// although no request comes.
+	Gateways int      `json:"gateways"`
+	Issuers  []string `json:"issuers"`
+	Serving  bool     `json:"serving"`
+	// Customers are those with requests here lately, Issued the buckets of this gateway as
+	// issuer, at the share Share of the limits for Asking gateways.
+	Customers []quota.Status `json:"customers,omitempty"`
+	Issued    []quota.Level  `json:"issued,omitempty"`
+	Share     float64        `json:"share,omitempty"`
+	Asking    int            `json:"asking,omitempty"`
+}
+
+// dump returns the state of quotas; nil if no customer has a limit.
+func (q *quotas) dump(now time.Time) *QuotaState {
+	v := q.node.keeper.View()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p := q.planOf(v)
+	if !p.limited {
+		return nil
+	}
+	return &QuotaState{
+		Gateways: p.count, Issuers: p.issuers.Hosts(), Serving: p.serving, Customers: q.client.Statuses(now),
+		Issued: q.ledger.Levels(), Share: q.ledger.Share(), Asking: q.ledger.Asking(now),
+	}
+}
--- a/internal/daemon/gateway/schema_test.go
+++ b/internal/daemon/gateway/schema_test.go
@@ -36,6 +36,8 @@
 	Services []routing.Service
 	Routes   []routing.Route
 	Limits   routing.Limits
+	// Customers have their keys in clear.
+	Customers []routing.Customer
 }
 
 func (plainSchema) Config(value []byte) (*routing.Config, error) {
@@ -43,7 +45,9 @@
 	if err := json.Unmarshal(value, &c); err != nil {
 		return nil, &port.RecordError{Key: "config", Reason: err.Error()}
 	}
-	return routing.NewConfig(c.Version, c.Services, c.Limits, c.Routes), nil
+	config := routing.NewConfig(c.Version, c.Services, c.Limits, c.Routes)
+	config.SetCustomers(c.Customers)
+	return config, nil
 }
 
 func (plainSchema) Server(id string, value []byte) (fleet.Record, error) {
--- a/internal/daemon/gateway/world_test.go
+++ b/internal/daemon/gateway/world_test.go
@@ -55,6 +55,8 @@
 	forwarder func(host string) forwardProber
 	// pullBytes counts the bytes of pulls and their replies, pulls the pulls.
 	pullBytes, pulls int
+	// asks counts the asks for quotas, askBytes their bytes and those of the replies.
+	asks, askBytes int
 	// latency is how long messages between gateways take.
 	latency time.Duration
 	// streams break off the two-way exchanges with the gateway at an address.
