membudget: holders for concurrent use, exact count of what leaves

Two attempts of a request may ask for memory at once, and one may go on after the request has ended: its bytes would have stayed counted. Bytes that an ended holder got on top were taken off those counted as leaving, so that later more exchanges were ended than needed. A released holder gets nothing now, and only what was counted as leaving is taken off.

--- a/internal/core/membudget/budget.go
+++ b/internal/core/membudget/budget.go
@@ -100,7 +100,8 @@
 }
 
 // Holder holds bytes for one peer. The zero value, and nil, belong to no budget and get all they
-// ask for. Its methods are called by one goroutine at a time.
+// ask for. Its methods are safe for concurrent use, except Init and Moved, which one goroutine at
+// a time calls.
 type Holder struct {
 	b     *Budget
 	owner Owner
@@ -110,10 +111,12 @@
 	// since.
 	movedAt atomic.Int64
 	moved   int64
-	// listed is set while the holder is among those that may be ended.
-	listed bool
-	// left is set once the bytes count as leaving. The budget's lock protects it.
-	left bool
+	// mu protects released, which is set once the bytes are freed for good, and listed, which is
+	// set while the holder is among those that may be ended. It is taken before the budget's lock.
+	mu               sync.Mutex
+	released, listed bool
+	// leaving are the bytes that the budget counts as leaving. Its lock protects them.
+	leaving int64
 }
 
 // Init makes h a holder of b that has made progress now.
@@ -165,7 +168,9 @@
 	if h.Ended() {
 		return false
 	}
-	h.Force(n)
+	if !h.add(n) {
+		return false
+	}
 	b := h.b
 	if b.limit <= 0 || b.held.Load() <= b.limit {
 		return true
@@ -180,12 +185,21 @@
 
 // Force holds n bytes more in any case.
 func (h *Holder) Force(n int64) {
-	if h == nil || h.b == nil {
-		return
+	if h != nil && h.b != nil {
+		h.add(n)
+	}
+}
+
+// add holds n bytes more. It reports false for a holder that was released.
+func (h *Holder) add(n int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.released {
+		return false
 	}
 	h.b.held.Add(n)
 	if h.bytes.Add(n) < MinVictim || h.listed {
-		return
+		return true
 	}
 	h.listed = true
 	h.b.mu.Lock()
@@ -194,40 +208,54 @@
 		h.b.holders = map[*Holder]struct{}{}
 	}
 	h.b.holders[h] = struct{}{}
+	return true
 }
 
 // Shrink frees n bytes.
 func (h *Holder) Shrink(n int64) {
-	if h == nil || h.b == nil || n == 0 {
+	if h == nil || h.b == nil {
 		return
 	}
-	if h.listed {
-		h.b.mu.Lock()
-		defer h.b.mu.Unlock()
-		if h.left {
-			h.b.leaving.Add(-n)
-		}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.released {
+		h.free(n)
 	}
-	h.bytes.Add(-n)
-	h.b.held.Add(-n)
 }
 
-// Release frees all bytes. The holder is not used afterwards.
+// Release frees all bytes. The holder gets none afterwards.
 func (h *Holder) Release() {
 	if h == nil || h.b == nil {
 		return
 	}
-	bytes := h.bytes.Load()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.released {
+		return
+	}
+	h.released = true
 	if h.listed {
 		h.b.mu.Lock()
-		defer h.b.mu.Unlock()
 		delete(h.b.holders, h)
-		if h.left {
-			h.b.leaving.Add(-bytes)
-		}
+		h.b.mu.Unlock()
+	}
+	h.free(h.bytes.Load())
+}
+
+// free frees n bytes. The caller holds h.mu.
+func (h *Holder) free(n int64) {
+	left := h.bytes.Add(-n)
+	h.b.held.Add(-n)
+	if !h.listed {
+		return
+	}
+	h.b.mu.Lock()
+	defer h.b.mu.Unlock()
+	// What was added after the end does not count as leaving.
+	if gone := h.leaving - left; gone > 0 {
+		h.leaving -= gone
+		h.b.leaving.Add(-gone)
 	}
-	h.bytes.Store(0)
-	h.b.held.Add(-bytes)
 }
 
 // makeRoom ends holders until what is held is within the limit, those that are leaving not
@@ -264,8 +292,8 @@
 	if Phase(old) == Working || Phase(old) == Ended || !h.phase.CompareAndSwap(old, int32(Ended)) {
 		return
 	}
-	h.left = true
-	b.leaving.Add(h.bytes.Load())
+	h.leaving = h.bytes.Load()
+	b.leaving.Add(h.leaving)
 	b.ended[old].Add(1)
 	h.owner.EndForOthers(Phase(old))
 }
