Issuers remember longer lists, and gateways that know no others grant little

Cause: a random history (2 of 24,000) passed the bound by up to 58 requests: of two gateways one lists only itself for 2 s, becomes the issuer for itself and grants the whole limit, while the other still grants its part. In the same way gateways that start while the store is away, and know only themselves, would each grant the whole limit for 3 s. A relayed request had no test that it counts once, and the cut in the simulation left the smaller side without an issuer, so that the decay of its share was never used.

Change: an issuer remembers the longest list of the last 15 s, also from before it was asked, and counts 32 gateways until it has been introduced to the others. The simulation cuts off the issuer's region. Retry-After of 429 is spread like that of 503.

TestShorterListIsRemembered, TestUnintroducedGatewaysGrantLittle and TestQuotaCountsRelayedRequestsOnce pass.

--- a/internal/core/quota/ledger.go
+++ b/internal/core/quota/ledger.go
@@ -29,8 +29,9 @@
 	// outstandingTime is the time constant in which granted tokens count as not yet used. The
 	// depth is smaller by them: else they and a full bucket are used together.
 	outstandingTime = 300 * time.Millisecond
-	// rememberedFor is how long gateways that no longer ask count for the whole; shorter, and
-	// the gateways beyond a cut would be forgotten before their own issuer has stopped.
+	// rememberedFor is how long gateways that no longer ask, or are no longer listed, count for
+	// the whole; shorter, and the gateways beyond a cut would be forgotten before their own issuer
+	// has stopped.
 	rememberedFor = 15 * time.Second
 	// idleBucket is how long a bucket without asks is kept.
 	idleBucket = time.Minute
@@ -84,6 +85,10 @@
 	issuing time.Time
 	// gateways is how many gateways serve callers.
 	gateways int
+	// listed is the largest number of listed gateways in the last rememberedFor, and listedAt when
+	// it was last seen.
+	listed   int
+	listedAt time.Time
 	swept    time.Time
 }
 
@@ -92,13 +97,23 @@
 
 // Counts are what the issuer knows of other gateways when it is asked.
 type Counts struct {
-	// Listed is how many gateways serve callers by the issuer's view, ViewAge the time since
-	// that was confirmed, and OtherIssuers how many others the asking gateway has asked lately.
-	Listed       int
+	// Listed is how many gateways serve callers by the issuer's view, and AtLeast how many there
+	// may be while that may lack some.
+	Listed, AtLeast int
+	// ViewAge is the time since the view was confirmed, and OtherIssuers how many others the
+	// asking gateway has asked lately.
 	ViewAge      time.Duration
 	OtherIssuers int
 }
 
+// List notes how many gateways serve callers by the list in force. It is called regularly, also
+// while nobody asks: a gateway that becomes the issuer by a shorter list remembers the longer one.
+func (l *Ledger) List(now time.Time, listed int) {
+	if listed >= l.listed || now.Sub(l.listedAt) > rememberedFor {
+		l.listed, l.listedAt = listed, now
+	}
+}
+
 // Ask notes that a gateway asks. It precedes the Grants of the ask.
 func (l *Ledger) Ask(now time.Time, from string, c Counts) {
 	if gap := now.Sub(l.asked); gap > 0 {
@@ -121,7 +136,8 @@
 		}
 		known++
 	}
-	l.gateways = max(1, known, c.Listed)
+	l.List(now, c.Listed)
+	l.gateways = max(1, known, l.listed, c.AtLeast)
 	l.share = min(1, asking/float64(l.gateways))
 	if l.share < 1-staleMissing && c.ViewAge > staleAfter {
 		l.share *= max(staleFloor, 1-(c.ViewAge-staleAfter).Seconds()/staleDecay.Seconds())
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -20,9 +20,9 @@
 	}
 }
 
-// cutOff cuts region 0 from the others for a time.
-func (s *sim) cutOff(from, to time.Duration) {
-	s.cut = func(t time.Duration, a, b int) bool { return t > from && t < to && (a == 0) != (b == 0) }
+// cutOff cuts a region from the others for a time.
+func (s *sim) cutOff(region int, from, to time.Duration) {
+	s.cut = func(t time.Duration, a, b int) bool { return t > from && t < to && (a == region) != (b == region) }
 }
 
 // without returns the names of the gateways apart from one.
@@ -71,21 +71,22 @@
 	}},
 	{"region cut off", 24 * time.Second, 1, 10, func(s *sim) {
 		s.heat(10 * time.Second)
-		s.cutOff(8*time.Second, 18*time.Second)
+		s.cutOff(0, 8*time.Second, 18*time.Second)
 	}},
-	// The larger side, which has the store, no longer lists the others after 4 s.
-	{"region cut off and no longer listed", 40 * time.Second, 1, 10, func(s *sim) {
+	// The side without the issuer has the store, and no longer lists the others after 4 s.
+	{"the issuer's region cut off and no longer listed", 40 * time.Second, 1, 10, func(s *sim) {
 		s.heat(10 * time.Second)
-		s.cutOff(8*time.Second, 38*time.Second)
+		cut := s.issuer().region
+		s.cutOff(cut, 8*time.Second, 38*time.Second)
 		s.at(12*time.Second, func() {
 			var rest []string
 			for _, g := range s.gateways {
-				if g.region != 0 {
+				if g.region != cut {
 					rest = append(rest, g.name)
 				}
 			}
 			for _, g := range s.gateways {
-				if g.region != 0 {
+				if g.region != cut {
 					g.hosts = rest
 				} else {
 					g.unconfirmedSince = 8 * time.Second
@@ -421,7 +422,7 @@
 			s.add(fmt.Sprint("c", i), Limit{Rate: rate, Burst: rate * burst}, jump(rate*before, factor, ms(8000, "jump")))
 		}
 		from := ms(8000, "cut")
-		s.cutOff(from, from+ms(8000, "cut for"))
+		s.cutOff(rapid.IntRange(0, 2).Draw(t, "region"), from, from+ms(8000, "cut for"))
 		for range rapid.IntRange(0, 3).Draw(t, "faults") {
 			g := s.gateways[rapid.IntRange(0, len(s.gateways)-1).Draw(t, "gateway")]
 			s.at(ms(9000, "at"), func() {
@@ -475,3 +476,19 @@
 		}
 	})
 }
+
+// TestShorterListIsRemembered guards against a gateway that becomes the issuer by a list from which
+// others have vanished, and grants their parts while they are still granted elsewhere.
+func TestShorterListIsRemembered(t *testing.T) {
+	l := NewLedger()
+	l.List(simStart, 12)
+	for _, x := range []struct {
+		at   time.Duration
+		want float64
+	}{{time.Second, 1.0 / 12}, {rememberedFor + time.Second, 1}} {
+		l.Ask(simStart.Add(x.at), "g", Counts{Listed: 1})
+		if l.Share() != x.want {
+			t.Errorf("share %.3f %v after the longer list, want %.3f", l.Share(), x.at, x.want)
+		}
+	}
+}
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -128,7 +129,7 @@
 		return
 	}
 	if ok, after := n.quotas.admit(r.Context(), req); !ok {
-		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+		w.Header().Set("Retry-After", strconv.FormatFloat((after+rand.N(retryAfterSpread)).Seconds(), 'f', 3, 64))
 		n.writeError(w, req, http.StatusTooManyRequests, "over the customer's limit")
 		return
 	}
--- a/internal/daemon/gateway/quota.go
+++ b/internal/daemon/gateway/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	// quotaRefusalGap is the time without a refusal after which the next begins a new burst,
 	// which is logged.
 	quotaRefusalGap = 5 * time.Second
+	// unknownGateways is how many gateways are taken to serve callers while this one may not know
+	// the others: several that start while the store is away would each grant the whole limit.
+	unknownGateways = 32
 	// suspensionGap is by how much the clock that counts suspensions must pass the other one.
 	suspensionGap = 100 * time.Millisecond
 )
@@ -52,6 +56,8 @@
 	kick    chan struct{}
 	// replied is closed and replaced with each reply.
 	replied chan struct{}
+	// introduced is set once the keeper has been introduced to the other gateways.
+	introduced bool
 	// refusals are the bursts of refused requests that are under way.
 	refusals map[string]*refusalBurst
 	// skew is the difference of the clocks when last seen.
@@ -60,6 +66,7 @@
 
 // quotaPlan is what a view says of quotas.
 type quotaPlan struct {
+	view    *view
 	members []*peerv1.GatewayMember
 	config  *routing.Config
 	// limited is set if a customer has a limit, serving if the directory names this gateway.
@@ -149,7 +156,7 @@
 		}
 		limit = limitOfCustomer(current)
 	}
-	verdict, after, wake := q.client.Admit(now, c.Name, limit, plan.count, repeated)
+	verdict, after, wake := q.client.Admit(now, c.Name, limit, q.gateways(plan, now), repeated)
 	if !q.running {
 		q.running = true
 		q.node.background.Go(q.run)
@@ -181,11 +188,15 @@
 
 // planOf returns what the view says of quotas. The caller holds q.mu.
 func (q *quotas) planOf(v *view) *quotaPlan {
-	if sameMembers(q.plan.members, v.reaching) && q.plan.config == v.config && q.plan.addresses != nil {
+	if q.plan.view == v {
+		return &q.plan
+	}
+	if q.plan.view != nil && q.plan.config == v.config && slices.Equal(q.plan.members, v.reaching) {
+		q.plan.view = v
 		return &q.plan
 	}
 	old := q.plan.config
-	q.plan = quotaPlan{members: v.reaching, config: v.config, addresses: map[string]string{}}
+	q.plan = quotaPlan{view: v, members: v.reaching, config: v.config, addresses: map[string]string{}}
 	p := &q.plan
 	domains := map[string][]balance.Gateway{}
 	for _, m := range v.reaching {
@@ -215,17 +226,12 @@
 	return p
 }
 
-// sameMembers reports whether two lists hold the same records.
-func sameMembers(a, b []*peerv1.GatewayMember) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
+// gateways returns how many gateways serve callers, as far as is known. The caller holds q.mu.
+func (q *quotas) gateways(p *quotaPlan, now time.Time) int {
+	if q.introduced = q.introduced || q.node.keeper.introduced(now); !q.introduced {
+		return max(unknownGateways, p.count)
 	}
-	return true
+	return p.count
 }
 
 // quotaWatch is how often a gateway looks whether customers have limits.
@@ -282,6 +288,7 @@
 		q.running = false
 		return 0, false
 	}
+	q.ledger.List(now, p.count)
 	asks, next := q.client.Due(now, p.issuers, true)
 	for _, ask := range asks {
 		address := p.addresses[ask.To]
@@ -359,7 +366,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	q.ledger.Ask(now, from, quota.Counts{Listed: q.planOf(v).count, ViewAge: age, OtherIssuers: int(msg.OtherIssuers)})
+	p := q.planOf(v)
+	q.ledger.Ask(now, from, quota.Counts{Listed: p.count, AtLeast: q.gateways(p, now), ViewAge: age, OtherIssuers: int(msg.OtherIssuers)})
 	out := &peerv1.QuotaReply{}
 	if v.config == nil {
 		return out
--- a/internal/daemon/gateway/quota_test.go
+++ b/internal/daemon/gateway/quota_test.go
@@ -13,6 +13,7 @@
 	"cassiatray/internal/core/fleet"
 	"cassiatray/internal/core/mirror"
 	"cassiatray/internal/core/routing"
+	peerv1 "cassiatray/proto/peer/v1"
 )
 
 // customersConfig writes a configuration with customers; the key of each is its name.
@@ -218,3 +219,51 @@
 		}
 	})
 }
+
+// TestQuotaCountsRelayedRequestsOnce guards against a relayed request that counts at the helper, too.
+func TestQuotaCountsRelayedRequestsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelayWorld(t, "a1-1")
+		defer w.stopQuotas()
+		w.customersConfig(2, routing.Customer{Name: "c", Rate: 1000, Burst: 1000})
+		time.Sleep(time.Second)
+		for range 10 {
+			r := httptest.NewRequestWithContext(t.Context(), "GET", "/get/", nil)
+			r.Host = "h"
+			r.Header.Set("Key", "c")
+			r.Header.Set("Left", "1200ms")
+			rec := httptest.NewRecorder()
+			w.hosts["a1-0"].node.ServeHTTP(rec, r)
+			if rec.Code != http.StatusOK {
+				t.Errorf("status %d", rec.Code)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		now := time.Now()
+		origin, helper := w.hosts["a1-0"].node.quotas.dump(now), w.hosts["a1-1"].node.quotas.dump(now)
+		if len(origin.Customers) != 1 || len(helper.Customers) != 0 || w.servers.count() != 10 {
+			t.Errorf("%d requests served, customers %v at the origin and %v at the helper", w.servers.count(), origin.Customers, helper.Customers)
+		}
+	})
+}
+
+// TestUnintroducedGatewaysGrantLittle guards against gateways that start while the store is away,
+// know only themselves and each grant the whole limit.
+func TestUnintroducedGatewaysGrantLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(nil)
+		defer f.stop()
+		now := time.Now()
+		f.keeper.born = now
+		f.keeper.Hear(f.node.syncer.self(), now, now)
+		f.node.quotas.issue(&peerv1.QuotaAsk{}, "g")
+		if share := f.node.quotas.ledger.Share(); share > 1.0/unknownGateways {
+			t.Errorf("share %.3f of the limits to a gateway that knows no other", share)
+		}
+		time.Sleep(introductionTime + time.Millisecond)
+		f.node.quotas.issue(&peerv1.QuotaAsk{}, "g")
+		if share := f.node.quotas.ledger.Share(); share < 0.5 && len(f.keeper.View().reaching) > 0 {
+			t.Errorf("share %.3f later", share)
+		}
+	})
+}
