--- a/internal/daemon/gateway/quota_test.go
+++ b/internal/daemon/gateway/quota_test.go
@@ -65,6 +65,12 @@
 	return w.asks
 }
 
+func (w *testCluster) quotaBytes() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.askBytes
+}
+
 // admits plays one request of a customer at a gateway up to the quota.
 func (h *testHost) admits(customer string) (bool, time.Duration) {
 	v := h.keeper.View()
