Tests of quotas find three faults that none did before

Cause: with a change of one line each, tokens that are held did not count towards the burst, credit was forgotten with a lost ask, or the fallback began at the rate of a moment, and all tests passed.

Change: TestHeldTokensCountTowardsTheBurst, TestFallbackDoesNotRepeatABurst, and the histories of TestEveryShortHistoryIsAccountedFor also for one gateway and eight steps.

Measured: each of the three fails with its fault and passes without.

--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -294,6 +294,49 @@
 	}
 }
 
+// TestFallbackDoesNotRepeatABurst guards against gateways that take a moment's burst for their rate
+// when the issuer is lost: all of them together would pass a small limit for seconds.
+func TestFallbackDoesNotRepeatABurst(t *testing.T) {
+	limit := Limit{Rate: 3, Burst: 3}
+	var a Account
+	a.Granted(simStart, simStart, "g", Grant{Tokens: 3})
+	for range 3 {
+		a.Admit(simStart, limit, 12, false)
+	}
+	a.Lost(simStart, false)
+	n := 0
+	for at := time.Duration(0); at < simWindow; at += 50 * time.Millisecond {
+		if v, _ := a.Admit(simStart.Add(at), limit, 12, false); v.Admitted() {
+			n++
+		}
+	}
+	if n > 2 {
+		t.Errorf("%d requests in %v after a burst of 3", n, simWindow)
+	}
+}
+
+// TestHeldTokensCountTowardsTheBurst guards against a bucket that is full while gateways hold
+// tokens: both would be used at once.
+func TestHeldTokensCountTowardsTheBurst(t *testing.T) {
+	limit := Limit{Rate: 100, Burst: 100}
+	l, before := NewLedger(), uint32(0)
+	for i := range 40 {
+		now := simStart.Add(time.Duration(i) * AskEvery)
+		l.Ask(now, "g", Counts{Listed: 1})
+		wanted := uint32(24)
+		if i < 10 {
+			// The bucket fills.
+			wanted = 0
+		}
+		g := l.Grant(now, "g", "c", limit, Use{Wanted: wanted})
+		// The tokens of the last ask may still be held. They count less with time.
+		if sum := l.buckets["c"].level + float64(before+g.Tokens); sum > 118 {
+			t.Fatalf("%.0f tokens for a burst of 100", sum)
+		}
+		before = g.Tokens
+	}
+}
+
 // modelEvent is what one gateway of the model does.
 type modelEvent struct {
 	gateway int
@@ -386,13 +429,15 @@
 // and shows that it finds credit that is forgotten with a lost ask.
 func TestEveryShortHistoryIsAccountedFor(t *testing.T) {
 	n := 0
-	eachHistory(6, 2, func(events []modelEvent) bool {
-		n++
-		if over := playModel(events, 2, false); over > 0 {
-			t.Errorf("%v: %.2f beyond what is accounted for", events, over)
-		}
-		return !t.Failed()
-	})
+	for gateways, length := range map[int]int{1: 8, 2: 6} {
+		eachHistory(length, gateways, func(events []modelEvent) bool {
+			n++
+			if over := playModel(events, gateways, false); over > 0 {
+				t.Errorf("%v: %.2f beyond what is accounted for", events, over)
+			}
+			return !t.Failed()
+		})
+	}
 	found := false
 	eachHistory(8, 1, func(events []modelEvent) bool {
 		found = playModel(events, 1, true) > 0
