TestQuotaCost reads its counts under the lock

Cause: the race detector saw the test read the count of bytes while gateways wrote it.

Change: one accessor for asks and bytes.

Measured: go test -race ./internal/daemon/gateway -run 'Quota|Unintroduced|Relayed|Permit|Pause' passes.

--- a/internal/daemon/gateway/quota_test.go
+++ b/internal/daemon/gateway/quota_test.go
@@ -58,11 +58,12 @@
 	time.Sleep(2 * time.Second)
 }
 
-// quotaAsks returns how many asks gateways have sent each other.
-func (w *testCluster) quotaAsks() int {
+// quotaAsks returns how many asks gateways have sent each other, and the bytes of these and the
+// replies.
+func (w *testCluster) quotaAsks() (asks, bytes int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.asks
+	return w.asks, w.askBytes
 }
 
 // admits plays one request of a customer at a gateway up to the quota.
@@ -121,12 +122,13 @@
 			go h.node.watchQuotas(ctx)
 		}
 		asks := func() int {
-			before := w.quotaAsks()
+			before, _ := w.quotaAsks()
 			for _, h := range w.hosts {
 				h.admits("free")
 			}
 			time.Sleep(5 * time.Second)
-			return w.quotaAsks() - before
+			after, _ := w.quotaAsks()
+			return after - before
 		}
 		if n := asks(); n > 0 {
 			t.Errorf("%d asks without a limit", n)
--- a/internal/daemon/gateway/quotacost_test.go
+++ b/internal/daemon/gateway/quotacost_test.go
@@ -29,7 +29,8 @@
 					go h.node.watchQuotas(t.Context())
 				}
 				time.Sleep(2 * time.Second)
-				before, asks, bytes := heapInUse(), w.quotaAsks(), w.askBytes
+				before := heapInUse()
+				asks, bytes := w.quotaAsks()
 				begun := time.Now()
 				for i := range customers {
 					for _, h := range w.hosts {
@@ -43,9 +44,10 @@
 				perCustomer := float64(heapInUse()-before) / float64(max(1, customers*len(w.hosts)))
 				time.Sleep(span - time.Since(begun))
 				seconds := time.Since(begun).Seconds() * float64(len(w.hosts))
-				rate := float64(w.quotaAsks()-asks) / seconds
+				asksAfter, bytesAfter := w.quotaAsks()
+				rate := float64(asksAfter-asks) / seconds
 				t.Logf("%d customers: %.1f asks a second and gateway, %.0f bytes a second and gateway in asks and replies, %.0f bytes a customer and gateway",
-					customers, rate, float64(w.askBytes-bytes)/seconds, perCustomer)
+					customers, rate, float64(bytesAfter-bytes)/seconds, perCustomer)
 				if customers == 0 && rate > 0 || rate > 5 {
 					t.Errorf("%.1f asks a second and gateway", rate)
 				}
