Quotas: a list of small gateways is no larger than one of large ones

When a failure domain's two large gateways were missing from the list for a moment, it named some twenty small ones in their place. The parts of the limits now go by the capacity of gateways instead of their number.

TestListOfSmallGatewaysIsNoLarger fails before (share 0.40); the other tests of core/quota and the gateway's tests of quotas pass.

--- a/internal/core/quota/ledger.go
+++ b/internal/core/quota/ledger.go
@@ -50,8 +50,10 @@
 // asker is a gateway that has asked the issuer.
 type asker struct {
 	at time.Time
-	// weight is the part for which it counts: it may have asked other issuers, too.
-	weight float64
+	// weight is its capacity, or the part of it for which it counts: it may have asked other
+	// issuers, too.
+	weight   float64
+	capacity float64
 }
 
 // want is what one gateway last wanted of a customer.
@@ -85,9 +87,9 @@
 	issuing time.Time
 	// gateways is how many gateways serve callers.
 	gateways int
-	// listed is the largest number of listed gateways in the last rememberedFor, and listedAt when
+	// listed is the largest capacity of listed gateways in the last rememberedFor, and listedAt when
 	// it was last seen.
-	listed   int
+	listed   float64
 	listedAt time.Time
 	swept    time.Time
 }
@@ -100,15 +102,19 @@
 	// Listed is how many gateways serve callers by the issuer's view, and AtLeast how many there
 	// may be while that may lack some.
 	Listed, AtLeast int
+	// Capacity is that of the asking gateway, and ListedCapacity that of all listed ones, in any
+	// unit; zero if each gateway counts for one. The parts of the limits go by it: a list that
+	// for a moment names twenty small gateways in place of two large ones is no larger by it.
+	Capacity, ListedCapacity float64
 	// ViewAge is the time since the view was confirmed, and OtherIssuers how many others the
 	// asking gateway has asked lately.
 	ViewAge      time.Duration
 	OtherIssuers int
 }
 
-// List notes how many gateways serve callers by the list in force. It is called regularly, also
+// List notes the capacity of the gateways that serve callers by the list in force. It is called regularly, also
 // while nobody asks: a gateway that becomes the issuer by a shorter list remembers the longer one.
-func (l *Ledger) List(now time.Time, listed int) {
+func (l *Ledger) List(now time.Time, listed float64) {
 	if listed >= l.listed || now.Sub(l.listedAt) > rememberedFor {
 		l.listed, l.listedAt = listed, now
 	}
@@ -124,8 +130,11 @@
 			l.issuing = now
 		}
 	}
-	l.askers[from] = asker{at: now, weight: 1 / float64(1+max(0, c.OtherIssuers))}
-	known, asking := 0, 0.0
+	if c.Capacity <= 0 || c.ListedCapacity <= 0 {
+		c.Capacity, c.ListedCapacity = 1, float64(c.Listed)
+	}
+	l.askers[from] = asker{at: now, weight: c.Capacity / float64(1+max(0, c.OtherIssuers)), capacity: c.Capacity}
+	known, knownCapacity, asking := 0, 0.0, 0.0
 	for host, a := range l.askers {
 		switch age := now.Sub(a.at); {
 		case age > rememberedFor:
@@ -135,10 +144,16 @@
 			asking += a.weight
 		}
 		known++
+		knownCapacity += a.capacity
+	}
+	l.List(now, c.ListedCapacity)
+	l.gateways = max(1, known, c.Listed, c.AtLeast)
+	whole := max(knownCapacity, l.listed)
+	if c.AtLeast > c.Listed {
+		// Those that are not known may be as large as this one.
+		whole = max(whole, float64(c.AtLeast)*c.Capacity)
 	}
-	l.List(now, c.Listed)
-	l.gateways = max(1, known, l.listed, c.AtLeast)
-	l.share = min(1, asking/float64(l.gateways))
+	l.share = min(1, asking/max(whole, c.Capacity))
 	if l.share < 1-staleMissing && c.ViewAge > staleAfter {
 		l.share *= max(staleFloor, 1-(c.ViewAge-staleAfter).Seconds()/staleDecay.Seconds())
 	}
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -522,6 +522,25 @@
 	})
 }
 
+// TestListOfSmallGatewaysIsNoLarger guards against limits that shrink to a third for 15 s because a
+// failure domain's two large gateways were missing from the list for a moment, so that it named
+// twenty small ones in their place: 1,291 of 2,267 requests within their limits were refused.
+func TestListOfSmallGatewaysIsNoLarger(t *testing.T) {
+	const large, small = 0.8, 0.112
+	l := NewLedger()
+	ask := func(now time.Time, listed int, capacity float64) {
+		for i := range 12 {
+			l.Ask(now, fmt.Sprint("g", i), Counts{Listed: listed, AtLeast: listed, Capacity: large, ListedCapacity: capacity})
+		}
+	}
+	ask(simStart, 12, 12*large)
+	ask(simStart.Add(time.Second), 30, 10*large+20*small)
+	ask(simStart.Add(2*time.Second), 12, 12*large)
+	if share := l.Share(); share < 0.9 {
+		t.Errorf("share %.2f", share)
+	}
+}
+
 // TestShorterListIsRemembered guards against a gateway that becomes the issuer by a list from which
 // others have vanished, and grants their parts while they are still granted elsewhere.
 func TestShorterListIsRemembered(t *testing.T) {
--- a/internal/core/quota/sim_test.go
+++ b/internal/core/quota/sim_test.go
@@ -134,7 +134,7 @@
 }
 
 func (s *sim) due(g *simGateway) time.Time {
-	g.ledger.List(s.now(), len(g.hosts))
+	g.ledger.List(s.now(), float64(len(g.hosts)))
 	asks, next := g.client.Due(s.now(), ChooseIssuers(g.hosts), true)
 	for _, ask := range asks {
 		s.send(g, ask)
--- a/internal/daemon/gateway/quota.go
+++ b/internal/daemon/gateway/quota.go
@@ -72,9 +72,12 @@
 	// limited is set if a customer has a limit, serving if the directory names this gateway.
 	limited, serving bool
 	count            int
-	issuers          quota.Issuers
-	hosts            []string
-	addresses        map[string]string
+	// capacities are those of all gateways, capacity that of those that serve callers.
+	capacities map[string]float64
+	capacity   float64
+	issuers    quota.Issuers
+	hosts      []string
+	addresses  map[string]string
 }
 
 // refusalBurst counts a customer's refused requests since one that was logged.
@@ -196,16 +199,18 @@
 		return &q.plan
 	}
 	old := q.plan.config
-	q.plan = quotaPlan{view: v, members: v.reaching, config: v.config, addresses: map[string]string{}}
+	q.plan = quotaPlan{view: v, members: v.reaching, config: v.config, addresses: map[string]string{}, capacities: map[string]float64{}}
 	p := &q.plan
 	domains := map[string][]balance.Gateway{}
 	for _, m := range v.reaching {
 		domains[m.Domain] = append(domains[m.Domain], balance.Gateway{Host: m.Host, Capacity: float64(m.Capacity)})
 		p.addresses[m.Host] = m.PeerAddress
+		p.capacities[m.Host] = float64(m.Capacity)
 	}
 	for _, list := range domains {
 		for _, g := range balance.Narrow(list) {
 			p.hosts = append(p.hosts, g.Host)
+			p.capacity += g.Capacity
 			p.serving = p.serving || g.Host == q.node.cfg.Host
 		}
 	}
@@ -288,7 +293,7 @@
 		q.running = false
 		return 0, false
 	}
-	q.ledger.List(now, p.count)
+	q.ledger.List(now, p.capacity)
 	asks, next := q.client.Due(now, p.issuers, true)
 	for _, ask := range asks {
 		address := p.addresses[ask.To]
@@ -367,7 +372,10 @@
 	defer q.mu.Unlock()
 	now := time.Now()
 	p := q.planOf(v)
-	q.ledger.Ask(now, from, quota.Counts{Listed: p.count, AtLeast: q.gateways(p, now), ViewAge: age, OtherIssuers: int(msg.OtherIssuers)})
+	q.ledger.Ask(now, from, quota.Counts{
+		Listed: p.count, AtLeast: q.gateways(p, now), ViewAge: age, OtherIssuers: int(msg.OtherIssuers),
+		Capacity: p.capacities[from], ListedCapacity: p.capacity,
+	})
 	out := &peerv1.QuotaReply{}
 	if v.config == nil {
 		return out
