Checks of a server share a connection

A check now uses the connection of the one before if that was less than a second ago, and no request does.

--- a/internal/adapter/serverconn/pool.go
+++ b/internal/adapter/serverconn/pool.go
@@ -73,9 +73,11 @@
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 	now     func() time.Time
 
-	mu    sync.Mutex
-	idle  map[string][]*conn
-	trust idleTrust
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// probes are the connections kept for checks, one for each server.
+	probes map[string]*conn
+	trust  idleTrust
 }
 
 // New returns a pool that reads answers by a dialect.
@@ -84,7 +86,7 @@
 // NewFrom is New for connections from a local address; the zero value leaves that to the system.
 func NewFrom(dialect port.Dialect, source netip.Addr) *Pool {
 	d := tcp.Dialer{Connect: connectTimeout, Unacked: unackedTimeout, Source: source}
-	return &Pool{dialect: dialect, dial: d.Dial, now: time.Now, idle: map[string][]*conn{}}
+	return &Pool{dialect: dialect, dial: d.Dial, now: time.Now, idle: map[string][]*conn{}, probes: map[string]*conn{}}
 }
 
 // ClosedError means that the server closed all kept connections within the idle timeout
@@ -218,6 +220,12 @@
 	defer p.mu.Unlock()
 	now := p.now()
 	p.trust.expire(now)
+	for address, c := range p.probes {
+		if !inUse(address) || now.After(c.until) {
+			c.Close()
+			delete(p.probes, address)
+		}
+	}
 	for address, list := range p.idle {
 		keep := list[:0]
 		for _, c := range list {
