--- a/internal/daemon/gateway/quota_test.go
+++ b/internal/daemon/gateway/quota_test.go
@@ -66,12 +66,6 @@
 	return w.asks, w.askBytes
 }
 
-func (w *testCluster) quotaBytes() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.askBytes
-}
-
 // admits plays one request of a customer at a gateway up to the quota.
 func (h *testHost) admits(customer string) (bool, time.Duration) {
 	v := h.keeper.View()
