Gateways without callers know how long runs take

They now go by half of the least target of the service's routes, as the estimates by route do.

TestGatewayWithoutCallersKnowsBusyServers fails before; the gateway's package passes.

--- a/internal/core/routing/config.go
+++ b/internal/core/routing/config.go
@@ -64,6 +64,9 @@
 	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
 }
 
+// LeastTarget returns the least target of the routes to a service; zero if none has one.
+func (c *Config) LeastTarget(service string) time.Duration { return c.leastTargets[service] }
+
 // LongBodies reports whether the bodies of the route's requests or responses are large.
 func (r *Route) LongBodies() bool { return r.LongRequests || r.LongResponses }
 
@@ -102,17 +105,24 @@
 	// hosts holds the routes of each host, longest prefix first.
 	hosts     map[string][]*Route
 	customers customers
+	// leastTargets holds the least target of the routes to each service.
+	leastTargets map[string]time.Duration
 }
 
 // NewConfig returns a configuration with the given services, limits and routes.
 func NewConfig(version uint64, services []Service, limits Limits, routes []Route) *Config {
-	c := &Config{Version: version, Services: make(map[string]*Service, len(services)), Limits: limits, hosts: map[string][]*Route{}}
+	c := &Config{Version: version, Services: make(map[string]*Service, len(services)), Limits: limits, hosts: map[string][]*Route{}, leastTargets: map[string]time.Duration{}}
 	for i := range services {
 		c.Services[services[i].Name] = &services[i]
 	}
 	for i := range routes {
 		r := &routes[i]
 		c.hosts[r.Host] = append(c.hosts[r.Host], r)
+		for _, p := range r.Parts {
+			if least := c.leastTargets[p.Service]; r.Target > 0 && (least == 0 || r.Target < least) {
+				c.leastTargets[p.Service] = r.Target
+			}
+		}
 	}
 	for _, list := range c.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
--- a/internal/daemon/gateway/busycheck_test.go
+++ b/internal/daemon/gateway/busycheck_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	"cassiatray/internal/core/fleet"
 	"cassiatray/internal/core/placement"
+	"cassiatray/internal/port"
 )
 
 // preferredOf returns the servers that share the requests for an object.
@@ -54,3 +56,42 @@
 		}
 	})
 }
+
+// slowProber answers health checks after a time, as a busy server does.
+type slowProber struct {
+	connects
+	after time.Duration
+}
+
+// Forward implements port.Forwarder.
+func (slowProber) Forward(context.Context, string, *port.ForwardRequest) (*port.ForwardAnswer, error) {
+	return okAnswer(), nil
+}
+
+// Probe implements port.Prober.
+func (p slowProber) Probe(context.Context, string, string) (port.ServerMeta, int, error) {
+	time.Sleep(p.after)
+	return port.ServerMeta{}, 200, nil
+}
+
+// TestGatewayWithoutCallersKnowsBusyServers guards against a gateway that has sent no requests, and
+// takes 100 ms for the time of a run: every busy server that it checked was doubted by all gateways.
+func TestGatewayWithoutCallersKnowsBusyServers(t *testing.T) {
+	// The least target of the routes is 600 ms.
+	for after, doubted := range map[time.Duration]bool{250 * time.Millisecond: false, 500 * time.Millisecond: true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(nil)
+			defer f.stop()
+			f.node.prober = slowProber{after: after}
+			s := preferredOf(f, "o")[0]
+			was := false
+			go f.node.checkCold(t.Context(), s, "/health")
+			time.Sleep(after - time.Millisecond)
+			was = s.withHealth((*fleet.Health).Doubted)
+			time.Sleep(time.Second)
+			if was != doubted {
+				t.Errorf("answered after %v: doubted %t", after, was)
+			}
+		})
+	}
+}
--- a/internal/daemon/gateway/coldcheck.go
+++ b/internal/daemon/gateway/coldcheck.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -68,7 +69,7 @@
 			if !s.withHealth(awaitsColdCheck) || s.remainingCold(now) > 0 || paused > 0 || s.isLeaving() {
 				continue
 			}
-			if !s.takeColdCheck(n.serviceTimes.ofService(s.rec().Service), now) {
+			if !s.takeColdCheck(n.usualRun(checked, s.rec().Service), now) {
 				continue
 			}
 			path := checked.config.Services[s.rec().Service].HealthPath
@@ -121,7 +122,7 @@
 	defer s.endColdCheck()
 	n.metrics.checks.Inc()
 	rec := s.rec()
-	sent, serviceTime := time.Now(), n.serviceTimes.ofService(rec.Service)
+	sent, serviceTime := time.Now(), n.usualRun(n.keeper.View(), rec.Service)
 	wait := overload.Load{Requests: s.estimatedRequests(sent, serviceTime), Slots: rec.Slots, Service: serviceTime}.Wait()
 	suspect := time.AfterFunc(wait+time.Duration(checkRunTimes*float64(serviceTime))+checkSlack, func() { n.suspectCold(s, sent, sent.Add(serviceTime), time.Now()) })
 	meta, _, err := n.prober.Probe(ctx, rec.Address, path)
@@ -150,6 +151,19 @@
 	}
 }
 
+// usualRun returns how long a request of any route takes at a server of a service. A gateway that has
+// sent none goes by the targets of the routes, as estimates by route do: most servers are checked by
+// gateways without callers, to which each busy server would seem not to answer.
+func (n *Node) usualRun(v *view, service string) time.Duration {
+	if run, ok := n.serviceTimes.measured(service); ok {
+		return run
+	}
+	if v.config == nil {
+		return defaultServiceTime
+	}
+	return cmp.Or(v.config.LeastTarget(service)/2, defaultServiceTime)
+}
+
 // takeColdCheck reports whether a server may be checked for coldness now; endColdCheck says that
 // the check has ended.
 func (s *server) takeColdCheck(serviceTime time.Duration, now time.Time) bool {
--- a/internal/daemon/gateway/servicetime.go
+++ b/internal/daemon/gateway/servicetime.go
@@ -29,12 +29,20 @@
 
 // ofService returns how long a request of any route takes at a server of the service.
 func (t *serviceTimes) ofService(service string) time.Duration {
+	if run, ok := t.measured(service); ok {
+		return run
+	}
+	return defaultServiceTime
+}
+
+// measured is ofService; ok is false if this gateway has measured none.
+func (t *serviceTimes) measured(service string) (run time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if tracker := t.services[service]; tracker != nil {
-		return tracker.Mean(defaultServiceTime)
+		return tracker.Mean(defaultServiceTime), true
 	}
-	return defaultServiceTime
+	return 0, false
 }
 
 // times returns how long a request of the route runs at a server, without time spent in the
