--- a/internal/adapter/callerconn/panic_test.go
+++ b/internal/adapter/callerconn/panic_test.go
@@ -7,7 +7,7 @@
 )
 
 // TestFailedHandlerIsAnswered guards against requests that end without an answer because their
-// handler failed before it sent any of it. The answer promises nothing: the request may have run.
+// handler failed before it sent any of it. The answer does not say that the request is safe to repeat: it may have run.
 func TestFailedHandlerIsAnswered(t *testing.T) {
 	for name, h := range map[string]http.HandlerFunc{
 		"nothing written": func(http.ResponseWriter, *http.Request) { panic("fault") },
