Log lines that wait are bounded in bytes

Callers choose how long request IDs and objects are, and each line holds them. 2,048 lines of up to 64 KiB and more waited for a reader that takes none. TestLongLinesAreBounded queues lines of 64 KiB to such a reader: 128 MiB held before, 1 MiB now; lines beyond that are dropped and counted as those beyond the number are.

--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -13,6 +13,9 @@
 	// queueLines is how many lines wait for a slow reader before more are
 	// dropped.
 	queueLines = 2048
+	// queueBytes bounds those lines together, in bytes: parts of lines, such as the IDs of
+	// requests, are as long as callers make them.
+	queueBytes = 1 << 20
 	// reportEvery is how often dropped lines are reported.
 	reportEvery = time.Second
 )
@@ -22,6 +25,7 @@
 type Async struct {
 	lines   chan []byte
 	done    chan struct{}
+	queued  atomic.Int64
 	dropped atomic.Uint64
 }
 
@@ -37,14 +41,23 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
+	if a.queued.Add(int64(len(p))) > queueBytes {
+		a.drop(p)
+		return len(p), nil
+	}
 	select {
 	case a.lines <- append([]byte(nil), p...):
 	default:
-		a.dropped.Add(1)
+		a.drop(p)
 	}
 	return len(p), nil
 }
 
+func (a *Async) drop(p []byte) {
+	a.queued.Add(-int64(len(p)))
+	a.dropped.Add(1)
+}
+
 // Close writes what is queued, for at most a while.
 func (a *Async) Close(atMost time.Duration) {
 	close(a.lines)
@@ -61,6 +74,7 @@
 		if _, err := w.Write(line); err != nil {
 			a.dropped.Add(1)
 		}
+		a.queued.Add(-int64(len(line)))
 		if time.Since(last) < reportEvery {
 			continue
 		}
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -35,6 +35,24 @@
 	a.Close(10 * time.Second)
 }
 
+// Guards against a reader that takes nothing while callers make the lines long.
+func TestLongLinesAreBounded(t *testing.T) {
+	w := stuck{release: make(chan struct{})}
+	a := NewAsync(w)
+	line := make([]byte, 64<<10)
+	for range queueLines {
+		a.Write(line)
+	}
+	if held := (len(a.lines) + 1) * len(line); held > 2<<20 {
+		t.Errorf("%d bytes wait to be written", held)
+	}
+	close(w.release)
+	a.Close(10 * time.Second)
+	if n := a.queued.Load(); n != 0 {
+		t.Errorf("%d bytes still counted", n)
+	}
+}
+
 // TestLogIsCapped checks that information is left out beyond the cap, counted in
 // the next second, and that warnings are kept.
 func TestLogIsCapped(t *testing.T) {
