--- a/internal/core/membudget/connections.go
+++ b/internal/core/membudget/connections.go
@@ -19,6 +19,14 @@
 // the descriptors are not known.
 func LookupConnections(descriptors int64) int { return share(descriptors, lookupShare) }
 
+// MaxExchanges returns how many requests may wait for servers at once, each with a connection, and
+// ServerConnections how many connections to servers, idle ones included, are kept; 0 if the
+// descriptors are not known.
+func MaxExchanges(descriptors int64) int { return share(descriptors, exchangeShare) }
+
+// ServerConnections is described at MaxExchanges.
+func ServerConnections(descriptors int64) int { return share(descriptors, serverShare) }
+
 // ServiceConnections is described at LookupConnections.
 func ServiceConnections(descriptors int64) int { return share(descriptors, serviceShare) }
 
@@ -40,9 +48,16 @@
 	// most one connection to a server for most of its time, which the rest must cover together
 	// with peers and the store.
 	callerShare = 0.6
+	// exchangeShare and serverShare are the parts for requests at servers, and for them with idle
+	// connections and second attempts.
+	exchangeShare = 0.25
+	serverShare   = 0.28
 	// minConnections is the least bound, for limits that leave nothing.
 	minConnections = 16
 	// ConnectionBytes is what an open connection holds without a request: goroutine and stack,
 	// read buffer, the kernel's structures.
 	ConnectionBytes = 16 << 10
+	// RequestBytes is what a request holds beside that, its head and its body while it is handled:
+	// goroutine and stack, the state of its attempts, the connection to a server.
+	RequestBytes = 16 << 10
 )
--- a/internal/site/usage.go
+++ b/internal/site/usage.go
@@ -11,8 +11,10 @@
 // Usage is what a process has used so far.
 type Usage struct {
 	CPU time.Duration
-	// Resident is the memory it holds now, in bytes.
-	Resident int64
+	// Resident is the memory it holds now, and Peak the most it has held, in bytes.
+	Resident, Peak int64
+	// Descriptors is how many it has open.
+	Descriptors int
 }
 
 // Units of /proc.
@@ -52,5 +54,29 @@
 			return Usage{}, &UsageError{Name: p.Name, Err: err}
 		}
 	}
-	return Usage{CPU: time.Duration(values[0]+values[1]) * clockTick, Resident: values[2] * pageSize}, nil
+	out := Usage{CPU: time.Duration(values[0]+values[1]) * clockTick, Resident: values[2] * pageSize}
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		return Usage{}, &UsageError{Name: p.Name, Err: err}
+	}
+	out.Descriptors = len(open)
+	if out.Peak, err = p.peak(); err != nil {
+		return Usage{}, &UsageError{Name: p.Name, Err: err}
+	}
+	return out, nil
+}
+
+// peak returns the most memory that the process has held, in bytes.
+func (p *Process) peak() (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, ok := strings.Cut(string(status), "VmHWM:")
+	fields := strings.Fields(rest)
+	if !ok || len(fields) == 0 {
+		return 0, os.ErrInvalid
+	}
+	kb, err := strconv.ParseInt(fields[0], 10, 64)
+	return kb << 10, err
 }
