Heads count for the budget by their parsed form

Lines are counted while they are read, those of a head that was buffered before included; a head with more lines than fit the bytes allowed ends with 431. Trailers are dropped once the body is read.

Besides, for further users of this server: a time for whole bodies, bodies for its own refusals, OPTIONS * passed on; callers that make no progress are ended after 5 s while it stops; chunked answers are copied in pieces.

--- a/internal/adapter/callerconn/conn.go
+++ b/internal/adapter/callerconn/conn.go
@@ -14,6 +14,7 @@
 
 	"cassiatray/internal/adapter/headlimit"
 	"cassiatray/internal/adapter/tcp"
+	"cassiatray/internal/core/membudget"
 )
 
 // conn is one connection of a caller. Its reader runs in serve; each request has
@@ -37,6 +38,8 @@
 	head headHold
 	// bodyWait is writing for the read of a request's body that has not ended.
 	bodyWait atomic.Int64
+	// bodyBegan is writing for the whole of a body, while it is read.
+	bodyBegan atomic.Int64
 	// writing is how long after opened the write began that has not ended, in
 	// nanoseconds; zero without one.
 	writing atomic.Int64
@@ -169,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	x := &exchange{c: c, r: r, sent: make(chan struct{}), ahead: ahead}
+	x := &exchange{c: c, r: r, sent: make(chan struct{}), ahead: ahead, headSize: c.head.scan.text}
 	x.hold.Init(c.s.Budget, time.Now(), x)
 	if held := c.head.taken(); held > 0 {
 		x.hold.Force(held)
@@ -184,6 +187,8 @@
 		return c.watch()
 	}
 	c.inHand++
+	x.taken = true
+	c.s.Budget.Add(membudget.RequestBytes)
 	x.before = c.last
 	c.last, c.newest = x.sent, x
 	c.mu.Unlock()
@@ -191,7 +196,7 @@
 		c.noteBehind()
 	} else {
 		x.bodyRead = make(chan struct{})
-		x.body = &requestBody{x: x, from: r.Body}
+		x.body = &requestBody{x: x, from: r.Body, request: r}
 		r.Body = x.body
 	}
 	x.r = r.WithContext(c.ctx)
@@ -303,21 +308,25 @@
 
 // sweep wakes the reader of a connection that has been idle for too long, and
 // ends one whose caller takes none of an answer.
-func (c *conn) sweep(now time.Time, idle time.Duration) {
-	if c.stalled(&c.writing, now) > stallTimeout {
+func (c *conn) sweep(now time.Time, limits Limits) {
+	stall := stallTimeout
+	if c.s.draining.Load() {
+		stall = stopStall
+	}
+	if c.stalled(&c.writing, now) > stall {
 		c.s.closed(CauseStalledAnswer, c)
 		c.dropUnsent()
 		c.abort()
 		return
 	}
-	if c.stalled(&c.bodyWait, now) > stallTimeout {
+	if c.stalled(&c.bodyWait, now) > stall || limits.BodyTimeout > 0 && c.stalled(&c.bodyBegan, now) > limits.BodyTimeout {
 		c.s.closed(CauseStalledBody, c)
 		c.stopBody()
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inHand == 0 && (c.s.draining.Load() || idle > 0 && now.Sub(c.idleSince) >= idle) {
+	if idle := limits.IdleTimeout; c.inHand == 0 && (c.s.draining.Load() || idle > 0 && now.Sub(c.idleSince) >= idle) {
 		c.signal()
 	}
 }
@@ -333,8 +342,10 @@
 		c.nc.SetReadDeadline(c.headUntil)
 	}
 	n, err := h.c.nc.Read(p)
-	if h.c.limit.On() && !h.c.head.add(h.c, n) {
-		return 0, errNoRoom
+	if h.c.limit.On() {
+		if full := h.c.head.add(h.c, p[:n]); full != nil {
+			return 0, full
+		}
 	}
 	return n, err
 }
@@ -344,6 +355,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inHand--
+	if x.taken {
+		c.s.Budget.Add(-membudget.RequestBytes)
+	}
 	if c.inHand == 0 {
 		c.newest, c.idleSince = nil, time.Now()
 	}
--- a/internal/adapter/callerconn/exchange.go
+++ b/internal/adapter/callerconn/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,8 +23,12 @@
 	// before is closed once the answers before this one are sent, and sent once
 	// this one is.
 	before, sent chan struct{}
+	// headSize is the size of the request's head as it was sent, in bytes.
+	headSize int
 	// ahead is set when the request took room of those handled ahead.
 	ahead bool
+	// taken is set while the request counts as one in hand for the budget.
+	taken bool
 	// hold counts what the request and its answer hold.
 	hold membudget.Holder
 	body *requestBody
@@ -140,7 +145,7 @@
 			whole = true
 		}
 	}()
-	if x.r.Method == http.MethodOptions && x.r.RequestURI == "*" {
+	if x.r.Method == http.MethodOptions && x.r.RequestURI == "*" && !x.c.s.PassOptions {
 		// It asks about the server as a whole.
 		return true
 	}
@@ -351,10 +356,16 @@
 	}
 	b := heldPool.Get().(*bytes.Buffer)
 	defer func() { b.Reset(); heldPool.Put(b) }()
-	fmt.Fprintf(b, "%x\r\n", len(p))
-	b.Write(p)
-	b.WriteString("\r\n")
-	return x.raw(b.Bytes())
+	for chunk := range slices.Chunk(p, writePiece) {
+		b.Reset()
+		fmt.Fprintf(b, "%x\r\n", len(chunk))
+		b.Write(chunk)
+		b.WriteString("\r\n")
+		if err := x.raw(b.Bytes()); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (x *exchange) raw(p []byte) error {
--- a/internal/adapter/callerconn/read.go
+++ b/internal/adapter/callerconn/read.go
@@ -41,7 +41,7 @@
 	}
 	// What is buffered of later requests counts, too.
 	c.limit.Begin(most + bufferSize)
-	r, err := http.ReadRequest(c.r)
+	r, err := c.parse(limits.HeadLines)
 	c.limit.End()
 	c.headUntil = time.Time{}
 	if c.timed {
@@ -54,9 +54,9 @@
 	switch {
 	case err == nil:
 		status, reason = check(r)
-	case errors.Is(c.limit.Err(), errNoRoom):
+	case errors.Is(err, errNoRoom) || errors.Is(c.limit.Err(), errNoRoom):
 		status, reason = http.StatusServiceUnavailable, "no memory for the head"
-	case c.limit.Exceeded():
+	case c.limit.Exceeded() || errors.Is(err, errLines) || errors.Is(c.limit.Err(), errLines):
 		status, reason, err = http.StatusRequestHeaderFieldsTooLarge, "head over the limit", nil
 	case isTimeout(c.limit.Err()):
 		status, reason, err = http.StatusRequestTimeout, "head not whole in time", c.limit.Err()
@@ -74,6 +74,22 @@
 	return r, 0, nil
 }
 
+// parse reads a head and counts what it holds.
+func (c *conn) parse(lines int) (*http.Request, error) {
+	buffered, err := c.r.Peek(c.r.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.head.begin(c, buffered, lines); err != nil {
+		return nil, err
+	}
+	r, err := http.ReadRequest(c.r)
+	if err == nil && !c.head.keep() {
+		return nil, errNoRoom
+	}
+	return r, err
+}
+
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
@@ -126,11 +142,12 @@
 	c.last = x.sent
 	c.inHand++
 	c.mu.Unlock()
-	x.header = http.Header{"Content-Length": {"0"}, "Connection": {"close"}}
-	if status == http.StatusServiceUnavailable {
-		x.header.Set("Retry-After", retryAfter)
-	}
+	var body []byte
+	x.header, body = c.s.refusal(status, err)
 	x.WriteHeader(status)
+	if _, err := x.Write(body); err != nil {
+		x.err = err
+	}
 	broken := x.finish() != nil
 	c.ended(x, broken)
 }
@@ -140,6 +157,8 @@
 type requestBody struct {
 	x    *exchange
 	from io.ReadCloser
+	// request is the one that the parser gives the body's trailers.
+	request *http.Request
 	// done is set once the body is read to its end or given up, failed in the
 	// second case: nothing can follow it. Both are set by end alone, once.
 	done, failed bool
@@ -151,6 +170,9 @@
 		return
 	}
 	b.done, b.failed = true, failed
+	b.x.c.bodyBegan.Store(0)
+	// Nobody is told of trailers, which may hold many times their text.
+	b.request.Trailer = nil
 	if !failed {
 		b.x.c.noteBehind()
 		close(b.x.bodyRead)
@@ -171,7 +193,9 @@
 		return 0, err
 	}
 	c := b.x.c
-	c.bodyWait.Store(max(1, int64(time.Since(c.opened))))
+	wait := max(1, int64(time.Since(c.opened)))
+	c.bodyWait.Store(wait)
+	c.bodyBegan.CompareAndSwap(0, wait)
 	n, err := b.from.Read(p)
 	c.bodyWait.Store(0)
 	b.x.hold.Moved(n, time.Now())
--- a/internal/adapter/callerconn/room.go
+++ b/internal/adapter/callerconn/room.go
@@ -1,7 +1,11 @@
 package callerconn
 
 import (
+	"bytes"
+	"io"
 	"net"
+	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -45,11 +49,48 @@
 // errNoRoom ends the reading of a head for which there is no memory.
 const errNoRoom = readEnd("no memory")
 
+// errLines ends the reading of a head with too many header lines.
+const errLines = readEnd("too many header lines")
+
 // retryAfter is when a caller may come back that was refused for lack of room, in seconds.
 const retryAfter = "1"
 
-// refusal is sent on a connection that is not accepted: nothing of a request was read.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + retryAfter + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+// refusal returns the header and the body of an answer that ends a connection on which no request
+// was handled.
+func (s *Server) refusal(status int, err error) (http.Header, []byte) {
+	h := s.RefusalHeader.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	var body []byte
+	if s.RefusalBody != nil {
+		var contentType string
+		contentType, body = s.RefusalBody(status, err)
+		h.Set("Content-Type", contentType)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("Connection", "close")
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", retryAfter)
+	}
+	return h, body
+}
+
+// errConnections refuses a connection beyond the bound.
+const errConnections = readEnd("too many connections")
+
+// refuse answers on a connection that is not accepted: nothing of a request was read.
+func (s *Server) refuse(nc net.Conn) {
+	const status = http.StatusServiceUnavailable
+	h, body := s.refusal(status, errConnections)
+	resp := http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: h, ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)), Close: true}
+	// It fits the send buffer of a new connection. The caller may be gone.
+	nc.SetWriteDeadline(time.Now().Add(closeAfter))
+	if err := resp.Write(nc); err != nil && s.Refused != nil {
+		s.Refused(nc.RemoteAddr().String(), status, err)
+	}
+	nc.Close()
+}
 
 // Connections returns how many connections are open.
 func (s *Server) Connections() int { return int(s.open.Load()) }
@@ -69,16 +110,34 @@
 		if s.Closed != nil {
 			s.Closed(CauseNoConnections, nc.RemoteAddr().String())
 		}
-		// It fits the send buffer of a new connection. The caller may be gone.
-		nc.SetWriteDeadline(time.Now().Add(closeAfter))
-		nc.Write([]byte(refusal))
-		nc.Close()
+		s.refuse(nc)
 		s.left()
 		return false
 	}
 	return true
 }
 
+// Waiting returns on how many connections the newest request waits for a server.
+func (s *Server) Waiting() int {
+	n := 0
+	s.each(func(c *conn) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.newest != nil && c.newest.hold.Phase() == membudget.Working {
+			n++
+		}
+	})
+	return n
+}
+
+// Abort ends all connections at once, after Shutdown.
+func (s *Server) Abort() {
+	s.each(func(c *conn) {
+		c.dropUnsent()
+		c.abort()
+	})
+}
+
 func (s *Server) left() {
 	s.open.Add(-1)
 	s.Budget.Add(-membudget.ConnectionBytes)
@@ -224,45 +283,8 @@
 	}
 }
 
+// HeadSize returns the size of the request's head as it was sent, in bytes.
+func (x *exchange) HeadSize() int { return x.headSize }
+
 // Hold returns what counts the bytes of the request and of its answer.
 func (x *exchange) Hold() *membudget.Holder { return &x.hold }
-
-// headHold counts what a request's head holds while it is read. Heads of usual sizes count as
-// part of their connection.
-type headHold struct {
-	read int64
-	hold *membudget.Holder
-}
-
-// add counts n bytes, and reports whether there is room for them.
-func (h *headHold) add(c *conn, n int) bool {
-	if h.read += int64(n); h.read <= smallAnswer || c.s.Budget.Limit() <= 0 {
-		return true
-	}
-	if h.hold == nil {
-		h.hold = new(membudget.Holder)
-		h.hold.Init(c.s.Budget, time.Now(), c)
-	}
-	now := time.Now()
-	h.hold.Moved(n, now)
-	// The parsed head takes as much again.
-	return h.hold.Grow(2*int64(n), now)
-}
-
-// taken returns what the head that was read holds, which is counted elsewhere from then on.
-func (h *headHold) taken() int64 {
-	bytes := int64(0)
-	if h.hold != nil {
-		bytes = h.hold.Bytes()
-	}
-	h.release()
-	return bytes
-}
-
-func (h *headHold) release() {
-	h.read = 0
-	if h.hold != nil {
-		h.hold.Release()
-		h.hold = nil
-	}
-}
--- a/internal/adapter/callerconn/room_test.go
+++ b/internal/adapter/callerconn/room_test.go
@@ -208,7 +208,7 @@
 	c := s.dial(t)
 	c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nbod")
 	eventually(t, "a time-out", func() bool {
-		s.each(func(c *conn) { c.sweep(time.Now().Add(stallTimeout), 0) })
+		s.each(func(c *conn) { c.sweep(time.Now().Add(stallTimeout), Limits{}) })
 		return len(failed) > 0
 	})
 	if err := <-failed; !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/adapter/callerconn/server.go
+++ b/internal/adapter/callerconn/server.go
@@ -34,6 +34,8 @@
 	bufferSize = 4 << 10
 	// stallTimeout is how long a caller may take none of an answer's bytes.
 	stallTimeout = 30 * time.Second
+	// stopStall is stallTimeout, and that of request bodies, while the server stops.
+	stopStall = 5 * time.Second
 	// lingerTimeout is how long a connection is still read after its last answer,
 	// so that the answer is not lost to a reset.
 	lingerTimeout = 500 * time.Millisecond
@@ -56,8 +58,12 @@
 type Limits struct {
 	// HeadBytes bounds a request's head.
 	HeadBytes int
+	// HeadLines bounds a head's lines.
+	HeadLines int
 	// HeadTimeout bounds the time from a head's first byte to its last.
 	HeadTimeout time.Duration
+	// BodyTimeout bounds the time from a body's first byte to its last.
+	BodyTimeout time.Duration
 	// IdleTimeout is how long a connection may be without a request.
 	IdleTimeout time.Duration
 }
@@ -70,6 +76,13 @@
 	Independent func(*http.Request) bool
 	// Limits returns the limits in force.
 	Limits func() Limits
+	// RefusalBody returns the body and its content type for what is refused here: a head that is no
+	// proper request, or a connection beyond MaxConns, which has status 503. Nil for no bodies.
+	RefusalBody func(status int, err error) (contentType string, body []byte)
+	// RefusalHeader is sent with what is refused here.
+	RefusalHeader http.Header
+	// PassOptions hands requests about the server as a whole (OPTIONS *) to the handler.
+	PassOptions bool
 	// Refused is told of what was no proper request; nil for nobody.
 	Refused func(remote string, status int, err error)
 	// Budget bounds what requests, answers and connections hold; nil for no bound.
@@ -179,18 +192,23 @@
 // sweep looks after connections that wait for too long, until stop is closed and
 // the last connection has ended.
 func (s *Server) sweep(stop <-chan struct{}) {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	ended := make(chan struct{})
 	for {
 		select {
 		case <-stop:
 			stop = nil
-		case now := <-time.After(sweepEvery):
-			idle := s.Limits().IdleTimeout
-			open := 0
-			s.each(func(c *conn) { open++; c.sweep(now, idle) })
-			if stop == nil && open == 0 {
-				close(s.stopped)
-				return
-			}
+			go func() {
+				s.done.Wait()
+				close(ended)
+			}()
+		case <-ended:
+			close(s.stopped)
+			return
+		case now := <-t.C:
+			limits := s.Limits()
+			s.each(func(c *conn) { c.sweep(now, limits) })
 		}
 	}
 }
--- a/internal/core/membudget/budget.go
+++ b/internal/core/membudget/budget.go
@@ -126,7 +126,15 @@
 }
 
 // Bytes returns how many bytes are held.
-func (h *Holder) Bytes() int64 { return h.bytes.Load() }
+func (h *Holder) Bytes() int64 {
+	if h == nil {
+		return 0
+	}
+	return h.bytes.Load()
+}
+
+// Phase returns what the holder is doing.
+func (h *Holder) Phase() Phase { return Phase(h.phase.Load()) }
 
 // Enter begins another phase. It reports false for a holder that was ended.
 func (h *Holder) Enter(p Phase, now time.Time) bool {
