Peers: messages held within the process's memory

128 MiB of messages were allowed whatever the memory of the process. The bound is a setting of the server now, and a server with a budget counts messages and their decoded form there: one for which there is no memory is read past and refused with no-memory, which had no effect. Messages up to 4 KiB always pass.

--- a/internal/adapter/peer/limits.go
+++ b/internal/adapter/peer/limits.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"cassiatray/internal/core/membudget"
 	"cassiatray/internal/port"
 )
 
@@ -32,17 +34,48 @@
 	return fmt.Sprintf("frame of %d bytes, limit %d", e.Size, e.Limit)
 }
 
-// held counts the bytes of the requests that a server holds.
-type held struct{ bytes atomic.Int64 }
+// smallMessage is up to which size a message counts as part of its exchange, in bytes.
+const smallMessage = 4 << 10
+
+// growForMessage asks for the bytes of a message and of its decoded form.
+func growForMessage(hold *membudget.Holder, size uint64) bool {
+	return size <= smallMessage || hold.Grow(2*int64(size), time.Now())
+}
+
+// shrinkDecoded frees the bytes of a message of which the decoded form is left.
+func shrinkDecoded(hold *membudget.Holder, size uint64) {
+	if size > smallMessage {
+		hold.Shrink(int64(size))
+	}
+}
+
+// held counts the bytes of the requests that a server holds. The zero value allows maxHeld.
+type held struct {
+	bytes atomic.Int64
+	// most is the bound, in bytes, if it is not maxHeld.
+	most int64
+}
+
+// limit returns how many bytes may be held.
+func (h *held) limit() int64 {
+	if h.most > 0 {
+		return min(h.most, maxHeld)
+	}
+	return maxHeld
+}
+
+// LimitHeld bounds the requests that the server holds at once, in bytes; 0 leaves the bound as it
+// is. It is called before Start.
+func (s *Server) LimitHeld(most int64) { s.held.most = most }
 
 // take reserves memory for a frame before it is read.
 func (h *held) take(size uint64) error {
 	if size > MaxFrame {
 		return &port.PeerError{Code: port.PeerTooLarge, Err: &SizeError{Size: size, Limit: MaxFrame}}
 	}
-	if h.bytes.Add(int64(size)) > maxHeld {
+	if h.bytes.Add(int64(size)) > h.limit() {
 		h.bytes.Add(-int64(size))
-		return &port.PeerError{Code: port.PeerTooLarge, Err: &SizeError{Size: size, Limit: maxHeld}}
+		return &port.PeerError{Code: port.PeerTooLarge, Err: &SizeError{Size: size, Limit: uint64(h.limit())}}
 	}
 	return nil
 }
@@ -53,6 +86,12 @@
 // is allocated; the caller releases what is returned when the exchange has
 // ended, also after an error.
 func (h *held) readRequest(r *bufio.Reader, m proto.Message) (uint64, error) {
+	return h.readHeld(r, m, nil)
+}
+
+// readHeld is readRequest for a message that counts for a holder, too. A message for which that has
+// no memory is read past.
+func (h *held) readHeld(r *bufio.Reader, m proto.Message, hold *membudget.Holder) (uint64, error) {
 	size, err := binary.ReadUvarint(r)
 	if err != nil {
 		return 0, err
@@ -60,6 +99,14 @@
 	if err := h.take(size); err != nil {
 		return 0, err
 	}
+	if !growForMessage(hold, size) {
+		h.release(size)
+		if _, err := io.CopyN(io.Discard, r, int64(size)); err != nil {
+			return 0, err
+		}
+		return 0, &port.PeerError{Code: port.PeerNoRoom}
+	}
+	defer shrinkDecoded(hold, size)
 	data := make([]byte, size)
 	if _, err := io.ReadFull(r, data); err != nil {
 		return size, err
--- a/internal/adapter/peer/pool.go
+++ b/internal/adapter/peer/pool.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
 
+	"cassiatray/internal/core/membudget"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
 )
@@ -178,6 +180,12 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		stream.SetDeadline(deadline)
 	}
+	if hold := membudget.FromContext(ctx); hold != nil {
+		// The message is copied to be sent.
+		size := int64(proto.Size(req))
+		hold.Force(size)
+		defer hold.Shrink(size)
+	}
 	if err := writeFrame(stream, req); err != nil {
 		stream.Close()
 		return nil, callError(ctx, address, err)
@@ -220,9 +228,13 @@
 
 func readReply(ctx context.Context, r *bufio.Reader, address string, req *peerv1.Request) (*peerv1.Reply, error) {
 	reply := new(peerv1.Reply)
-	if err := readFrame(r, reply); err != nil {
+	if err := readFrameHeld(r, reply, membudget.FromContext(ctx)); err != nil {
 		return nil, callError(ctx, address, err)
 	}
+	if f := reply.Failure; f != nil && reply.ExchangeId == 0 && port.PeerCode(f.Code) == port.PeerNoRoom {
+		// The stream carries this exchange alone; the receiver has not decoded its request.
+		return nil, failureError(address, f)
+	}
 	if reply.ExchangeId != req.ExchangeId {
 		return nil, &port.PeerError{Code: port.PeerMismatch, Address: address, Sent: true}
 	}
@@ -238,7 +250,7 @@
 func failureError(address string, f *peerv1.Failure) error {
 	code := port.PeerRefused
 	switch own := port.PeerCode(f.Code); own {
-	case port.PeerIncarnation, port.PeerStopping:
+	case port.PeerIncarnation, port.PeerStopping, port.PeerNoRoom:
 		code = own
 	}
 	return &port.PeerError{
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -13,7 +13,9 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
 
+	"cassiatray/internal/core/membudget"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
 )
@@ -53,6 +55,9 @@
 
 // Server accepts sessions from peers.
 type Server struct {
+	// Budget bounds what requests of peers and their answers hold; nil for no bound but that of
+	// LimitHeld. It is set before Start.
+	Budget  *membudget.Budget
 	self    Identity
 	handler Handler
 	ctx     context.Context
@@ -156,17 +161,28 @@
 	req := new(peerv1.Request)
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	size, err := s.held.readRequest(r, req)
+	hold := s.newHolder()
+	defer hold.Release()
+	size, err := s.held.readHeld(r, req, hold)
 	defer s.held.release(size)
 	if err != nil {
+		if port.IsPeerCode(err, port.PeerNoRoom) {
+			s.refuseUnread(stream, err)
+		}
 		return
 	}
 	ctx, stop := s.context(req)
+	ctx = membudget.NewContext(ctx, hold)
 	defer stop()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stream.SetReadDeadline(time.Time{})
 	send := func(reply *peerv1.Reply) error {
+		if s.Budget != nil {
+			size := int64(proto.Size(reply))
+			hold.Force(size)
+			defer hold.Shrink(size)
+		}
 		reply.ExchangeId = req.ExchangeId
 		reply.FromIncarnation = s.self.Incarnation
 		stream.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -193,6 +209,31 @@
 	}
 }
 
+// newHolder returns what counts the bytes of one exchange. It is not ended for others: its peer
+// waits for the answer.
+func (s *Server) newHolder() *membudget.Holder {
+	hold := new(membudget.Holder)
+	now := time.Now()
+	hold.Init(s.Budget, now, peerOwner{})
+	hold.Enter(membudget.Working, now)
+	return hold
+}
+
+// peerOwner is the owner of exchanges, which are not ended for others.
+type peerOwner struct{}
+
+// EndForOthers implements membudget.Owner.
+func (peerOwner) EndForOthers(membudget.Phase) {}
+
+// refuseUnread refuses a request that was not decoded, so that its exchange is not known.
+func (s *Server) refuseUnread(stream *yamux.Stream, err error) {
+	stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := writeFrame(stream, &peerv1.Reply{FromIncarnation: s.self.Incarnation, Failure: failureOf(err)}); err != nil {
+		// The peer finds its exchange broken.
+		return
+	}
+}
+
 func (s *Server) context(req *peerv1.Request) (context.Context, context.CancelFunc) {
 	if req.RemainingMicros <= 0 {
 		return context.WithCancel(s.ctx)
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -69,6 +69,8 @@
 	PeerStopping PeerCode = "stopping"
 	// PeerRefused means that the receiver answered with a typed failure.
 	PeerRefused PeerCode = "refused"
+	// PeerNoRoom means that the receiver had no memory for the request, which it has not read.
+	PeerNoRoom PeerCode = "no-memory"
 	// PeerTooLarge means that a frame was over its limit.
 	PeerTooLarge PeerCode = "too-large"
 )
@@ -105,7 +107,7 @@
 // NoEffect reports whether the receiver provably did nothing.
 func (e *PeerError) NoEffect() bool {
 	switch e.Code {
-	case PeerIncarnation, PeerStopping:
+	case PeerIncarnation, PeerStopping, PeerNoRoom:
 		return true
 	}
 	return !e.Sent
