Gateway: waiting requests, connections to servers and other ports are bounded

Requests that wait have a quarter of the descriptors; a route, or a customer, that has three quarters of them leaves the rest to others, and is refused at once with 503, not run. - 100 callers that each send 30 requests ahead took 400 of 340 descriptors allowed, since eight of a connection run beside each other (TestCrowdThatSendsAhead). The same bound; idle connections to servers are closed for new ones. - SIGTERM beside a crowd ended with status 1 (TestStopBesideACrowd). Callers that have not sent their request, or not taken its answer, by the end of the grace period are cut off and logged; only requests cut off at servers make the stop a failure. - A process without the setting memory had no budget (TestBudgetWithoutSetting). Its control group's limit, or the machine's memory, is the default. - A legal head of 7,000 short lines was refused with 431, as its size was estimated with a space before each value (TestLargestHeadIsServedAlone). The size that was sent counts. By reading: heads of servers' answers count for the budget; refused request IDs are kept with idle connections by their hash; messages of peers are bounded by the memory. Ports for look-ups, readiness and operators are served by callerconn within the same budget; TestCrowdAtSidePorts held before, too.

The budget's sizes and defaults move to internal/daemon/memory and core/membudget, for entry hosts to share.

--- a/internal/adapter/serverconn/exchange.go
+++ b/internal/adapter/serverconn/exchange.go
@@ -86,6 +86,7 @@
 	if !a.Meta.Signed && resp.StatusCode < http.StatusMultipleChoices {
 		return nil, brokenError(ctx, address, true, &UnsignedError{ID: r.ID})
 	}
+	r.HoldHead(headBytes(resp.Header))
 	hold := r.HoldBytes
 	if a.Meta.NotRun {
 		// It is a proof only once it is read whole.
@@ -99,7 +100,7 @@
 	}
 	a.Body = body
 	if a.Meta.NotRun {
-		c.refused = append(c.refused, r.ID)
+		c.refused = append(c.refused, hashID(r.ID))
 		a.Conn = port.ConnUse{Local: c.LocalAddr().String(), Answers: c.answers, Skipped: skipped}
 	}
 	c.answers++
--- a/internal/adapter/serverconn/pool.go
+++ b/internal/adapter/serverconn/pool.go
@@ -8,10 +8,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -54,24 +56,42 @@
 	roundTrip time.Duration
 	// waited is how long it was idle before the request that uses it.
 	waited time.Duration
-	// answers counts the answers that came on it; refused holds the IDs of the requests that
-	// were refused on it.
+	// answers counts the answers that came on it; refused holds the hashes of the IDs of the
+	// requests that were refused on it: callers choose how long IDs are.
 	answers int
-	refused []string
+	refused []uint64
+	// pool counts the connection until closed is set.
+	pool   *Pool
+	closed atomic.Bool
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if !c.closed.Swap(true) {
+		c.pool.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+var idSeed = maphash.MakeSeed()
+
+func hashID(id string) uint64 { return maphash.String(idSeed, id) }
+
 // maxRefused bounds the refusals that a connection may carry.
 const maxRefused = 32
 
 // mayMix reports whether an answer to the request could be mistaken: a server may write an
 // earlier refusal once more, which names the request if that was refused on the connection.
-func (c *conn) mayMix(id string) bool { return slices.Contains(c.refused, id) }
+func (c *conn) mayMix(id string) bool { return slices.Contains(c.refused, hashID(id)) }
 
 // Pool implements port.Forwarder.
 type Pool struct {
 	dialect port.Dialect
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 	now     func() time.Time
+	// most bounds the open connections; 0 for no bound.
+	most int
+	open atomic.Int64
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -89,6 +109,10 @@
 	return &Pool{dialect: dialect, dial: d.Dial, now: time.Now, idle: map[string][]*conn{}, probes: map[string]*conn{}}
 }
 
+// LimitConnections bounds the open connections: beyond that, the one that has been idle for longest
+// is closed for a new one. Those in use are not counted out. It is called before the first use.
+func (p *Pool) LimitConnections(most int) { p.most = most }
+
 // ClosedError means that the server closed all kept connections within the idle timeout
 // that it had stated.
 type ClosedError struct{ Connections int }
@@ -123,21 +147,42 @@
 	if r.SameProcess && closed > 0 && !p.keeps(address) {
 		return nil, false, &ClosedError{Connections: closed}
 	}
-	c, err := p.open(ctx, address)
+	c, err := p.connect(ctx, address)
 	return c, true, err
 }
 
-func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
+	if p.open.Add(1) > int64(p.most) && p.most > 0 {
+		p.closeOldestIdle()
+	}
 	began := p.now()
 	nc, err := p.dial(ctx, address)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, err
 	}
-	c := &conn{Conn: nc, roundTrip: p.now().Sub(began)}
+	c := &conn{Conn: nc, pool: p, roundTrip: p.now().Sub(began)}
 	c.r, c.limit = headlimit.New(nc, bufferSize)
 	return c, nil
 }
 
+// closeOldestIdle closes the connection that has been idle for longest, of any server.
+func (p *Pool) closeOldestIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	server := ""
+	for address, list := range p.idle {
+		// Each list is in the order in which its connections became idle.
+		if len(list) > 0 && (server == "" || list[0].since.Before(p.idle[server][0].since)) {
+			server = address
+		}
+	}
+	if server != "" {
+		p.idle[server][0].Close()
+		p.idle[server] = slices.Delete(p.idle[server], 0, 1)
+	}
+}
+
 // pop returns the connection that was used last, of those that may carry a request.
 func (p *Pool) pop(address, id string) *conn {
 	p.mu.Lock()
--- a/internal/adapter/serverconn/probe.go
+++ b/internal/adapter/serverconn/probe.go
@@ -34,7 +34,7 @@
 		}
 		// The server had closed the connection.
 	}
-	c, err := p.open(ctx, address)
+	c, err := p.connect(ctx, address)
 	if err != nil {
 		return port.ServerMeta{}, 0, connectError(ctx, address, err)
 	}
@@ -101,7 +101,7 @@
 //
 // Errors: *port.BackendError.
 func (p *Pool) Connect(ctx context.Context, address string) error {
-	c, err := p.open(ctx, address)
+	c, err := p.connect(ctx, address)
 	if err != nil {
 		return connectError(ctx, address, err)
 	}
--- a/internal/daemon/gateway/callers.go
+++ b/internal/daemon/gateway/callers.go
@@ -9,6 +9,7 @@
 
 	"cassiatray/internal/adapter/callerconn"
 	"cassiatray/internal/core/routing"
+	"cassiatray/internal/daemon/memory"
 )
 
 // Limits on callers' connections while no configuration is loaded.
@@ -19,10 +20,9 @@
 )
 
 // newCallerServer returns the server for callers' connections.
-func newCallerServer(n *Node, log *logrus.Entry) *callerconn.Server {
-	closed := &closings{log: log, metrics: n.metrics}
+func newCallerServer(n *Node, closed *memory.Closings, log *logrus.Entry) *callerconn.Server {
 	return &callerconn.Server{
-		Budget: n.memory, MaxConns: n.cfg.maxConnections(descriptorLimit()), Closed: closed.note,
+		Budget: n.memory, MaxConns: n.cfg.limits(memory.DescriptorLimit()).MaxConnections(), Closed: closed.Note,
 		Handler: n, Independent: n.isIdempotent, Limits: n.callerLimits,
 		Refused: func(remote string, status int, err error) {
 			entry := log.WithFields(logrus.Fields{"remote": remote, "status": status}).WithError(err)
@@ -39,12 +39,16 @@
 // limit on the head is at least headerBytes here: a request that exceeds only the
 // configuration's limit is rejected by ServeHTTP, which logs its ID.
 func (n *Node) callerLimits() callerconn.Limits {
-	out := callerconn.Limits{HeadBytes: headerBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	out := sideLimits()
 	c := n.keeper.View().config
 	if c == nil {
 		return out
 	}
 	out.HeadBytes = max(out.HeadBytes, c.Limits.HeaderBytes)
+	if c.Limits.HeaderBytes > 0 {
+		// A head with more is over the limit on its bytes.
+		out.HeadLines = c.Limits.HeaderBytes / callerconn.MinLine
+	}
 	if c.Limits.HeaderTimeout > 0 {
 		out.HeadTimeout = c.Limits.HeaderTimeout
 	}
@@ -54,6 +58,20 @@
 	return out
 }
 
+// sideLimits returns the connection limits of the ports beside that for callers' requests.
+func sideLimits() callerconn.Limits {
+	return callerconn.Limits{HeadBytes: headerBytes, HeadLines: headerBytes / callerconn.MinLine, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+// newSideServer returns the server of a port beside that for callers' requests, with at most conns
+// connections.
+func newSideServer(n *Node, h http.Handler, conns int, closed *memory.Closings) *callerconn.Server {
+	return &callerconn.Server{
+		Budget: n.memory, MaxConns: conns, Closed: closed.Note, Handler: h, Limits: sideLimits,
+		Independent: func(*http.Request) bool { return false },
+	}
+}
+
 // isIdempotent reports whether the request's route is idempotent. Such requests of
 // one caller may be handled concurrently.
 func (n *Node) isIdempotent(r *http.Request) bool {
--- a/internal/daemon/gateway/customer_test.go
+++ b/internal/daemon/gateway/customer_test.go
@@ -16,6 +16,7 @@
 	"cassiatray/internal/core/mirror"
 	"cassiatray/internal/core/routing"
 	"cassiatray/internal/core/suspect"
+	"cassiatray/internal/daemon/memory"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
 )
@@ -288,7 +289,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := newCallerServer(f.node, discardLog())
+	srv := newCallerServer(f.node, memory.NewClosings("gateway", discardLog()), discardLog())
 	go srv.Serve(l)
 	defer srv.Close()
 	c, err := net.Dial("tcp", l.Addr().String())
--- a/internal/daemon/gateway/hedgepair.go
+++ b/internal/daemon/gateway/hedgepair.go
@@ -63,6 +63,16 @@
 	return true
 }
 
+// HoldHead implements port.AnswerHolder.
+func (h *pairHold) HoldHead(bytes int) {
+	h.req.pairHolding.Lock()
+	defer h.req.pairHolding.Unlock()
+	if !h.ended {
+		h.req.HoldHead(bytes)
+		h.bytes += bytes
+	}
+}
+
 // end frees what the answer to a lost attempt holds. It gets no more.
 func (h *pairHold) end() {
 	h.req.pairHolding.Lock()
--- a/internal/daemon/gateway/memory.go
+++ b/internal/daemon/gateway/memory.go
@@ -3,22 +3,17 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
-	"cassiatray/internal/adapter/callerconn"
 	"cassiatray/internal/core/membudget"
+	"cassiatray/internal/daemon/memory"
+	"cassiatray/internal/logging"
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
 const (
-	// budgetShare is the default part of the memory limit for what is held for others. The rest is
-	// for the process's own state, the collector, and the kernel's buffers.
-	budgetShare = 0.35
 	// passBuffer is what a body that is passed on holds beside what is buffered of it, in bytes:
 	// the buffer between the connections, and a chunk of it.
 	passBuffer = 64 << 10
@@ -27,46 +22,31 @@
 	// relayWindow is what the connection between two gateways keeps of a body that is passed on,
 	// in bytes: the window of a yamux stream.
 	relayWindow = 256 << 10
-	// memoryLogEvery is the least time between two log lines about closed connections.
-	memoryLogEvery = time.Second
 )
 
-// reasonNoMemory is why a request is refused for which there is no memory.
-const reasonNoMemory rejectReason = "memory budget used up"
-
-// budgetBytes returns the bytes that may be held for others; 0 for any number.
-func (s *Settings) budgetBytes() int64 {
-	if s.MemoryBudget > 0 {
-		return int64(s.MemoryBudget)
-	}
-	return int64(budgetShare * float64(s.Memory))
-}
+const (
+	// reasonNoMemory is why a request is refused for which there is no memory.
+	reasonNoMemory rejectReason = "memory budget used up"
+	// reasonNoPlace is why a request is refused while too many others wait for servers.
+	reasonNoPlace rejectReason = "too many requests wait for servers"
+)
 
-// maxConnections returns how many connections callers may have, of a process that may open
-// processLimit descriptors; 0 for any number.
-func (s *Settings) maxConnections(processLimit int64) int {
-	if s.Connections > 0 {
-		return s.Connections
-	}
-	return membudget.Connections(s.descriptors(processLimit), s.budgetBytes())
+// memorySettings returns the settings of the gateway's limits.
+func (s *Settings) memorySettings() memory.Settings {
+	return memory.Settings{Memory: s.Memory, Budget: s.MemoryBudget, Descriptors: s.Descriptors, Connections: s.Connections}
 }
 
-// descriptors returns how many descriptors a process may open whose limit this is; 0 if that is not
+// limits returns the limits of a process that may open processLimit descriptors; 0 if that is not
 // known.
-func (s *Settings) descriptors(processLimit int64) int64 {
-	if s.Descriptors > 0 && (processLimit <= 0 || int64(s.Descriptors) < processLimit) {
-		return int64(s.Descriptors)
-	}
-	return processLimit
+func (s *Settings) limits(processLimit int64) membudget.Limits {
+	return s.memorySettings().Limits(processLimit)
 }
 
-// descriptorLimit returns how many descriptors the process may open; 0 if that is not known.
-func descriptorLimit() int64 {
-	var l unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil || l.Cur > 1<<30 {
-		return 0
-	}
-	return int64(l.Cur)
+// withMachineMemory returns the settings with the machine's memory where they name none.
+func withMachineMemory(cfg *Settings, log *logrus.Logger) *Settings {
+	out := *cfg
+	out.Memory = cfg.memorySettings().WithMachine(logging.Part(log, "main")).Memory
+	return &out
 }
 
 // holderOf returns what counts the bytes of the request that w answers; nil if nothing does.
@@ -133,46 +113,14 @@
 	return offer.Size < 0 || offer.Size > maxBufferedBody
 }
 
-// closings counts and logs connections that are closed to make room.
-type closings struct {
-	log     *logrus.Entry
-	metrics *Metrics
-	// logged is when the last line was written, in nanoseconds since 1970; since counts
-	// connections from then on.
-	logged, since atomic.Int64
-}
-
-func (c *closings) note(cause callerconn.Cause, remote string) {
-	c.metrics.closed.WithLabelValues(string(cause)).Inc()
-	n, now, last := c.since.Add(1), time.Now().UnixNano(), c.logged.Load()
-	if now-last < int64(memoryLogEvery) || !c.logged.CompareAndSwap(last, now) {
-		return
+// group is what shares the places of waiting requests with others: a customer, or a route of
+// callers without one.
+func (req *inflightRequest) group() string {
+	if req.customer != nil {
+		return "customer " + req.customer.Name
 	}
-	c.since.Store(0)
-	// Holders of memory are ended under the budget's lock.
-	go c.log.WithFields(logrus.Fields{"cause": cause, "remote": remote, "closed": n}).Warn("Connections of callers closed to make room.")
+	return "route " + req.route.Name
 }
 
-// memoryGauges tell what is held for others, and how many connections callers have.
-func memoryGauges(b *membudget.Budget, callers *callerconn.Server) []prometheus.Collector {
-	gauge := func(name, help string, value func() float64) prometheus.Collector {
-		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cassiatray_gateway_" + name, Help: help}, value)
-	}
-	counter := func(name, help string, value func() float64) prometheus.Collector {
-		return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "cassiatray_gateway_" + name, Help: help}, value)
-	}
-	ended := func(phase membudget.Phase, label string) prometheus.Collector {
-		return prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Name: "cassiatray_gateway_memory_ended_total", ConstLabels: prometheus.Labels{"phase": label},
-			Help: "Exchanges ended in favour of others, by what they were doing: receiving a request, or passing bytes on.",
-		}, func() float64 { return float64(b.EndedIn(phase)) })
-	}
-	return []prometheus.Collector{
-		gauge("memory_held_bytes", "Bytes held for others: bodies, answers, heads, connections.", func() float64 { return float64(b.Held()) }),
-		gauge("memory_budget_bytes", "Bytes that may be held for others; 0 for any number.", func() float64 { return float64(b.Limit()) }),
-		counter("memory_refused_total", "Times that a request or answer got no more memory.", func() float64 { return float64(b.Refused()) }),
-		ended(membudget.Receiving, "receiving"), ended(membudget.Passing, "passing"),
-		gauge("caller_connections", "Open connections of callers.", func() float64 { return float64(callers.Connections()) }),
-		gauge("caller_connections_max", "Connections that callers may have; 0 for any number.", func() float64 { return float64(callers.MaxConns) }),
-	}
-}
+// HoldHead implements port.AnswerHolder: it counts the head of an answer, which is held in any case.
+func (req *inflightRequest) HoldHead(bytes int) { req.hold.Force(int64(bytes)) }
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -31,8 +31,6 @@
 	ejections prometheus.Counter
 	// full are the arrivals at servers without a free slot.
 	full *prometheus.CounterVec
-	// closed counts callers' connections that were closed to make room.
-	closed *prometheus.CounterVec
 	// quotaDecisions and quotaAsks are those of customers with a limit.
 	quotaDecisions, quotaAsks *prometheus.CounterVec
 	// hedges counts second attempts by what became of them, unhedged those that were due and not
@@ -108,17 +106,13 @@
 	m.ejections = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_ejections_total", Help: "Backend servers that were taken out of use because they reset all connections.",
 	})
-	m.closed = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "cassiatray_gateway_caller_connections_closed_total",
-		Help: "Connections of callers closed or not accepted, by cause: idle or slow in favour of a new one, no_connections, memory, stalled_body, stalled_answer.",
-	}, []string{"cause"})
 	m.quotaDecisions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_quota_decisions_total", Help: "Requests of customers with a limit: admitted by token, credit or fallback, or refused.",
 	}, []string{"result"})
 	m.quotaAsks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_quota_asks_total", Help: "Asks to issuers of customers' quotas, by result: ok, refused or unreachable.",
 	}, []string{"result"})
-	reg.MustRegister(m.ejections, m.full, m.closed, m.quotaDecisions, m.quotaAsks, m.hedges, m.unhedged)
+	reg.MustRegister(m.ejections, m.full, m.quotaDecisions, m.quotaAsks, m.hedges, m.unhedged)
 	m.customers = newCustomerCounters()
 	reg.MustRegister(m.customers.requests, m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
 	return m
--- a/internal/daemon/gateway/module.go
+++ b/internal/daemon/gateway/module.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +24,7 @@
 	"cassiatray/internal/adapter/tcp"
 	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/membudget"
+	"cassiatray/internal/daemon/memory"
 	"cassiatray/internal/logging"
 	"cassiatray/internal/port"
 	"cassiatray/internal/program"
@@ -32,11 +32,6 @@
 	peerv1 "cassiatray/proto/peer/v1"
 )
 
-// heapShare is the part of the memory limit that the heap may take before the
-// collector works harder; the rest is for stacks, buffers and what the kernel
-// holds of unread bytes.
-const heapShare = 0.75
-
 // Limits of connections between gateways: for pulls and permits, and for relayed requests, whose
 // callers wait.
 const (
@@ -55,6 +50,7 @@
 // *prometheus.Registry, port.Registry, port.Schema, port.Dialect, Handlers
 // and Reload.
 var Module = fx.Module("gateway",
+	fx.Decorate(withMachineMemory),
 	fx.Provide(newIdentity, newMeter, newPool, newRelayPool, newKeeper, newSyncer, newForwarder, newNode, NewMetrics, newRegisterer, newPeerServer),
 	fx.Invoke(start),
 )
@@ -101,6 +97,7 @@
 func newNode(cfg *Settings, k *Keeper, s *Syncer, d port.Dialect, f *serverconn.Pool, pool *peer.Pool, relays *relayPool, log *logrus.Logger, m *Metrics) *Node {
 	n := NewNode(cfg, k, d, f, f, pool, relays, logging.Part(log, "request"), m)
 	n.syncer = s
+	n.places = membudget.NewPlaces(membudget.MaxExchanges(cfg.limits(memory.DescriptorLimit()).Descriptors))
 	n.quotas.boot = bootClock
 	return n
 }
@@ -162,16 +159,17 @@
 }
 
 func start(lc fx.Lifecycle, cfg *Settings, n *Node, k *Keeper, s *Syncer, f *serverconn.Pool, relays *relayPool, srv *peer.Server, h Handlers, reload Reload, reg *prometheus.Registry, log *logrus.Logger) {
-	if cfg.Memory > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(cfg.Memory)))
-	}
+	limits := cfg.limits(memory.DescriptorLimit())
+	memory.LimitHeap(limits)
+	f.LimitConnections(membudget.ServerConnections(limits.Descriptors))
+	srv.LimitHeld(limits.MessageBytes(peer.MaxFrame))
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	quiet := logging.Discard()
 	reg.MustRegister(downGauges(k)...)
 	reg.MustRegister(linksGauge(n), customersGauge(k))
-	callers := newCallerServer(n, logging.Part(log, "caller"))
-	reg.MustRegister(memoryGauges(n.memory, callers)...)
+	closed := memory.NewClosings("gateway", logging.Part(log, "caller"))
+	callers := newCallerServer(n, closed, logging.Part(log, "caller"))
+	reg.MustRegister(closed.Collectors("gateway", n.memory, callers, n.places)...)
 	// Until it is asked for, SIGHUP ends the process.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -182,16 +180,18 @@
 				return err
 			}
 			srv.Start(l.peer)
-			descriptors := cfg.descriptors(descriptorLimit())
-			few := membudget.ServiceConnections(descriptors)
+			few := membudget.ServiceConnections(limits.Descriptors)
 			for _, x := range []struct {
 				l     net.Listener
 				h     http.Handler
 				conns int
-			}{{l.ready, h.Ready(n), few}, {l.directory, h.Directory(n), membudget.LookupConnections(descriptors)}, {l.operator, operatorhttp.NewRouter(&operatorSource{node: n}, reg), few}} {
-				conns := newSideConns(x.conns)
-				side := &http.Server{ConnState: conns.state, Handler: x.h, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: newServerLog(quiet)}
-				go side.Serve(x.l)
+			}{{l.ready, h.Ready(n), few}, {l.directory, h.Directory(n), membudget.LookupConnections(limits.Descriptors)}, {l.operator, operatorhttp.NewRouter(&operatorSource{node: n}, reg), few}} {
+				side := newSideServer(n, x.h, x.conns, closed)
+				go func() {
+					if err := side.Serve(x.l); err != nil {
+						log.WithError(err).WithField("address", x.l.Addr()).Error("Connections are no longer accepted.")
+					}
+				}()
 			}
 			go func() {
 				if err := callers.Serve(l.caller); err != nil {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -77,6 +77,8 @@
 
 	// memory bounds what is held for others.
 	memory *membudget.Budget
+	// places bounds the requests that wait for servers.
+	places *membudget.Places
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.Window
@@ -87,7 +89,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg: cfg, keeper: k, dialect: d, forwarder: f, prober: p, log: log, metrics: m,
-		ctx: ctx, cancel: cancel, retryBudgets: map[string]*retry.Window{}, memory: membudget.New(cfg.budgetBytes()),
+		ctx: ctx, cancel: cancel, retryBudgets: map[string]*retry.Window{}, memory: membudget.New(cfg.limits(0).BudgetBytes()), places: membudget.NewPlaces(0),
 		permitPeers: permitPeers{pool: peers, unreachable: map[string]time.Time{}}, relays: newRelayPeers(relays), links: newLinkWatch(), trials: newTrials(), random: rand.Float64,
 	}
 	n.quotas = newQuotas(n, peers)
@@ -120,7 +122,7 @@
 		n.writeError(w, req, http.StatusServiceUnavailable, "no configuration")
 		return
 	}
-	if limit := req.view.config.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
+	if limit := req.view.config.Limits.HeaderBytes; limit > 0 && headerSize(w, r) > limit {
 		n.writeError(w, req, http.StatusRequestHeaderFieldsTooLarge, "headers over the limit")
 		return
 	}
@@ -142,11 +144,26 @@
 		return
 	}
 	n.prepare(req)
-	if status, why := n.readBody(w, r, req); status != 0 {
+	n.serve(w, r, req)
+}
+
+// serve reads the request's body and has a server answer it, once there is a place to wait in. One
+// that would get no place is refused before its body is read.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request, req *inflightRequest) {
+	group := req.group()
+	status, why := http.StatusServiceUnavailable, string(reasonNoPlace)
+	if n.places.Free(group) {
+		status, why = n.readBody(w, r, req)
+	}
+	if status == 0 && !n.places.Enter(group) {
+		status, why = http.StatusServiceUnavailable, string(reasonNoPlace)
+	}
+	if status != 0 {
 		refuseBody(w, req, status)
 		n.writeError(w, req, status, why)
 		return
 	}
+	defer n.places.Leave(group)
 	n.forwardWithRetries(w, r, req)
 }
 
--- a/internal/daemon/gateway/relay.go
+++ b/internal/daemon/gateway/relay.go
@@ -207,7 +207,7 @@
 // such as the view of a process that has just started, so that another gateway may serve it.
 func mayBeHelpersOwn(reason rejectReason) bool {
 	switch reason {
-	case reasonUnreachable, reasonCold, reasonNoServer, reasonNoMemory:
+	case reasonUnreachable, reasonCold, reasonNoServer, reasonNoMemory, reasonNoPlace:
 		return true
 	}
 	return false
--- a/internal/daemon/gateway/relayed.go
+++ b/internal/daemon/gateway/relayed.go
@@ -130,12 +130,7 @@
 	n.prepareRelayed(req, r, offer)
 	// The process may have been paused since it accepted the request.
 	n.awaitStart(ctx, time.Until(req.deadline))
-	if status, why := n.readBody(w, r, req); status != 0 {
-		refuseBody(w, req, status)
-		n.writeError(w, req, status, why)
-	} else {
-		n.forwardWithRetries(w, r, req)
-	}
+	n.serve(w, r, req)
 	err = w.finish()
 	// A body that was given up for lack of memory is read to its end, too.
 	bodyCtx = ctx
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -83,8 +83,17 @@
 	fallbackAnswer *port.ForwardAnswer
 }
 
-// headerSize returns the size of the request line and headers on the wire, in bytes.
-func headerSize(r *http.Request) int {
+// headerSize returns the size of the request line and headers on the wire, in bytes, which w knows
+// or which is estimated with a space before each value.
+func headerSize(w http.ResponseWriter, r *http.Request) int {
+	size := estimatedHeaderSize(r)
+	if sent, ok := w.(interface{ HeadSize() int }); ok {
+		return min(size, sent.HeadSize())
+	}
+	return size
+}
+
+func estimatedHeaderSize(r *http.Request) int {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost: \r\n\r\n")
 	for name, values := range r.Header {
 		for _, v := range values {
--- a/internal/daemon/gateway/settings.go
+++ b/internal/daemon/gateway/settings.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"cassiatray/internal/core/document"
-	"cassiatray/internal/core/membudget"
 	"cassiatray/internal/settings"
 )
 
@@ -33,7 +32,7 @@
 	Source netip.Addr `yaml:"source"`
 	// Capacity is the host's processor share, in cores.
 	Capacity float64 `yaml:"capacity"`
-	// Memory is the process's memory limit; zero for none.
+	// Memory is the process's memory limit; zero for what its machine has.
 	Memory document.Size `yaml:"memory"`
 	// MemoryBudget is what may be held for others: bodies, answers, heads and connections. Zero
 	// is a share of Memory.
@@ -115,31 +114,11 @@
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetryExtra < 0 {
 		out = append(out, settings.Fault(lines, "bounds.retryRatio", "expected no negative share"))
 	}
-	out = append(out, s.checkMemory(lines)...)
+	out = append(out, s.memorySettings().Check(lines)...)
 	s.setDefaults()
 	return append(out, s.Log.Check("log", lines)...)
 }
 
-// minMemoryBudget is the least budget: a body and an answer of the sizes that are buffered.
-const minMemoryBudget = 1 << 20
-
-func (s *Settings) checkMemory(lines document.Lines) []document.Problem {
-	var out []document.Problem
-	if s.MemoryBudget != 0 && s.MemoryBudget < minMemoryBudget {
-		out = append(out, settings.Fault(lines, "memoryBudget", "expected at least 1MiB, got %d bytes", s.MemoryBudget))
-	}
-	if s.Memory > 0 && s.MemoryBudget > s.Memory {
-		out = append(out, settings.Fault(lines, "memoryBudget", "expected no more than memory"))
-	}
-	if s.Descriptors < 0 || s.Descriptors > 0 && s.Descriptors <= membudget.FileDescriptors {
-		out = append(out, settings.Fault(lines, "descriptors", "expected more than the %d for files, got %d", membudget.FileDescriptors, s.Descriptors))
-	}
-	if s.Connections < 0 {
-		out = append(out, settings.Fault(lines, "connections", "expected no negative number, got %d", s.Connections))
-	}
-	return out
-}
-
 func (s *Settings) setDefaults() {
 	fill := func(d *document.Duration, v time.Duration) {
 		if *d == 0 {
--- a/internal/daemon/gateway/settings_test.go
+++ b/internal/daemon/gateway/settings_test.go
@@ -73,16 +73,16 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if cfg.budgetBytes() != want.budget || cfg.maxConnections(2870) != want.conns {
-			t.Errorf("%q: %d bytes, %d connections, want %+v", extra, cfg.budgetBytes(), cfg.maxConnections(2870), want)
+		if cfg.limits(2870).BudgetBytes() != want.budget || cfg.limits(2870).MaxConnections() != want.conns {
+			t.Errorf("%q: %d bytes, %d connections, want %+v", extra, cfg.limits(2870).BudgetBytes(), cfg.limits(2870).MaxConnections(), want)
 		}
 	}
 	cfg, err := load(t, strings.Replace(goodSettings, "memory: \"206MiB\"\n", "", 1))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if cfg.budgetBytes() != 0 || cfg.maxConnections(0) != 0 {
-		t.Errorf("without limits: %d bytes, %d connections", cfg.budgetBytes(), cfg.maxConnections(0))
+	if cfg.limits(2870).BudgetBytes() != 0 || cfg.limits(0).MaxConnections() != 0 {
+		t.Errorf("without limits: %d bytes, %d connections", cfg.limits(2870).BudgetBytes(), cfg.limits(0).MaxConnections())
 	}
 }
 
--- a/internal/daemon/gateway/status_test.go
+++ b/internal/daemon/gateway/status_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cassiatray/internal/adapter/serverconn"
+	"cassiatray/internal/daemon/memory"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
 )
@@ -117,7 +118,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := newCallerServer(n, discardLog())
+	s := newCallerServer(n, memory.NewClosings("gateway", discardLog()), discardLog())
 	go s.Serve(l)
 	defer s.Close()
 	c, err := net.Dial("tcp", l.Addr().String())
--- a/internal/daemon/gateway/stop.go
+++ b/internal/daemon/gateway/stop.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"log"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -37,20 +37,31 @@
 	sleep.For(ctx, time.Duration(lingerShare*float64(grace)))
 	n.refusing.Store(true)
 	n.log.WithField("in_flight", n.inFlight.Load()).Info("Stopping: no new requests.")
-	err := callers.Shutdown(ctx)
+	err := n.endCallers(ctx, callers)
 	n.awaitRelayed(ctx)
 	n.log.WithFields(logrus.Fields{"in_flight": n.inFlight.Load()}).Info("Stopping: requests ended.")
 	return err
 }
 
-// serverLog passes what net/http logs on as debug lines: it tells of callers
-// that break off, one line each.
-type serverLog struct{ log *logrus.Entry }
+// CutError means that requests were cut off at the end of the grace period while servers were at
+// work on them.
+type CutError struct{ Requests int }
 
-// Write implements io.Writer.
-func (s serverLog) Write(p []byte) (int, error) {
-	s.log.Debug(string(p))
-	return len(p), nil
-}
+func (e *CutError) Error() string { return fmt.Sprintf("%d requests cut off at servers", e.Requests) }
 
-func newServerLog(l *logrus.Entry) *log.Logger { return log.New(serverLog{l}, "", 0) }
+// endCallers waits until all requests are answered. Callers that have not sent their request whole
+// by the end, or have not taken its answer, do not make the stop a failure.
+//
+// Errors: *CutError.
+func (n *Node) endCallers(ctx context.Context, callers *callerconn.Server) error {
+	if err := callers.Shutdown(ctx); err == nil {
+		return nil
+	}
+	open, waiting := callers.Connections(), callers.Waiting()
+	callers.Abort()
+	n.log.WithFields(logrus.Fields{"connections": open, "at_servers": waiting}).Warn("Stopping: connections cut off at the end of the grace period.")
+	if waiting > 0 {
+		return &CutError{Requests: waiting}
+	}
+	return nil
+}
--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -97,6 +97,8 @@
 	// BackendRestarted means that the server closed all kept connections, so that
 	// another process may serve the address: nothing was sent.
 	BackendRestarted BackendCode = "restarted"
+	// BackendNoRoom means that there was no memory for the answer.
+	BackendNoRoom BackendCode = "no-memory"
 	// BackendSuspect means that the request was refused, since servers that
 	// ran it crashed: nothing was sent.
 	BackendSuspect BackendCode = "suspect"
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -36,11 +36,20 @@
 type AnswerHolder interface {
 	// HoldBytes asks for room for bytes, or frees them if negative.
 	HoldBytes(bytes int) bool
+	// HoldHead counts the bytes of the answer's head, which is kept in any case.
+	HoldHead(bytes int)
 }
 
 // HoldBytes calls Hold.
 func (r *ForwardRequest) HoldBytes(bytes int) bool { return r.Hold == nil || r.Hold.HoldBytes(bytes) }
 
+// HoldHead calls Hold.
+func (r *ForwardRequest) HoldHead(bytes int) {
+	if r.Hold != nil && bytes > 0 {
+		r.Hold.HoldHead(bytes)
+	}
+}
+
 // BodyError is a request's body that cannot be read to its end. Whoever passes the body on has
 // done nothing wrong.
 type BodyError struct{ Err error }
