--- a/internal/adapter/peer/limits.go
+++ b/internal/adapter/peer/limits.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
 	"google.golang.org/protobuf/proto"
 
 	"cassiatray/internal/core/membudget"
@@ -37,18 +39,48 @@
 // smallMessage is up to which size a message counts as part of its exchange, in bytes.
 const smallMessage = 4 << 10
 
-// growForMessage asks for the bytes of a message and of its decoded form.
+const (
+	// streamBuffer is the most that a stream buffers of a message that is not read yet, in bytes:
+	// its window, in a buffer that grows to twice that.
+	streamBuffer = 512 << 10
+	// sendingBytes bounds the large messages that are written to one peer at a time, in bytes: the
+	// peer buffers their beginnings before it can refuse them.
+	sendingBytes = 1 << 20
+)
+
+// sending gives turns to write large messages to one peer.
+type sending struct{ turns *semaphore.Weighted }
+
+func newSending() sending { return sending{semaphore.NewWeighted(sendingBytes)} }
+
+// begin waits for the turn of a message of a size. It returns what ends the turn.
+func (s sending) begin(ctx context.Context, size int64) (end func(), err error) {
+	if size <= smallMessage {
+		return func() {}, nil
+	}
+	size = min(size, sendingBytes)
+	if err := s.turns.Acquire(ctx, size); err != nil {
+		return nil, err
+	}
+	return func() { s.turns.Release(size) }, nil
+}
+
+// growForMessage asks for the bytes of a message, of its decoded form and of what its stream
+// buffers.
 func growForMessage(hold *membudget.Holder, size uint64) bool {
-	return size <= smallMessage || hold.Grow(2*int64(size), time.Now())
+	return size <= smallMessage || hold.Grow(int64(size)+messageBytes(size), time.Now())
 }
 
 // shrinkDecoded frees the bytes of a message of which the decoded form is left.
 func shrinkDecoded(hold *membudget.Holder, size uint64) {
 	if size > smallMessage {
-		hold.Shrink(int64(size))
+		hold.Shrink(messageBytes(size))
 	}
 }
 
+// messageBytes returns what a message holds beside its decoded form while it is read.
+func messageBytes(size uint64) int64 { return int64(size) + min(int64(size), streamBuffer) }
+
 // held counts the bytes of the requests that a server holds. The zero value allows maxHeld.
 type held struct {
 	bytes atomic.Int64
--- a/internal/adapter/peer/pool.go
+++ b/internal/adapter/peer/pool.go
@@ -47,9 +47,13 @@
 type poolSession struct {
 	turn chan struct{}
 	mux  *yamux.Session
+	// requests gives turns to large requests.
+	requests sending
 }
 
-func newPoolSession() *poolSession { return &poolSession{turn: make(chan struct{}, 1)} }
+func newPoolSession() *poolSession {
+	return &poolSession{turn: make(chan struct{}, 1), requests: newSending()}
+}
 
 // lock waits for the session for as long as the context allows.
 func (s *poolSession) lock(ctx context.Context) error {
@@ -165,6 +169,19 @@
 	return stream, nil
 }
 
+// sendInTurn waits until a message of a size may be written to an address, and returns what ends
+// its turn.
+func (p *Pool) sendInTurn(ctx context.Context, address string, size int64) (end func(), err error) {
+	s, err := p.entry(address)
+	if err != nil {
+		return nil, err
+	}
+	if end, err = s.requests.begin(ctx, size); err != nil {
+		return nil, &port.PeerError{Code: port.PeerConnect, Address: address, Err: err}
+	}
+	return end, nil
+}
+
 // begin opens a stream and writes the request on it.
 func (p *Pool) begin(ctx context.Context, address string, req *peerv1.Request) (*yamux.Stream, error) {
 	req.ExchangeId = p.exchange.Add(1)
@@ -173,6 +190,17 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		req.RemainingMicros = max(1, time.Until(deadline).Microseconds())
 	}
+	if hold := membudget.FromContext(ctx); hold != nil {
+		size := int64(proto.Size(req))
+		end, err := p.sendInTurn(ctx, address, size)
+		if err != nil {
+			return nil, err
+		}
+		defer end()
+		// The message is copied to be sent.
+		hold.Force(size)
+		defer hold.Shrink(size)
+	}
 	stream, err := p.open(ctx, address)
 	if err != nil {
 		return nil, err
@@ -180,12 +208,6 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		stream.SetDeadline(deadline)
 	}
-	if hold := membudget.FromContext(ctx); hold != nil {
-		// The message is copied to be sent.
-		size := int64(proto.Size(req))
-		hold.Force(size)
-		defer hold.Shrink(size)
-	}
 	if err := writeFrame(stream, req); err != nil {
 		stream.Close()
 		return nil, callError(ctx, address, err)
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -125,6 +125,7 @@
 	// A peer over its streams is not accepted from until one ends: what it has
 	// opened beyond that waits in yamux, which bounds it by streamBacklog.
 	slots := make(chan struct{}, maxStreams)
+	replies := newSending()
 	for {
 		slots <- struct{}{}
 		stream, err := mux.AcceptStream()
@@ -133,7 +134,7 @@
 		}
 		s.wg.Go(func() {
 			defer func() { <-slots }()
-			s.stream(mux, stream)
+			s.stream(mux, stream, replies)
 		})
 	}
 }
@@ -154,7 +155,7 @@
 	delete(s.sessions, mux)
 }
 
-func (s *Server) stream(mux *yamux.Session, stream *yamux.Stream) {
+func (s *Server) stream(mux *yamux.Session, stream *yamux.Stream, replies sending) {
 	defer stream.Close()
 	stream.SetReadDeadline(time.Now().Add(firstFrameTimeout))
 	r := bufio.NewReader(stream)
@@ -171,6 +172,10 @@
 		}
 		return
 	}
+	if size > smallMessage {
+		// The stream stays open until the answer, with the buffer of its window.
+		stream.Shrink()
+	}
 	ctx, stop := s.context(req)
 	ctx = membudget.NewContext(ctx, hold)
 	defer stop()
@@ -179,9 +184,15 @@
 	stream.SetReadDeadline(time.Time{})
 	send := func(reply *peerv1.Reply) error {
 		if s.Budget != nil {
-			size := int64(proto.Size(reply))
+			// The reply, and its encoded form.
+			size := 2 * int64(proto.Size(reply))
 			hold.Force(size)
 			defer hold.Shrink(size)
+			end, err := replies.begin(ctx, size/2)
+			if err != nil {
+				return err
+			}
+			defer end()
 		}
 		reply.ExchangeId = req.ExchangeId
 		reply.FromIncarnation = s.self.Incarnation
