Entry and steer processes bound what they hold for others

An entry process had no bound but 16,384 connections.

Callers are served by callerconn, as at gateways: budget, connections, heads by their parsed form, an end for those that make no progress. Bodies and answers are read into memory that is asked for; 64 KiB for the answer are reserved before a request is sent. What cannot be held is refused as not-run, settled for copies of the operation elsewhere; an answer for which there is no memory is an unknown outcome. Work of other hosts counts in the same budget before it is read. An operation counts for itself while it runs, so that it outlives its caller; results kept for resends take 0.08 of the memory for each kind, 64 MiB at most. The memory is the setting, the control group's limit or the machine's.

Operators' ports of both programs have bounds on connections, heads, times and dumps made at once.

A head that does not come in time is answered 408 with a typed failure in place of a close without a word (TestSlowSender asks for that now).

--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"time"
 
+	"cassiatray/internal/adapter/bounded"
+	"cassiatray/internal/core/membudget"
 	"cassiatray/internal/port"
 )
 
@@ -101,6 +103,10 @@
 func (c *Client) Do(ctx context.Context, address string, r *port.BackendRequest) (*port.BackendAnswer, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	room := answerRoom{hold: membudget.FromContext(ctx)}
+	if !room.reserve(r.MaxAnswer) {
+		return nil, &port.BackendError{Code: port.BackendNoRoom, Address: address, Err: ErrNoRoom}
+	}
 	x := new(exchange)
 	req, err := newRequest(httptrace.WithClientTrace(ctx, x.trace()), address, r)
 	if err != nil {
@@ -108,16 +114,19 @@
 	}
 	resp, err := c.http.Load().Do(req)
 	if err != nil {
+		room.free()
 		return nil, failure(ctx, address, x.abandon(), err)
 	}
 	defer resp.Body.Close()
 	if !port.IsFinalStatus(resp.StatusCode) {
+		room.free()
 		x.abandon()
 		return nil, statusError(address, resp)
 	}
 	refusal := shed(address, resp)
-	a, err := read(ctx, address, r, resp)
+	a, err := read(ctx, address, r, resp, &room)
 	if err != nil {
+		room.free()
 		x.abandon()
 		return nil, err
 	}
@@ -238,12 +247,15 @@
 
 func (e *SizeError) Error() string { return fmt.Sprintf("answer over %d bytes", e.Limit) }
 
-func read(ctx context.Context, address string, r *port.BackendRequest, resp *http.Response) (*port.BackendAnswer, error) {
+func read(ctx context.Context, address string, r *port.BackendRequest, resp *http.Response, room *answerRoom) (*port.BackendAnswer, error) {
 	if got := resp.Header.Get(HeaderRequestID); got != r.RequestID {
 		err := &MismatchError{Want: r.RequestID, Got: got}
 		return nil, &port.BackendError{Code: port.BackendMismatch, Address: address, Sent: true, Err: err}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, r.MaxAnswer+1))
+	body, _, refused, err := bounded.Read(resp.Body, resp.ContentLength, int(r.MaxAnswer)+1, room.grow)
+	if refused {
+		return nil, &port.BackendError{Code: port.BackendNoRoom, Address: address, Sent: true, Err: ErrNoRoom}
+	}
 	if err != nil {
 		fe := failure(ctx, address, true, err)
 		var be *port.BackendError
@@ -265,6 +277,53 @@
 	return a, nil
 }
 
+// ErrNoRoom is the cause of a BackendNoRoom.
+const ErrNoRoom = noRoom("no memory for the answer")
+
+type noRoom string
+
+func (e noRoom) Error() string { return string(e) }
+
+// reservedAnswer is how much of an answer has its memory before the request is sent, in bytes.
+const reservedAnswer = 64 << 10
+
+// answerRoom is the memory for one answer.
+type answerRoom struct {
+	hold           *membudget.Holder
+	reserved, used int64
+}
+
+// reserve asks for the memory of an answer of usual size, so that a request whose answer cannot be
+// held is not sent.
+func (a *answerRoom) reserve(most int64) bool {
+	n := min(most, reservedAnswer)
+	if !a.hold.Grow(n, time.Now()) {
+		return false
+	}
+	a.reserved = n
+	return true
+}
+
+// grow asks for bytes, of which those reserved are there already, or frees them if negative.
+func (a *answerRoom) grow(bytes int) bool {
+	before := max(a.used, a.reserved)
+	more := max(a.used+int64(bytes), a.reserved) - before
+	if more > 0 && !a.hold.Grow(more, time.Now()) {
+		return false
+	}
+	if more < 0 {
+		a.hold.Shrink(-more)
+	}
+	a.used += int64(bytes)
+	return true
+}
+
+// free gives back all of the memory.
+func (a *answerRoom) free() {
+	a.hold.Shrink(max(a.used, a.reserved))
+	a.used, a.reserved = 0, 0
+}
+
 func parseLoad(text string) *port.BackendLoad {
 	used, slots, ok := strings.Cut(text, "/")
 	if !ok {
--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -5,8 +5,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
-	"log"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -16,6 +14,9 @@
 	"github.com/gorilla/mux"
 
 	"cassiatray/api"
+	"cassiatray/internal/adapter/bounded"
+	"cassiatray/internal/adapter/callerconn"
+	"cassiatray/internal/core/membudget"
 	"cassiatray/internal/port"
 )
 
@@ -26,8 +27,8 @@
 	headerTimeout  = 5 * time.Second
 	bodyTimeout    = 30 * time.Second
 	idleTimeout    = 90 * time.Second
-	// answerTimeout bounds how long a caller may take to read its answer.
-	answerTimeout = 30 * time.Second
+	// memoryRetryAfter is when a caller may come back for whose request there was no memory.
+	memoryRetryAfter = time.Second
 )
 
 // Handler serves callers from a port.CallerService.
@@ -53,13 +54,16 @@
 
 // guard answers a panic with a typed failure, and tells callers not to reuse
 // their connections once this host is leaving. A chunked request is the last of
-// its connection: net/http hides whether it gave a length as well, after which
-// an intermediary may disagree on where it ended.
+// its connection: net/http's parser hides whether it gave a length as well, after
+// which an intermediary may disagree on where it ended.
 func (h *Handler) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if h.svc.Leaving() || len(r.TransferEncoding) > 0 {
+		if h.svc.Leaving() {
 			w.Header().Set("Connection", "close")
 		}
+		if len(r.TransferEncoding) > 0 {
+			r.Close = true
+		}
 		defer func() {
 			if recover() != nil {
 				h.fail(w, &api.Error{Code: api.CodeInternal, Message: "internal fault", Outcome: api.OutcomeUnknown})
@@ -69,12 +73,55 @@
 	})
 }
 
-// NewServer returns an HTTP server with the limits of a caller's connection.
-func NewServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeaderBytes, DisableGeneralOptionsHandler: true,
-		ErrorLog: log.New(io.Discard, "", 0),
+// NewServer returns an HTTP server with the limits of a caller's connection. What callers hold
+// counts for budget; they have at most conns connections, 0 for MaxConnections.
+func NewServer(h http.Handler, budget *membudget.Budget, conns int) *callerconn.Server {
+	limits := callerconn.Limits{
+		HeadBytes: MaxHeaderBytes, HeadLines: MaxHeaderBytes / callerconn.MinLine,
+		HeadTimeout: headerTimeout, BodyTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+	}
+	if conns <= 0 {
+		conns = MaxConnections
+	}
+	return &callerconn.Server{
+		Handler: h, Budget: budget, MaxConns: min(conns, MaxConnections), PassOptions: true,
+		Independent:   func(*http.Request) bool { return false },
+		Limits:        func() callerconn.Limits { return limits },
+		RefusalHeader: http.Header{api.HeaderOutcome: {string(api.OutcomeNotRun)}},
+		RefusalBody:   refusalBody,
+	}
+}
+
+// refusalBody is the failure for what is refused before it reaches the handler.
+func refusalBody(status int, err error) (contentType string, body []byte) {
+	e := badRequest(err.Error())
+	switch status {
+	case http.StatusRequestHeaderFieldsTooLarge:
+		e.Code = api.CodeHeaderTooLarge
+	case http.StatusServiceUnavailable:
+		e = tooManyConnections(err.Error())
+	}
+	text, err := json.Marshal(e)
+	if err != nil {
+		// The header names the outcome.
+		return "text/plain", nil
+	}
+	return "application/json", text
+}
+
+// holderOf returns what counts the bytes of the request that w answers; nil if nothing does.
+func holderOf(w http.ResponseWriter) *membudget.Holder {
+	if h, ok := w.(interface{ Hold() *membudget.Holder }); ok {
+		return h.Hold()
+	}
+	return nil
+}
+
+// giveUpBody reads no more of a request's body. Its answer is the connection's last.
+func giveUpBody(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	if g, ok := w.(interface{ GiveUpBody() }); ok {
+		g.GiveUpBody()
 	}
 }
 
@@ -106,21 +153,61 @@
 		h.refuse(w, r, fail)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		h.refuse(w, r, bodyError(err, limit))
+	hold := holderOf(w)
+	head := hold.Bytes()
+	if req.Body, fail = readBody(w, r, limit, hold); fail != nil {
+		giveUpBody(w)
+		h.refuse(w, r, fail)
 		return
 	}
-	req.Body = body
-	answer, fail := h.svc.Do(r.Context(), req)
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout))
+	answer, fail := h.svc.Do(membudget.NewContext(r.Context(), hold), req)
+	req.Body = nil
 	if fail != nil {
+		hold.Resize(head)
 		h.fail(w, fail)
 		return
 	}
+	hold.Resize(head + int64(len(answer.Body)))
+	// The rest may have to make room for an answer that was kept for another copy.
+	hold.Grow(0, time.Now())
+	hold.Enter(membudget.Passing, time.Now())
 	h.write(w, answer)
 }
 
+// readBody reads a request's body whole, for as long as there is memory for it.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, hold *membudget.Holder) ([]byte, *api.Error) {
+	if r.ContentLength > limit {
+		return nil, bodyTooLarge(limit)
+	}
+	grow := func(bytes int) bool {
+		if bytes < 0 {
+			hold.Shrink(-int64(bytes))
+			return true
+		}
+		return hold.Grow(int64(bytes), time.Now())
+	}
+	// One byte more than allowed is asked for, so that the end of the largest body is read.
+	body, _, refused, err := bounded.Read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, int(limit)+1, grow)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, bodyTooLarge(limit)
+	case refused || !hold.Enter(membudget.Working, time.Now()):
+		return nil, noMemory()
+	case err != nil:
+		return nil, badRequest("body cut short")
+	}
+	return body, nil
+}
+
+// noMemory refuses a request for which there is no memory.
+func noMemory() *api.Error {
+	return &api.Error{
+		Code: api.CodeOverloaded, Message: "no memory for the request", Outcome: api.OutcomeNotRun,
+		RetryAfterMillis: memoryRetryAfter.Milliseconds(),
+	}
+}
+
 // refuse answers a request that is not run. Other copies of its operation may
 // be on their way to other hosts, so its outcome is settled first.
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, fail *api.Error) {
@@ -149,13 +236,9 @@
 	return out
 }
 
-func bodyError(err error, limit int64) *api.Error {
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		msg := "body over " + strconv.FormatInt(limit, 10) + " bytes"
-		return &api.Error{Code: api.CodeBodyTooLarge, Message: msg, Outcome: api.OutcomeNotRun}
-	}
-	return &api.Error{Code: api.CodeBadRequest, Message: "body cut short", Outcome: api.OutcomeNotRun}
+func bodyTooLarge(limit int64) *api.Error {
+	msg := "body over " + strconv.FormatInt(limit, 10) + " bytes"
+	return &api.Error{Code: api.CodeBodyTooLarge, Message: msg, Outcome: api.OutcomeNotRun}
 }
 
 func (h *Handler) write(w http.ResponseWriter, a *port.CallerAnswer) {
--- a/internal/adapter/callerhttp/handler_test.go
+++ b/internal/adapter/callerhttp/handler_test.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := NewServer(NewHandler(f, "a-1"))
+	srv := NewServer(NewHandler(f, "a-1"), nil, 0)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/adapter/callerhttp/listener.go
+++ b/internal/adapter/callerhttp/listener.go
@@ -51,7 +51,7 @@
 		}
 		source := sourceOf(c)
 		if l.enter(source) {
-			return &conn{Conn: c, leave: func() { l.leave(source) }}, nil
+			return newConn(c, func() { l.leave(source) }), nil
 		}
 		refuse(c)
 	}
@@ -90,10 +90,14 @@
 func refuse(c net.Conn) {
 	defer c.Close()
 	c.SetWriteDeadline(time.Now().Add(refuseTimeout))
-	c.Write(rawFailure(http.StatusServiceUnavailable, &api.Error{
-		Code: api.CodeTooManyConnections, Message: "too many connections from this address",
+	c.Write(rawFailure(http.StatusServiceUnavailable, tooManyConnections("too many connections from this address")))
+}
+
+func tooManyConnections(message string) *api.Error {
+	return &api.Error{
+		Code: api.CodeTooManyConnections, Message: message,
 		Outcome: api.OutcomeNotRun, RetryAfterMillis: time.Second.Milliseconds(),
-	}))
+	}
 }
 
 // rawFailure is a whole HTTP answer with a typed failure.
@@ -119,26 +123,20 @@
 	return c.Conn.Close()
 }
 
-// plainRefusal is how net/http refuses what it cannot read as a request, by
-// one write of plain text: no answer of a handler looks like it.
-var plainRefusal = []byte("\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n")
+// tcpConn is conn with what only TCP connections have.
+type tcpConn struct {
+	*net.TCPConn
+	counted *conn
+}
 
-// Write implements net.Conn. A plain refusal of net/http becomes typed.
-func (c *conn) Write(b []byte) (int, error) {
-	line, text, found := bytes.Cut(b, plainRefusal)
-	var status int
-	if !found || bytes.ContainsRune(line, '\n') {
-		return c.Conn.Write(b)
-	}
-	if n, err := fmt.Sscanf(string(line), "HTTP/1.1 %d", &status); n != 1 || err != nil {
-		return c.Conn.Write(b)
-	}
-	e := badRequest(string(text))
-	if status == http.StatusRequestHeaderFieldsTooLarge {
-		e.Code = api.CodeHeaderTooLarge
-	}
-	if _, err := c.Conn.Write(rawFailure(status, e)); err != nil {
-		return 0, err
+// Close implements net.Conn.
+func (c *tcpConn) Close() error { return c.counted.Close() }
+
+// newConn returns a connection that calls leave when it is closed.
+func newConn(c net.Conn, leave func()) net.Conn {
+	counted := &conn{Conn: c, leave: leave}
+	if t, ok := c.(*net.TCPConn); ok {
+		return &tcpConn{TCPConn: t, counted: counted}
 	}
-	return len(b), nil
+	return counted
 }
--- a/internal/adapter/callerhttp/slow_test.go
+++ b/internal/adapter/callerhttp/slow_test.go
@@ -43,14 +43,14 @@
 		limit time.Duration
 		code  api.Code
 	}{
-		"headers": {"GET /v1/request/orders/stock/1 HTTP/1.1\r\nHost: x\r\nX: ", headerTimeout, ""},
+		"headers": {"GET /v1/request/orders/stock/1 HTTP/1.1\r\nHost: x\r\nX: ", headerTimeout, api.CodeBadRequest},
 		"body":    {"POST /v1/request/orders/stock/1" + host + "Content-Length: 9\r\n\r\nx", bodyTimeout, api.CodeBadRequest},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				p := &pipes{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
 				l := NewListener(p, 8, 8)
-				srv := NewServer(NewHandler(new(fake), "a-1"))
+				srv := NewServer(NewHandler(new(fake), "a-1"), nil, 0)
 				go srv.Serve(l)
 				near, far := net.Pipe()
 				p.conns <- far
--- a/internal/daemon/entry/errors.go
+++ b/internal/daemon/entry/errors.go
@@ -60,6 +60,9 @@
 	case port.BackendShed:
 		out.Code = api.CodeOverloaded
 		out.RetryAfterMillis = max(defaultRetryAfter, be.RetryAfter).Milliseconds()
+	case port.BackendNoRoom:
+		out.Code = api.CodeOverloaded
+		out.RetryAfterMillis = defaultRetryAfter.Milliseconds()
 	case port.BackendSuspect:
 		out.Code = api.CodeSuspect
 	}
--- a/internal/daemon/entry/module.go
+++ b/internal/daemon/entry/module.go
@@ -15,6 +15,8 @@
 	"cassiatray/internal/adapter/operatorhttp"
 	"cassiatray/internal/adapter/peer"
 	"cassiatray/internal/core/document"
+	"cassiatray/internal/core/membudget"
+	"cassiatray/internal/daemon/memory"
 	"cassiatray/internal/daemon/slots"
 	"cassiatray/internal/logging"
 	"cassiatray/internal/port"
@@ -29,7 +31,7 @@
 // Module provides and starts the components of an entry process. It requires *Settings,
 // *logrus.Logger and *prometheus.Registry.
 var Module = fx.Module("entry",
-	fx.Provide(newIdentity, newMeter, peer.NewTCPPool, newFeed, newBackend, newNode, newServer, newSlots, newSlotMetrics, NewMetrics),
+	fx.Provide(newIdentity, newMeter, peer.NewTCPPool, newFeed, newBackend, newLimits, newBudget, newNode, newServer, newSlots, newSlotMetrics, NewMetrics),
 	fx.Invoke(start),
 )
 
@@ -52,16 +54,33 @@
 	return out
 }
 
-func newNode(cfg *Settings, id peer.Identity, f *Feed, b *backendhttp.Client, pool *peer.Pool, s *slots.Manager, log *logrus.Logger, m *Metrics) *Node {
-	return NewNode(*cfg, id.Incarnation, f, b, b, pool, s, port.SystemClock{}, logging.Part(log, "entry"), m)
+// newLimits returns the limits of this process.
+func newLimits(cfg *Settings, log *logrus.Logger) membudget.Limits {
+	return cfg.memorySettings().WithMachine(logging.Part(log, "main")).Limits(memory.DescriptorLimit())
 }
 
-func newServer(id peer.Identity, n *Node) *peer.Server { return peer.NewServer(id, n) }
+func newBudget(l membudget.Limits) *membudget.Budget { return membudget.New(l.BudgetBytes()) }
 
-func start(lc fx.Lifecycle, cfg *Settings, n *Node, sm *slots.Manager, f *Feed, b *backendhttp.Client, srv *peer.Server, pool *peer.Pool, m *peer.Meter, reg *prometheus.Registry) {
+func newNode(cfg *Settings, id peer.Identity, f *Feed, b *backendhttp.Client, pool *peer.Pool, s *slots.Manager, log *logrus.Logger, m *Metrics, l membudget.Limits, budget *membudget.Budget) *Node {
+	n := NewNode(*cfg, id.Incarnation, f, b, b, pool, s, port.SystemClock{}, logging.Part(log, "entry"), m)
+	n.memory, n.operations = budget, newOperationRecords(recordLimits(l.Memory))
+	return n
+}
+
+func newServer(id peer.Identity, n *Node) *peer.Server {
+	s := peer.NewServer(id, n)
+	s.Budget = n.memory
+	return s
+}
+
+func start(lc fx.Lifecycle, cfg *Settings, n *Node, sm *slots.Manager, f *Feed, b *backendhttp.Client, srv *peer.Server, pool *peer.Pool, m *peer.Meter, reg *prometheus.Registry, limits membudget.Limits, log *logrus.Logger) {
+	memory.LimitHeap(limits)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	callers := callerhttp.NewServer(callerhttp.NewHandler(n, cfg.Host))
+	closed := memory.NewClosings("entry", logging.Part(log, "caller"))
+	callers := callerhttp.NewServer(callerhttp.NewHandler(n, cfg.Host), n.memory, limits.MaxConnections())
+	callers.Closed = closed.Note
+	reg.MustRegister(closed.Collectors("entry", n.memory, callers, nil)...)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			pl, err := program.Listen(cfg.Peer)
@@ -78,7 +97,7 @@
 			}
 			operators := operatorhttp.NewRouter(n, reg)
 			operators.HandleFunc("/explain", n.serveExplain).Methods(http.MethodGet)
-			operatorhttp.Serve(ol, operators)
+			operatorhttp.Serve(ol, operators, n.memory, membudget.ServiceConnections(limits.Descriptors))
 			srv.Start(m.Listener(pl))
 			f.Register(reg)
 			wg.Go(func() { f.Run(ctx) })
--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -11,6 +11,7 @@
 
 	"cassiatray/api"
 	"cassiatray/internal/core/document"
+	"cassiatray/internal/core/membudget"
 	"cassiatray/internal/port"
 )
 
@@ -33,9 +34,11 @@
 	log         *logrus.Entry
 	metrics     *Metrics
 	operations  *operationRecords
-	budgets     *retryBudgets
-	suspects    *suspects
-	steering    *steering
+	// memory bounds what is held for callers and peers; nil for no bound.
+	memory   *membudget.Budget
+	budgets  *retryBudgets
+	suspects *suspects
+	steering *steering
 	// turnRequests counts the turns for suspects that this process has requested. The count
 	// makes the holder names of its turns unique.
 	turnRequests atomic.Uint64
@@ -46,7 +49,7 @@
 func NewNode(cfg Settings, incarnation uint64, feed *Feed, backend port.Backend, prober port.BackendProber, peers port.PeerCaller, slots slotManager, clock port.Clock, log *logrus.Entry, m *Metrics) *Node {
 	n := &Node{
 		cfg: cfg, incarnation: incarnation, feed: feed, peers: peers, slots: slots, clock: clock, log: log, metrics: m,
-		operations: newOperationRecords(), budgets: newRetryBudgets(), suspects: newSuspects(),
+		operations: newOperationRecords(recordLimits(0)), budgets: newRetryBudgets(), suspects: newSuspects(),
 		steering: newSteering(cfg, clock),
 	}
 	n.backend = &suspectBackend{Backend: backend, prober: prober, node: n, servers: map[string]*unfinished{}}
--- a/internal/daemon/entry/operate.go
+++ b/internal/daemon/entry/operate.go
@@ -7,12 +7,29 @@
 	"time"
 
 	"cassiatray/api"
+	"cassiatray/internal/core/membudget"
 	"cassiatray/internal/core/operation"
 )
 
-// recordLimits limit each kind of operation records that a process keeps.
-var recordLimits = operation.Limits{
-	Window: 10 * time.Minute, Records: 1 << 16, Bytes: 64 << 20, Running: 1 << 14,
+const (
+	// recordShare is the part of the memory limit for each kind of operation records.
+	recordShare = 0.08
+	// recordBytes is what a record without an answer holds, in bytes.
+	recordBytes = 1 << 10
+	// operationBytes is what an operation holds while it runs, beside bodies, in bytes: goroutine
+	// and stack, and the state of its attempts.
+	operationBytes = 16 << 10
+)
+
+// recordLimits limit each kind of operation records that a process with a memory limit keeps; 0 is
+// no limit.
+func recordLimits(memory int64) operation.Limits {
+	out := operation.Limits{Window: 10 * time.Minute, Records: 1 << 16, Bytes: 64 << 20, Running: 1 << 14}
+	if memory > 0 {
+		out.Bytes = min(out.Bytes, int(recordShare*float64(memory)))
+		out.Records = min(out.Records, out.Bytes/recordBytes)
+	}
+	return out
 }
 
 // operationRecords holds the records of at-most-once requests: the operations that this
@@ -29,10 +46,10 @@
 	running sync.WaitGroup
 }
 
-func newOperationRecords() *operationRecords {
+func newOperationRecords(limits operation.Limits) *operationRecords {
 	return &operationRecords{
-		own: operation.NewTable[result](recordLimits), received: operation.NewGuard(recordLimits),
-		inherited: operation.NewInherited[result](recordLimits),
+		own: operation.NewTable[result](limits), received: operation.NewGuard(limits),
+		inherited: operation.NewInherited[result](limits),
 	}
 }
 
@@ -115,24 +132,47 @@
 // runOrJoin runs an operation that this process owns, or waits for the result if the
 // operation was started before.
 func (n *Node) runOrJoin(ctx context.Context, r *request, id api.OperationID) result {
+	hold := n.newHolder()
+	if !hold.Grow(operationBytes, n.clock.Now()) {
+		return n.sealOrAwait(ctx, id, overloaded())
+	}
 	rec, created, err := n.operations.begin(n.clock.Now(), id)
 	if err != nil {
+		hold.Release()
 		return result{failure: operationError(err)}
 	}
-	if created {
-		go n.runOperation(ctx, r, rec)
+	if !created {
+		hold.Release()
+		return awaitRecord(ctx, rec)
 	}
+	// The body outlives a caller that leaves.
+	body := int64(cap(r.received.Body))
+	hold.Force(body)
+	membudget.FromContext(ctx).Shrink(body)
+	go n.runOperation(ctx, r, rec, hold)
 	return awaitRecord(ctx, rec)
 }
 
+// newHolder returns what counts the bytes of work that nobody's caller or peer holds up, so that it
+// is not ended for others.
+func (n *Node) newHolder() *membudget.Holder {
+	hold := new(membudget.Holder)
+	now := n.clock.Now()
+	hold.Init(n.memory, now, nil)
+	hold.Enter(membudget.Working, now)
+	return hold
+}
+
 // runOperation runs an operation and stores its result. It continues until the deadline
 // even if the caller disconnects, because other copies of the request may be waiting and a
 // resend returns the stored result.
-func (n *Node) runOperation(ctx context.Context, r *request, rec *operation.Record[result]) {
+func (n *Node) runOperation(ctx context.Context, r *request, rec *operation.Record[result], hold *membudget.Holder) {
+	defer hold.Release()
 	out := result{failure: operationInterrupted()}
 	defer func() { n.operations.finish(rec, out) }()
 	deadline, _ := ctx.Deadline()
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	ctx = membudget.NewContext(context.WithoutCancel(ctx), hold)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	out = n.runWithRetries(ctx, r)
 }
--- a/internal/daemon/entry/owner.go
+++ b/internal/daemon/entry/owner.go
@@ -33,6 +33,9 @@
 		if err == nil {
 			return out
 		}
+		if port.IsPeerCode(err, port.PeerNoRoom) {
+			return n.settleUnsent(ctx, d, id, err)
+		}
 		if mayHaveTakenEffect(err) {
 			return result{failure: ownerUnreachable(id, err)}
 		}
@@ -46,6 +49,19 @@
 	return result{failure: ownerGone(id)}
 }
 
+// settleUnsent ends a request whose owner has no memory for it. The owner is asked to seal the
+// operation, by a message that is small enough, so that no copy of it runs later.
+func (n *Node) settleUnsent(ctx context.Context, d *peerv1.Dispatch, id api.OperationID, err error) result {
+	if d.QueryOnly {
+		return result{failure: ownerUnreachable(id, err)}
+	}
+	out := n.askOwner(ctx, newOutcomeQuery(d.OperationId), id)
+	if out.failure != nil && out.failure.Outcome == api.OutcomeNotRun {
+		return result{failure: overloaded()}
+	}
+	return out
+}
+
 func hasCode(r result, code api.Code) bool { return r.failure != nil && r.failure.Code == code }
 
 // mayHaveTakenEffect reports whether the receiver may have acted on a failed exchange.
--- a/internal/daemon/entry/settings.go
+++ b/internal/daemon/entry/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cassiatray/internal/core/document"
+	"cassiatray/internal/daemon/memory"
 	"cassiatray/internal/settings"
 )
 
@@ -30,7 +31,18 @@
 	// Heartbeat is the interval of heartbeats to the steer process.
 	Heartbeat document.Duration `yaml:"heartbeat"`
 	Steering  Steering          `yaml:"steering"`
-	Log       settings.Log      `yaml:"log"`
+	// Memory is the process's memory limit; zero for what its machine has.
+	Memory document.Size `yaml:"memory,omitempty"`
+	// MemoryBudget is what may be held for others: bodies, answers, heads and connections. Zero
+	// is a share of Memory.
+	MemoryBudget document.Size `yaml:"memoryBudget,omitempty"`
+	// Descriptors is how many descriptors the process may open; zero for the limit that the
+	// system sets it.
+	Descriptors int `yaml:"descriptors,omitempty"`
+	// Connections is how many connections callers may have; zero for a part of Descriptors that
+	// fits the budget.
+	Connections int          `yaml:"connections,omitempty"`
+	Log         settings.Log `yaml:"log"`
 }
 
 // Steering configures how hosts are chosen for requests.
@@ -65,6 +77,10 @@
 	return nil
 }
 
+func (s *Settings) memorySettings() memory.Settings {
+	return memory.Settings{Memory: s.Memory, Budget: s.MemoryBudget, Descriptors: s.Descriptors, Connections: s.Connections}
+}
+
 // DefaultHeartbeat is the heartbeat interval used when the settings give none.
 const DefaultHeartbeat = 500 * time.Millisecond
 
@@ -85,5 +101,6 @@
 		s.Heartbeat = document.Duration(DefaultHeartbeat)
 	}
 	out = append(out, s.Steering.check(lines)...)
+	out = append(out, s.memorySettings().Check(lines)...)
 	return append(out, s.Log.Check("log", lines)...)
 }
--- a/internal/daemon/entry/stop.go
+++ b/internal/daemon/entry/stop.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"net/http"
 
+	"cassiatray/internal/adapter/callerconn"
 	"cassiatray/internal/adapter/peer"
 	"cassiatray/internal/sleep"
 	peerv1 "cassiatray/proto/peer/v1"
@@ -17,7 +17,7 @@
 // stop shuts this process down without interrupting requests. It withdraws the host from
 // look-up answers, serves until the answers that name it have expired, finishes the
 // requests in flight and hands over its operation records.
-func (n *Node) stop(ctx context.Context, callers *http.Server, peers *peer.Server) error {
+func (n *Node) stop(ctx context.Context, callers *callerconn.Server, peers *peer.Server) error {
 	n.drain(ctx)
 	err := callers.Shutdown(ctx)
 	peers.Drain(ctx)
--- a/internal/daemon/steer/module.go
+++ b/internal/daemon/steer/module.go
@@ -11,6 +11,8 @@
 	"cassiatray/internal/adapter/operatorhttp"
 	"cassiatray/internal/adapter/peer"
 	"cassiatray/internal/adapter/platform"
+	"cassiatray/internal/core/membudget"
+	"cassiatray/internal/daemon/memory"
 	"cassiatray/internal/envstore"
 	"cassiatray/internal/logging"
 	"cassiatray/internal/port"
@@ -38,7 +40,10 @@
 
 func newServer(id peer.Identity, n *Node) *peer.Server { return peer.NewServer(id, n) }
 
-func start(lc fx.Lifecycle, cfg *Settings, n *Node, srv *peer.Server, pool *peer.Pool, m *peer.Meter, reg *prometheus.Registry) {
+func start(lc fx.Lifecycle, cfg *Settings, n *Node, srv *peer.Server, pool *peer.Pool, m *peer.Meter, reg *prometheus.Registry, log *logrus.Logger) {
+	limits := cfg.memorySettings().WithMachine(logging.Part(log, "main")).Limits(memory.DescriptorLimit())
+	memory.LimitHeap(limits)
+	srv.LimitHeld(limits.MessageBytes(peer.MaxFrame))
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	lc.Append(fx.Hook{
@@ -53,7 +58,7 @@
 				return err
 			}
 			n.Register(reg)
-			operatorhttp.Serve(ol, operatorhttp.NewRouter(n, reg))
+			operatorhttp.Serve(ol, operatorhttp.NewRouter(n, reg), membudget.New(limits.BudgetBytes()), membudget.ServiceConnections(limits.Descriptors))
 			srv.Start(m.Listener(pl))
 			wg.Go(func() { n.Run(ctx) })
 			return nil
--- a/internal/daemon/steer/settings.go
+++ b/internal/daemon/steer/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cassiatray/internal/core/document"
+	"cassiatray/internal/daemon/memory"
 	"cassiatray/internal/settings"
 )
 
@@ -29,7 +30,12 @@
 	// Heartbeat is the interval of heartbeats; a member is gone after
 	// heartbeatsMissed intervals.
 	Heartbeat document.Duration `yaml:"heartbeat"`
-	Log       settings.Log      `yaml:"log"`
+	// Memory is the process's memory limit; zero for what its machine has.
+	Memory document.Size `yaml:"memory,omitempty"`
+	// Descriptors is how many descriptors the process may open; zero for the limit that the
+	// system sets it.
+	Descriptors int          `yaml:"descriptors,omitempty"`
+	Log         settings.Log `yaml:"log"`
 }
 
 // Defaults of settings that may be left out.
@@ -39,6 +45,10 @@
 	heartbeatsMissed       = 4
 )
 
+func (s *Settings) memorySettings() memory.Settings {
+	return memory.Settings{Memory: s.Memory, Descriptors: s.Descriptors}
+}
+
 // Check implements settings.Checker and fills in defaults.
 func (s *Settings) Check(lines document.Lines) []document.Problem {
 	var out []document.Problem
@@ -57,5 +67,6 @@
 	if s.PlatformTimeout == 0 {
 		s.PlatformTimeout = document.Duration(DefaultPlatformTimeout)
 	}
+	out = append(out, s.memorySettings().Check(lines)...)
 	return append(out, s.Log.Check("log", lines)...)
 }
