Heads that are read keep their connection; the soak has crowds

The copy counts by its lines now. - TestCountedIsAtLeastHeld, a second head: 147,555 bytes held, 147,284 counted.

TestTooManyConnections was red once beside that load: no answer to a request in hand in 10 s. By reading, a connection whose request had been read from the kernel, but not been taken, counted as idle and could be closed for a new one. A head keeps its connection for 50 ms; TestHeadThatIsReadKeepsItsConnection fails without that.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 export CGO_ENABLED := 1
 
-.PHONY: all build demo up test soak rig measure check generate explore clean
+.PHONY: all build demo up test soak crowd rig measure check generate explore clean
 
 all: build
 
@@ -49,6 +49,12 @@
 	@if [ -n "$(SOAK_BUILD)" ]; then mkdir -p $(OLD_BUILD)/src && git archive $(SOAK_BUILD) | tar -x -C $(OLD_BUILD)/src && cd $(OLD_BUILD)/src && go build -o $(OLD_BUILD)/ ./cmd/cassiatray-gateway; fi
 	SOAK_OLD=$(OLD_BUILD) CASSIATRAY_BIN=$(CURDIR)/$(BIN) SOAK_SEED=$(SOAK_SEED) SOAK_FOR=$(SOAK_FOR) go test -count=1 -v -run TestSoak ./platform/soak
 
+# crowd plays crowds of clients at gateways and entry processes, one at a time: make crowd
+# CROWD=TestCrowdThatReadsNoAnswers.
+CROWD ?= Crowd
+crowd: build
+	CASSIATRAY_BIN=$(CURDIR)/$(BIN) go test -count=1 -v -p 1 -run '$(CROWD)' ./platform/soak ./internal/drill
+
 # rig plays a whole deployment with servers, clients and checks by the platform's protocol:
 # make rig RIG_SEED=7 RIG_FOR=60 RIG_SITE=/path/site.toml RIG_SHARE=0.5 RIG_DAY=... (a day of the
 # site), RIG_TROUBLES=burst,garble (kinds of the site's, or a file), RIG_SQUEEZE=20 (percent of a
--- a/internal/adapter/callerconn/conn.go
+++ b/internal/adapter/callerconn/conn.go
@@ -38,6 +38,8 @@
 	head headHold
 	// bodyWait is writing for the read of a request's body that has not ended.
 	bodyWait atomic.Int64
+	// headBegan is writing for the last head of which a byte was read.
+	headBegan atomic.Int64
 	// bodyBegan is writing for the whole of a body, while it is read.
 	bodyBegan atomic.Int64
 	// writing is how long after opened the write began that has not ended, in
@@ -115,6 +117,7 @@
 		if err := c.await(limits.IdleTimeout, taken == 0); err != nil {
 			return err
 		}
+		c.headBegan.Store(max(1, int64(time.Since(c.opened))))
 		c.noteBehind()
 		r, status, err := c.read(limits)
 		if err != nil {
--- a/internal/adapter/callerconn/head.go
+++ b/internal/adapter/callerconn/head.go
@@ -10,7 +10,9 @@
 const (
 	// lineBytes is what a header line holds in its parsed form beside its text, in bytes: its
 	// share of a map and of the map's growth, and the headers of its strings.
-	lineBytes = 128
+	lineBytes = 144
+	// smallHead is up to which size a head counts as part of its connection, in bytes.
+	smallHead = 4 << 10
 	// MinLine is the size of the shortest header line, in bytes.
 	MinLine = 4
 )
@@ -40,7 +42,7 @@
 	if c.s.Budget.Limit() <= 0 {
 		return nil
 	}
-	more := h.scan.bytes() - smallAnswer - h.hold.Bytes()
+	more := h.scan.bytes() - smallHead - h.hold.Bytes()
 	if more <= 0 {
 		return nil
 	}
@@ -56,10 +58,10 @@
 	return nil
 }
 
-// keep counts the copy of a head that is made when its request is passed on, and reports whether
-// there is room for it.
+// keep counts the copy of a head's lines that is made when its request is passed on, and reports
+// whether there is room for it. The text is shared.
 func (h *headHold) keep() bool {
-	return h.hold == nil || h.hold.Grow(h.hold.Bytes(), time.Now())
+	return h.hold == nil || h.hold.Grow(int64(h.scan.lines*lineBytes), time.Now())
 }
 
 // taken returns what the head that was read holds, which is counted elsewhere from then on.
--- a/internal/adapter/callerconn/room.go
+++ b/internal/adapter/callerconn/room.go
@@ -14,8 +14,7 @@
 )
 
 const (
-	// smallAnswer is up to which size an answer, and a request's head, count as part of their
-	// connection, in bytes.
+	// smallAnswer is up to which size an answer counts as part of its connection, in bytes.
 	smallAnswer = 8 << 10
 	// writePiece is how much of an answer is written at once, in bytes: a caller that takes a
 	// piece makes progress.
@@ -29,6 +28,9 @@
 	// closeAfter is how long a caller must have made no progress for its connection to be closed
 	// in favour of a new one.
 	closeAfter = time.Second
+	// headGrace is for how long a head that is being read keeps its connection from being closed
+	// as idle: most come in one piece.
+	headGrace = 50 * time.Millisecond
 	// mostLooked bounds the connections that are looked at to make room for a new one.
 	mostLooked = 8
 )
@@ -194,7 +196,7 @@
 	if c.inHand > 0 || c.broken {
 		return false
 	}
-	if tcp.Peek(c.nc) == tcp.Stray {
+	if tcp.Peek(c.nc) == tcp.Stray || c.headBegan.Load() > 0 && c.stalled(&c.headBegan, time.Now()) < headGrace {
 		// It is looked at again after those without.
 		c.idleSince = time.Now()
 		return false
