Heads in hand no longer protect their connection; typed refusals for lack of memory

An entry host's refusal of a head for lack of memory is typed as overloaded, not as too many connections. An operation takes over no more of its body's bytes than its caller's request counted.

--- a/internal/adapter/callerconn/conn.go
+++ b/internal/adapter/callerconn/conn.go
@@ -38,7 +38,7 @@
 	head headHold
 	// bodyWait is writing for the read of a request's body that has not ended.
 	bodyWait atomic.Int64
-	// headBegan is writing for the last head of which a byte was read.
+	// headBegan is writing for the head of a request that is read and not yet in hand.
 	headBegan atomic.Int64
 	// bodyBegan is writing for the whole of a body, while it is read.
 	bodyBegan atomic.Int64
@@ -190,6 +190,7 @@
 		return c.watch()
 	}
 	c.inHand++
+	c.headBegan.Store(0)
 	x.taken = true
 	c.s.Budget.Add(membudget.RequestBytes)
 	x.before = c.last
--- a/internal/adapter/callerconn/room.go
+++ b/internal/adapter/callerconn/room.go
@@ -78,13 +78,13 @@
 	return h, body
 }
 
-// errConnections refuses a connection beyond the bound.
-const errConnections = readEnd("too many connections")
+// ErrConnections is why a connection beyond the bound is refused.
+const ErrConnections = readEnd("too many connections")
 
 // refuse answers on a connection that is not accepted: nothing of a request was read.
 func (s *Server) refuse(nc net.Conn) {
 	const status = http.StatusServiceUnavailable
-	h, body := s.refusal(status, errConnections)
+	h, body := s.refusal(status, ErrConnections)
 	resp := http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: h, ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)), Close: true}
 	// It fits the send buffer of a new connection. The caller may be gone.
 	nc.SetWriteDeadline(time.Now().Add(closeAfter))
--- a/internal/adapter/callerconn/server.go
+++ b/internal/adapter/callerconn/server.go
@@ -77,7 +77,8 @@
 	// Limits returns the limits in force.
 	Limits func() Limits
 	// RefusalBody returns the body and its content type for what is refused here: a head that is no
-	// proper request, or a connection beyond MaxConns, which has status 503. Nil for no bodies.
+	// proper request or for which there is no memory, or a connection beyond MaxConns, with
+	// ErrConnections. Nil for no bodies.
 	RefusalBody func(status int, err error) (contentType string, body []byte)
 	// RefusalHeader is sent with what is refused here.
 	RefusalHeader http.Header
--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -95,11 +95,13 @@
 // refusalBody is the failure for what is refused before it reaches the handler.
 func refusalBody(status int, err error) (contentType string, body []byte) {
 	e := badRequest(err.Error())
-	switch status {
-	case http.StatusRequestHeaderFieldsTooLarge:
+	switch {
+	case status == http.StatusRequestHeaderFieldsTooLarge:
 		e.Code = api.CodeHeaderTooLarge
-	case http.StatusServiceUnavailable:
+	case errors.Is(err, callerconn.ErrConnections):
 		e = tooManyConnections(err.Error())
+	case status == http.StatusServiceUnavailable:
+		e = noMemory()
 	}
 	text, err := json.Marshal(e)
 	if err != nil {
--- a/internal/core/membudget/context.go
+++ b/internal/core/membudget/context.go
@@ -16,6 +16,12 @@
 	return h
 }
 
+// TakeOver holds n bytes in place of another holder, as far as that holds them.
+func (h *Holder) TakeOver(from *Holder, n int64) {
+	h.Force(n)
+	from.Shrink(min(n, from.Bytes()))
+}
+
 // Resize makes h hold bytes, in any case.
 func (h *Holder) Resize(bytes int64) {
 	if more := bytes - h.Bytes(); more > 0 {
--- a/internal/daemon/entry/operate.go
+++ b/internal/daemon/entry/operate.go
@@ -146,9 +146,7 @@
 		return awaitRecord(ctx, rec)
 	}
 	// The body outlives a caller that leaves.
-	body := int64(cap(r.received.Body))
-	hold.Force(body)
-	membudget.FromContext(ctx).Shrink(body)
+	hold.TakeOver(membudget.FromContext(ctx), int64(cap(r.received.Body)))
 	go n.runOperation(ctx, r, rec, hold)
 	return awaitRecord(ctx, rec)
 }
