--- a/internal/drill/crowd_test.go
+++ b/internal/drill/crowd_test.go
@@ -187,7 +187,8 @@
 	s.awaitOrdinary(t, s.Hosts[0])
 }
 
-// request sends one request on a connection of its own and returns its status and outcome.
+// request sends one request on a connection of its own and returns its status and outcome. The
+// error of one that is not served says why.
 func (s *crowded) request(h site.HostPlan, method, path, operation string, body io.Reader) (int, api.Outcome, error) {
 	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	req, err := http.NewRequest(method, "http://"+h.Caller.String()+"/v1/request/"+service+path, body)
@@ -202,18 +203,23 @@
 		return 0, "", err
 	}
 	defer resp.Body.Close()
+	outcome := api.Outcome(resp.Header.Get(api.HeaderOutcome))
+	if resp.StatusCode != http.StatusOK {
+		failure := new(api.Error)
+		if err := json.NewDecoder(resp.Body).Decode(failure); err != nil {
+			return resp.StatusCode, outcome, err
+		}
+		return resp.StatusCode, outcome, failure
+	}
 	_, err = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, api.Outcome(resp.Header.Get(api.HeaderOutcome)), err
+	return resp.StatusCode, outcome, err
 }
 
 // awaitOrdinary repeats an ordinary request until it is served.
 func (s *crowded) awaitOrdinary(t *testing.T, h site.HostPlan) {
 	t.Helper()
 	await(t, "an ordinary request", func() error {
-		status, _, err := s.request(h, http.MethodGet, "/stock/salt", "", nil)
-		if err == nil && status != http.StatusOK {
-			err = fmt.Errorf("status %d", status)
-		}
+		_, _, err := s.request(h, http.MethodGet, "/stock/salt", "", nil)
 		return errors.Join(err, s.Running())
 	})
 }
@@ -482,8 +488,8 @@
 					continue
 				}
 				for _, h := range s.Hosts {
-					status, outcome, err := s.request(h, http.MethodPost, "/bookings", id, io.LimitReader(zeros{}, crowdBody))
-					if err == nil && status == http.StatusServiceUnavailable && outcome == api.OutcomeNotRun {
+					status, outcome, _ := s.request(h, http.MethodPost, "/bookings", id, io.LimitReader(zeros{}, crowdBody))
+					if status == http.StatusServiceUnavailable && outcome == api.OutcomeNotRun {
 						refused.Store(id, true)
 					}
 				}
