A connection that has failed never reports an orderly end

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got that part as a whole answer. A refusal that was sent like that was taken for a proof that the request had not run.

Cause: the kernel tells of a reset once. The write of the upload failed with ECONNRESET and took the socket's error with it; what had been received could still be read, and behind it read said end of file, as after an orderly close. The exchange read on after the failed write, as it must for answers that are whole, and an answer without a length ends with its connection.

Fix: tcp.Conn, which every dialer of package tcp returns, remembers the first failure in either direction and returns it in the place of the end of the stream. A flag in each reader was weighed: it would have to be kept in four packages, and could not settle the race of net/http, which reads and writes at once. An answer that says itself where it ends is delivered as before, and so is one without a length whose connection ends in order (TestEarlyAnswerThatIsWhole).

A server that has sent a part of an answer doesn't count as one that resets connections at once: such a reset was no reset for the pool before either. TestKeptConnectionOfARefusalShowsTheProcess reaches the socket under the new type; its checks are unchanged.

--- a/internal/adapter/serverconn/exchange.go
+++ b/internal/adapter/serverconn/exchange.go
@@ -75,7 +75,11 @@
 	}
 	early := err != nil
 	resp, skipped, err := p.answer(c, r)
-	atOnce := p.recordReset(address, c, began, err)
+	atOnce := false
+	if err == nil || !early {
+		// A server that has sent a part of an answer has not forgotten the connection.
+		atOnce = p.recordReset(address, c, began, err)
+	}
 	if err != nil {
 		be := brokenError(ctx, address, true, err)
 		be.ResetAtOnce = atOnce
--- a/internal/adapter/serverconn/restart_test.go
+++ b/internal/adapter/serverconn/restart_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"cassiatray/internal/adapter/tcp"
 	"cassiatray/internal/port"
 )
 
@@ -32,7 +33,7 @@
 	if len(list) != 2 || !list[0].mayMix("1") || list[1].mayMix("1") {
 		t.Fatalf("idle connections %+v", list)
 	}
-	list[1].Conn.(interface{ CloseRead() error }).CloseRead()
+	list[1].Conn.(*tcp.Conn).Conn.(interface{ CloseRead() error }).CloseRead()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	if _, err := p.Forward(ctx, s.address, &port.ForwardRequest{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, ID: "1", SameProcess: true}); err != nil {
--- a/internal/adapter/tcp/dial.go
+++ b/internal/adapter/tcp/dial.go
@@ -1,4 +1,4 @@
-// Package tcp dials connections that notice a silent peer.
+// Package tcp dials connections that notice a silent peer and remember that they have failed.
 package tcp
 
 import (
@@ -25,7 +25,7 @@
 	Source netip.Addr
 }
 
-// Dial opens a connection to an address ("ip:port").
+// Dial opens a connection, a *Conn, to an address ("ip:port").
 func (d Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
 	nd := net.Dialer{
 		Timeout: d.Connect,
@@ -40,7 +40,11 @@
 	if d.KeepAlive == 0 {
 		nd.KeepAlive = -1
 	}
-	return nd.DialContext(ctx, "tcp", address)
+	nc, err := nd.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(nc), nil
 }
 
 // DialNetwork is Dial in the form that net/http wants.
