Names of fields in servers' answers are checked before the head is parsed

What callers saw: a server sent an answer in whose head the name of a field held a blank. They got the server's status with that line among the fields; where the name was that of the length or of the coding, they got another body than the server's: the lines of its chunks, or all that came before the connection ended.

Cause: the parser of net/http takes blanks in names, so "Content-Length " is no length and "Transfer-Encoding " no coding. HTTP has only tokens as names and no blank before the colon (RFC 9110, 5.1; RFC 9112, 5.1: a proxy removes it or refuses the answer, and with the framing in doubt only the latter is safe).

Evidence, on: TestMalformedResponses and its like of earlier answers deliver names with blanks in final and interim heads, in heads of answers to earlier requests and in trailers, and keep the connection; refusals in such heads were believed; health checks, too. TestMalformedResponsesThroughGateways: the caller gets the server's 200, 404 or 503 in all plays of names with a blank, directly and through another gateway. Tabs, NUL, BEL and CR in a name, a folded name, no name, no colon, and NUL and CR in a value were refused already; the tests stay.

Fix: headlimit.Checker passes over the raw head, and httpguts decides on each name, before anything in it is believed. Checked are interim heads, those of answers that are passed over, final ones and, at the end of the body, trailers. A head that is longer than the read buffer has the buffer grow until it is complete; a connection that is kept gets one of usual size again, so that no bound on a head changes. A malformed answer is BackendBroken as any other: the request may have run, it is tried elsewhere where the route allows it, and the server's health counts it as a broken answer.

--- a/internal/adapter/headlimit/headlimit.go
+++ b/internal/adapter/headlimit/headlimit.go
@@ -1,5 +1,6 @@
 // Package headlimit bounds the bytes that are read of the head of an HTTP/1.1
-// message. The parsers of net/http read lines and header fields without a bound.
+// message, and checks the heads of responses. The parsers of net/http read lines
+// and header fields without a bound, and take more than HTTP allows.
 package headlimit
 
 import (
--- a/internal/adapter/serverconn/exchange.go
+++ b/internal/adapter/serverconn/exchange.go
@@ -90,7 +90,7 @@
 	if !a.Meta.Signed && resp.StatusCode < http.StatusMultipleChoices {
 		return nil, brokenError(ctx, address, true, &UnsignedError{ID: r.ID})
 	}
-	r.HoldHead(headBytes(resp.Header))
+	r.HoldHead(headBytes(resp.Header) + c.r.Size() - bufferSize)
 	hold := r.HoldBytes
 	if a.Meta.NotRun {
 		// It is a proof only once it is read whole.
--- a/internal/adapter/serverconn/head.go
+++ b/internal/adapter/serverconn/head.go
@@ -1,9 +1,14 @@
 package serverconn
 
 import (
+	"bufio"
+	"bytes"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 
+	"cassiatray/internal/adapter/headlimit"
 	"cassiatray/internal/port"
 )
 
@@ -48,9 +53,13 @@
 // readHead reads the head of a final answer; the body is still to be read. The
 // caller has begun the bound.
 //
-// Errors: *OversizedHeadError, *port.StatusError, or what net/http says of an answer that is none.
+// Errors: *OversizedHeadError, *headlimit.MalformedError, *port.StatusError, or what net/http says
+// of an answer that is none.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	for interim := 0; ; interim++ {
+		if err := c.checkHead(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.r, req)
 		switch {
 		case c.limit.Exceeded() || err == nil && port.IsInterimStatus(resp.StatusCode) && interim == maxInterim:
@@ -58,9 +67,49 @@
 		case err != nil:
 			return nil, err
 		case port.IsFinalStatus(resp.StatusCode):
+			headlimit.CheckTrailer(resp)
 			return resp, nil
 		case !port.IsInterimStatus(resp.StatusCode):
 			return nil, &port.StatusError{Status: resp.StatusCode}
 		}
 	}
 }
+
+// checkHead checks the next head, which stays unread. A head that does not come whole is left to
+// the parser, whose reads fail alike.
+//
+// Errors: *headlimit.MalformedError.
+func (c *conn) checkHead() error {
+	var checker headlimit.Checker
+	for checked := 0; !checker.Done(); {
+		buffered, err := c.r.Peek(checked + 1)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			c.growBuffer(buffered)
+			continue
+		}
+		if err != nil {
+			return nil
+		}
+		if buffered, err = c.r.Peek(c.r.Buffered()); err != nil {
+			return err
+		}
+		if _, err := checker.Check(buffered[checked:]); err != nil {
+			return err
+		}
+		checked = len(buffered)
+	}
+	return nil
+}
+
+// growBuffer replaces the read buffer, which is full, by one of twice its size.
+func (c *conn) growBuffer(buffered []byte) {
+	begin := bytes.NewReader(bytes.Clone(buffered))
+	c.r = bufio.NewReaderSize(io.MultiReader(begin, c.limit), 2*c.r.Size())
+}
+
+// shrinkBuffer replaces an empty read buffer that has grown by one of usual size.
+func (c *conn) shrinkBuffer() {
+	if c.r.Size() > bufferSize {
+		c.r = bufio.NewReaderSize(c.limit, bufferSize)
+	}
+}
--- a/internal/adapter/serverconn/pool.go
+++ b/internal/adapter/serverconn/pool.go
@@ -222,6 +222,7 @@
 }
 
 func (p *Pool) put(address string, c *conn, keep time.Duration, promised bool) {
+	c.shrinkBuffer()
 	c.since, c.waited = p.now(), 0
 	c.until, c.promised = c.since.Add(keep), promised
 	c.SetDeadline(time.Time{})
--- a/internal/adapter/serverconn/probe.go
+++ b/internal/adapter/serverconn/probe.go
@@ -86,6 +86,7 @@
 
 // keepProbe keeps a connection for the next check. It reports false if there is one.
 func (p *Pool) keepProbe(address string, c *conn) bool {
+	c.shrinkBuffer()
 	c.SetDeadline(time.Time{})
 	c.until = p.now().Add(probeIdle)
 	p.mu.Lock()
--- a/internal/daemon/gateway/brokenanswer_test.go
+++ b/internal/daemon/gateway/brokenanswer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -169,3 +170,25 @@
 	text := "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n" + strings.Repeat("a", streamedSize)
 	checkBroken(t, "streamed", rawserver.Response{Text: text, Ending: rawserver.Reset, Pause: 200 * time.Millisecond}, 4)
 }
+
+// Guards against responses that HTTP does not allow and that reach a caller, or that are believed
+// when they say that a request has not run.
+func TestMalformedResponsesThroughGateways(t *testing.T) {
+	for status, fields := range map[int]string{http.StatusOK: "", http.StatusNotFound: "", http.StatusServiceUnavailable: "Not-Run: 1\r\n"} {
+		for name, text := range rawserver.Malformed(status, "Id: 1\r\n"+fields, "ok") {
+			checkBroken(t, fmt.Sprintf("%d, %s", status, name), rawserver.Response{Text: text, Ending: rawserver.Finish}, 4)
+		}
+	}
+}
+
+// Checks that responses that HTTP allows reach the caller, however rare.
+func TestUnusualResponsesThroughGateways(t *testing.T) {
+	for name, text := range rawserver.Unusual(http.StatusOK, "Id: 1\r\n", "ok") {
+		g := startTroubledGateways(t, rawserver.Response{Text: text, Ending: rawserver.Finish})
+		for way, address := range g.addresses {
+			if status, body := post(t, address, "/post/1", 4); status != http.StatusOK || body != "ok" {
+				t.Errorf("%s, %s: the caller got %d %q", name, way, status, body)
+			}
+		}
+	}
+}
