Transfer codings before HTTP/1.1, and other major versions, are refused

What callers saw: a server answered with HTTP/1.0 and Transfer-Encoding: chunked; they got 200 with the lines of the chunks as its body.

Cause: net/http drops a coding from an answer of HTTP/1.0 or 0.9 and reads on until the connection ends. Such framing is faulty (RFC 9112, 6.1); a proxy cannot know where the answer ends.

Evidence, on: TestMalformedResponses delivers "coding in HTTP/1.0" with 12 bytes for 2, the same behind a long head and in HTTP/0.9, and with a length beside the coding the length is believed; through a gateway and two gateways, too. An answer of HTTP/2.0 in this form was delivered whole; nobody reported it. It is refused now: what frames a message is defined by its major version, so its length proves nothing.

Fix: the check of heads knows the version. Answers of HTTP/1.0 without a coding, with a length or ended by their connection, and of later minor versions are delivered as before (TestUnusualResponses).

--- a/internal/adapter/headlimit/check.go
+++ b/internal/adapter/headlimit/check.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 
@@ -31,12 +32,15 @@
 }
 
 // Checker checks the head of a response before it is parsed. The parser of net/http takes blanks in
-// the names of fields, so that a length or a coding with one is none. The zero value is for one head.
+// the names of fields, so that a length or a coding with one is none, and drops a coding from a
+// version of HTTP that has none, with its chunks left in the body. The zero value is for one head.
 type Checker struct {
 	// line is the part of a line that came without its end.
 	line []byte
 	// begun is set behind the status line.
 	begun, done, interim bool
+	// hasCodings is set if the message's version has transfer codings.
+	hasCodings bool
 }
 
 // Done reports whether the head has ended.
@@ -72,8 +76,7 @@
 	switch {
 	case !k.begun:
 		k.begun = true
-		k.readStatusLine(line)
-		return nil
+		return k.checkStatusLine(line)
 	case len(line) == 0:
 		k.done = true
 		return nil
@@ -87,16 +90,26 @@
 		return malformed("line without a colon", line)
 	case !httpguts.ValidHeaderFieldName(string(name)):
 		return malformed("invalid field name", line)
+	case !k.hasCodings && strings.EqualFold(string(name), "Transfer-Encoding"):
+		// The framing is faulty (RFC 9112, section 6.1).
+		return malformed("transfer coding before HTTP/1.1", line)
 	}
 	return nil
 }
 
-// readStatusLine leaves to the parser what is no status line.
-func (k *Checker) readStatusLine(line []byte) {
-	_, status, _ := bytes.Cut(line, []byte(" "))
+// checkStatusLine leaves to the parser what is no status line. The syntax of another major version
+// is not known (RFC 9112, section 2.3).
+func (k *Checker) checkStatusLine(line []byte) error {
+	version, status, _ := bytes.Cut(line, []byte(" "))
+	major, minor, ok := http.ParseHTTPVersion(string(version))
+	if ok && major != 1 {
+		return malformed("HTTP version", line)
+	}
+	k.hasCodings = minor >= 1
 	digits, _, _ := bytes.Cut(bytes.TrimLeft(status, " "), []byte(" "))
 	code, err := strconv.Atoi(string(digits))
 	k.interim = err == nil && port.IsInterimStatus(code)
+	return nil
 }
 
 // CheckFields checks the names of fields.
--- a/internal/standin/rawserver/responses.go
+++ b/internal/standin/rawserver/responses.go
@@ -36,6 +36,11 @@
 		"blank in the name of the length": head("HTTP/1.1", "Content-Length : 1\r\n") + body,
 		"folded name of the length":       head("HTTP/1.1", "Content-Length\r\n : 1\r\n") + body,
 		"blank in the name of the coding": head("HTTP/1.1", "Transfer-Encoding : chunked\r\n") + chunks + "\r\n",
+		"coding in HTTP/1.0":              head("HTTP/1.0", "Transfer-Encoding: chunked\r\n") + chunks + "\r\n",
+		"coding in HTTP/1.0, with length": head("HTTP/1.0", "transfer-encoding: chunked\r\n"+length) + body,
+		"coding in HTTP/1.0, long head":   head("HTTP/1.0", longField+"Transfer-Encoding: chunked\r\n") + chunks + "\r\n",
+		"coding in HTTP/0.9":              head("HTTP/0.9", "Transfer-Encoding: chunked\r\n") + chunks + "\r\n",
+		"HTTP/2.0":                        head("HTTP/2.0", length) + body,
 		"blank in a name, interim":        "HTTP/1.1 103 X\r\nX Y: a\r\n\r\n" + head("HTTP/1.1", length) + body,
 		"blank in a name, trailer":        head("HTTP/1.1", "Transfer-Encoding: chunked\r\n") + chunks + "X Y: a\r\n\r\n",
 	}
