Relayed answers: names of fields are checked at the gateway that passes them on, too

Builds one landing apart run side by side.

Cause: the head of a relayed answer comes as protobuf strings, which no parser checks; only its status was.

Evidence: TestMalformedRelayHead takes four of four such names on.

--- a/internal/daemon/gateway/brokenanswer_test.go
+++ b/internal/daemon/gateway/brokenanswer_test.go
@@ -18,6 +18,7 @@
 	"cassiatray/internal/daemon/memory"
 	"cassiatray/internal/port"
 	"cassiatray/internal/standin/rawserver"
+	peerv1 "cassiatray/proto/peer/v1"
 )
 
 // refusingDialect is signedDialect for servers that also say that a request has not run.
@@ -192,3 +193,16 @@
 		}
 	}
 }
+
+// Guards against the name of a field that a helper of another build passes on although HTTP does
+// not allow it.
+func TestMalformedRelayHead(t *testing.T) {
+	f := newFixture(nil)
+	for name, valid := range map[string]bool{"X-Y": true, "X Y": false, "X-Y ": false, "X\x00Y": false, "": false} {
+		x := &headStream{status: http.StatusOK, headers: []*peerv1.Header{{Name: name, Value: "a"}}}
+		req := &inflightRequest{deadline: time.Now().Add(time.Second)}
+		if _, a, err := f.node.exchange(t.Context(), x, req); valid != (err == nil) {
+			t.Errorf("name %q: answer %+v, error %v", name, a, err)
+		}
+	}
+}
--- a/internal/daemon/gateway/relay.go
+++ b/internal/daemon/gateway/relay.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiatray/internal/adapter/bounded"
+	"cassiatray/internal/adapter/headlimit"
 	"cassiatray/internal/core/fleet"
 	"cassiatray/internal/core/links"
 	"cassiatray/internal/port"
@@ -314,6 +315,9 @@
 		return nil, nil, &port.PeerError{Code: port.PeerMismatch, Sent: true}
 	}
 	a := &port.ForwardAnswer{Status: int(head.Status), Header: headersFromWire(head.Headers)}
+	if err := headlimit.CheckFields(a.Header); err != nil {
+		return nil, nil, &port.PeerError{Code: port.PeerMismatch, Sent: true, Err: err}
+	}
 	a.Meta = n.dialect.Server(a.Status, a.Header)
 	body := &chunkReader{receive: func() (*peerv1.RelayChunk, error) {
 		reply, err := x.Receive(wait)
--- a/internal/daemon/gateway/status_test.go
+++ b/internal/daemon/gateway/status_test.go
@@ -140,8 +140,9 @@
 
 // headStream is an exchange with a helper that replies with one head.
 type headStream struct {
-	status uint32
-	sent   int
+	status  uint32
+	headers []*peerv1.Header
+	sent    int
 }
 
 func (s *headStream) Send(*peerv1.Request) error { return nil }
@@ -149,7 +150,7 @@
 func (s *headStream) Receive(time.Duration) (*peerv1.Reply, error) {
 	s.sent++
 	if s.sent == 1 {
-		return &peerv1.Reply{Body: &peerv1.Reply_RelayHead{RelayHead: &peerv1.RelayHead{Status: s.status, Server: "i"}}}, nil
+		return &peerv1.Reply{Body: &peerv1.Reply_RelayHead{RelayHead: &peerv1.RelayHead{Status: s.status, Headers: s.headers, Server: "i"}}}, nil
 	}
 	return &peerv1.Reply{Body: &peerv1.Reply_RelayChunk{RelayChunk: &peerv1.RelayChunk{Last: true}}}, nil
 }
