Entry processes take no broken answers of servers for whole ones

What callers saw of entry hosts: the same as of gateways. An early 200 or refusal without a length, reset after a part while an upload was written, counted as whole or as a proof that the request had not run; heads with blanks in names, codings in HTTP/1.0 and other major versions were taken, with chunk lines as bodies; so were health checks.

Cause: backendhttp reads through net/http, whose parser is the same, and whose transport writes and reads at once: either may be told of the reset, and the read then says end of file.

Fix: package httpclient makes clients of net/http whose connections are tcp.Conn and check the heads that are read, from the first byte behind a request's start, interim ones too, before the parser has their ends; trailers are checked as the body ends. A check of the parsed response alone was weighed: the parser drops the coding of HTTP/1.0 without a trace, and interim heads never reach the caller of a transport.

--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +17,7 @@
 	"time"
 
 	"cassiatray/internal/adapter/bounded"
+	"cassiatray/internal/adapter/httpclient"
 	"cassiatray/internal/core/membudget"
 	"cassiatray/internal/port"
 )
@@ -83,8 +83,9 @@
 
 		MaxResponseHeaderBytes: maxHead,
 	}
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	old := c.http.Swap(&http.Client{Transport: transport, CheckRedirect: noRedirect})
+	client := httpclient.New(transport)
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	old := c.http.Swap(client)
 	if old != nil {
 		old.CloseIdleConnections()
 	}
@@ -108,7 +109,7 @@
 		return nil, &port.BackendError{Code: port.BackendNoRoom, Address: address, Err: ErrNoRoom}
 	}
 	x := new(exchange)
-	req, err := newRequest(httptrace.WithClientTrace(ctx, x.trace()), address, r)
+	req, err := newRequest(httpclient.WithConn(ctx, x.follow), address, r)
 	if err != nil {
 		return nil, &port.BackendError{Code: port.BackendConnect, Address: address, Err: err}
 	}
@@ -139,7 +140,7 @@
 // Probe implements port.BackendProber.
 func (c *Client) Probe(ctx context.Context, address string) (*port.BackendHealth, error) {
 	x := new(exchange)
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, x.trace()), http.MethodGet, "http://"+address+"/health", nil)
+	req, err := http.NewRequestWithContext(httpclient.WithConn(ctx, x.follow), http.MethodGet, "http://"+address+"/health", nil)
 	if err != nil {
 		return nil, &port.BackendError{Code: port.BackendConnect, Address: address, Err: err}
 	}
--- a/internal/adapter/backendhttp/conn.go
+++ b/internal/adapter/backendhttp/conn.go
@@ -3,15 +3,16 @@
 import (
 	"context"
 	"net"
-	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+
+	"cassiatray/internal/adapter/httpclient"
 )
 
 // conn counts what was given to the network, so that a failed exchange can
 // tell whether any byte of it may have left.
 type conn struct {
-	net.Conn
+	*httpclient.Conn
 	sealed atomic.Bool
 
 	mu      sync.Mutex
@@ -24,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	return &conn{Conn: httpclient.NewConn(c)}, nil
 }
 
 // Write counts before it writes: a failed write may have sent a part.
@@ -64,16 +65,15 @@
 	before int64
 }
 
-func (x *exchange) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		c, ok := info.Conn.(*conn)
-		if !ok {
-			return
-		}
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		x.uses = append(x.uses, use{conn: c, before: c.count()})
-	}}
+// follow adds a connection that the request was given.
+func (x *exchange) follow(nc net.Conn) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.uses = append(x.uses, use{conn: c, before: c.count()})
 }
 
 // abandon closes the connections of an exchange without a whole answer, so
