Callers' package and command line: broken answers of hosts are none

What callers would see: an entry host's answer that was reset after a part, early and without a length, is a success or a proof that the request has not run; one whose head HTTP does not allow, too. An operator is shown such an answer, or told that no other host needs to be asked.

Cause: both read through net/http.

Fix: the package's own client is made by httpclient. With any client, entry hosts say where each answer ends, in HTTP/1.1 with valid names: an answer that does not is taken for one that broke off, its outcome for unknown. Of a client that the caller gives, interim heads and trailers are not checked; entry hosts send neither.

--- a/client/client.go
+++ b/client/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"cassiatray/api"
+	"cassiatray/internal/adapter/httpclient"
 )
 
 // DefaultTimeout bounds requests whose context has no deadline.
@@ -29,7 +30,8 @@
 	Bootstrap []string
 	// Address is the caller's own address, which look-ups are made for.
 	Address netip.Addr
-	// HTTP sends requests; nil means a client with default settings.
+	// HTTP sends requests; nil means a client with default settings that also checks the heads of
+	// answers as they come.
 	HTTP *http.Client
 	// Timeout bounds each Do and Lookup whose context has no deadline; zero
 	// means DefaultTimeout.
@@ -54,7 +56,7 @@
 func New(cfg Config) *Client {
 	h := cfg.HTTP
 	if h == nil {
-		h = &http.Client{}
+		h = httpclient.Default
 	}
 	if cfg.Timeout == 0 {
 		cfg.Timeout = DefaultTimeout
--- a/client/send.go
+++ b/client/send.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cassiatray/api"
+	"cassiatray/internal/adapter/httpclient"
 )
 
 // kind says how far a failed copy of a request got.
@@ -47,8 +48,12 @@
 
 func (e *SizeError) Error() string { return fmt.Sprintf("answer over %d bytes", e.Limit) }
 
+// readAll reads the body of an entry host's answer.
 func readAll(resp *http.Response, limit int64) ([]byte, error) {
 	defer resp.Body.Close()
+	if err := httpclient.CheckFramed(resp); err != nil {
+		return nil, err
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err == nil && int64(len(body)) > limit {
 		err = &SizeError{Limit: limit}
--- a/internal/ctl/fetch.go
+++ b/internal/ctl/fetch.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"cassiatray/api"
+	"cassiatray/internal/adapter/httpclient"
 	"cassiatray/internal/core/document"
 )
 
@@ -49,11 +50,14 @@
 	if err != nil {
 		return nil, &HostError{Address: address, Err: err}
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpclient.Default.Do(req)
 	if err != nil {
 		return nil, &HostError{Address: address, Err: err}
 	}
 	defer resp.Body.Close()
+	if err := httpclient.CheckFramed(resp); err != nil {
+		return nil, &HostError{Address: address, Err: err}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
 	if err != nil {
 		return nil, &HostError{Address: address, Err: err}
