Entry processes' store, list of hosts, load tool and drills: heads are checked

What would be seen: a broken reply of the key-value service or of the list of hosts is a document, a list or a write that took effect; the load tool counts broken answers as done.

Cause: all read through net/http.

Fix: their clients are made by httpclient, or are its default one.

--- a/internal/adapter/broken_test.go
+++ b/internal/adapter/broken_test.go
@@ -12,13 +12,105 @@
 
 	"cassiatray/api"
 	"cassiatray/client"
+	"cassiatray/internal/adapter/hostlist"
+	"cassiatray/internal/adapter/platform"
+	"cassiatray/internal/port"
 	"cassiatray/internal/standin/rawserver"
 )
 
+// reader is a call whose answer is read, with the body of one that is whole.
+type reader struct {
+	body string
+	call func(ctx context.Context, address string) error
+}
+
+// readers returns the clients of the product's own interfaces. Those of backend servers and of a
+// gateway's store have tests beside them.
+func readers() map[string]reader {
+	store := func(body string, call func(context.Context, *platform.Client) error) reader {
+		return reader{body, func(ctx context.Context, address string) error {
+			c := platform.New(address, callTime)
+			defer c.Close()
+			return call(ctx, c)
+		}}
+	}
+	const pair = `[{"Key":"k","Value":"dg==","ModifyIndex":7}]`
+	return map[string]reader{
+		"list of hosts": {`{"hosts":[{"name":"s-1","address":"10.0.0.1:9000"}]}`, func(ctx context.Context, address string) error {
+			_, err := hostlist.New(address).Hosts(ctx)
+			return err
+		}},
+		"look-up": {`{"service":"s"}`, func(ctx context.Context, address string) error {
+			_, err := newCaller(address, nil).Lookup(ctx, "s")
+			return err
+		}},
+		"store, a key":    store(pair, func(ctx context.Context, c *platform.Client) error { _, err := c.Get(ctx, "k"); return err }),
+		"store, a list":   store(pair, func(ctx context.Context, c *platform.Client) error { _, err := c.List(ctx, "k"); return err }),
+		"store, a watch":  store(pair, func(ctx context.Context, c *platform.Client) error { _, err := c.Watch(ctx, "k", 1, 0); return err }),
+		"store, a write":  store("true", func(ctx context.Context, c *platform.Client) error { return c.CompareAndSwap(ctx, "k", []byte("v"), 1) }),
+		"store, a delete": store("true", func(ctx context.Context, c *platform.Client) error { return c.Delete(ctx, "k", 1) }),
+		"store, a lock": store("true", func(ctx context.Context, c *platform.Client) error {
+			_, err := c.Acquire(ctx, "k", nil, "l")
+			return err
+		}),
+		"store, a lease": store(`{"ID":"l"}`, func(ctx context.Context, c *platform.Client) error {
+			_, err := c.GrantLease(ctx, time.Second)
+			return err
+		}),
+		"store, a renewal": store("{}", func(ctx context.Context, c *platform.Client) error { return c.RenewLease(ctx, "l") }),
+	}
+}
+
 func newCaller(address string, h *http.Client) *client.Client {
 	return client.New(client.Config{Bootstrap: []string{address}, Address: netip.MustParseAddr("127.0.0.1"), HTTP: h})
 }
 
+// play makes a call to a server that gives one answer.
+func play(t *testing.T, r reader, answer rawserver.Response) error {
+	t.Helper()
+	s, err := rawserver.Start(func(*http.Request) rawserver.Response { return answer })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), callTime)
+	defer cancel()
+	return r.call(ctx, s.Address)
+}
+
+// isKnown reports whether the store is taken to have said what became of a call.
+func isKnown(err error) bool {
+	return port.IsStoreCode(err, port.StoreConflict) || port.IsStoreCode(err, port.StoreNotFound) || port.IsStoreCode(err, port.StoreTooLarge)
+}
+
+// Guards against answers that HTTP does not allow and that are taken for what they say.
+func TestMalformedAnswers(t *testing.T) {
+	for name, r := range readers() {
+		for _, status := range []int{http.StatusOK, http.StatusNotFound} {
+			for fault, text := range rawserver.Malformed(status, "", r.body) {
+				if err := play(t, r, rawserver.Response{Text: text, Ending: rawserver.Finish}); err == nil || isKnown(err) {
+					t.Errorf("%s, %d, %s: error %v", name, status, fault, err)
+				}
+			}
+		}
+	}
+}
+
+// Checks that answers that HTTP allows are taken, however rare. Entry hosts say where each answer
+// ends.
+func TestUnusualAnswers(t *testing.T) {
+	for name, r := range readers() {
+		for fault, text := range rawserver.Unusual(http.StatusOK, "", r.body) {
+			if name == "look-up" && strings.HasSuffix(fault, "no length") {
+				continue
+			}
+			if err := play(t, r, rawserver.Response{Text: text, Ending: rawserver.Finish}); err != nil {
+				t.Errorf("%s, %s: error %v", name, fault, err)
+			}
+		}
+	}
+}
+
 // Guards against a part of an answer that a caller takes for a whole one, or for a proof that its
 // request has not run, with the package's own client and with one that it is given.
 func TestBrokenAnswersOfEntryHosts(t *testing.T) {
--- a/internal/adapter/hostlist/client.go
+++ b/internal/adapter/hostlist/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 
+	"cassiatray/internal/adapter/httpclient"
 	"cassiatray/internal/port"
 )
 
@@ -27,7 +28,7 @@
 
 // New returns a client of the list at an address ("ip:port").
 func New(address string) *Client {
-	return &Client{url: "http://" + address + Path, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead}}}
+	return &Client{url: "http://" + address + Path, http: httpclient.New(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead})}
 }
 
 // Error is a failed read of the list.
--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"time"
 
+	"cassiatray/internal/adapter/httpclient"
 	"cassiatray/internal/port"
 )
 
@@ -63,7 +64,7 @@
 
 		MaxResponseHeaderBytes: maxReplyHead,
 	}
-	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}, timeout: timeout}
+	return &Client{base: "http://" + address, http: httpclient.New(transport), timeout: timeout}
 }
 
 // Close drops idle connections.
--- a/internal/drill/crash.go
+++ b/internal/drill/crash.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"cassiatray/api"
+	"cassiatray/internal/adapter/httpclient"
 	"cassiatray/internal/site"
 	"cassiatray/internal/standin/server"
 )
@@ -24,7 +25,7 @@
 		return err.Error()
 	}
 	req.Header.Set(api.HeaderOperationID, crashID)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpclient.Default.Do(req)
 	if err != nil {
 		return err.Error()
 	}
@@ -70,7 +71,7 @@
 		if err != nil {
 			return err
 		}
-		resp, err := http.DefaultClient.Do(req)
+		resp, err := httpclient.Default.Do(req)
 		if err != nil {
 			return &BehaviorError{Server: plan.Name, Status: err.Error()}
 		}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -16,6 +16,7 @@
 
 	"cassiatray/api"
 	"cassiatray/client"
+	"cassiatray/internal/adapter/httpclient"
 )
 
 // Plan is one load of several streams.
@@ -64,7 +65,7 @@
 func Run(ctx context.Context, p Plan) []Row {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxConns, MaxConnsPerHost: maxConns}
 	defer transport.CloseIdleConnections()
-	h := &http.Client{Transport: transport}
+	h := httpclient.New(transport)
 	callers := make([]*client.Client, 0, len(p.Callers))
 	for _, a := range p.Callers {
 		callers = append(callers, client.New(client.Config{Bootstrap: p.Bootstrap, Address: a, HTTP: h}))
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"cassiatray/internal/adapter/httpclient"
 	"cassiatray/internal/load"
 	"cassiatray/internal/site"
 	"cassiatray/internal/sleep"
@@ -37,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpclient.Default.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/site/await.go
+++ b/internal/site/await.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"cassiatray/internal/adapter/httpclient"
 	"cassiatray/internal/core/document"
 )
 
@@ -38,7 +39,7 @@
 	if err != nil {
 		return 0, nil
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpclient.Default.Do(req)
 	if err != nil {
 		return 0, nil
 	}
