Entry processes' store: a boolean that breaks off is no "false"

What would be seen: a write whose reply ended early, in order and without a length, counted as a conflict, which says that it had no effect, and a lock that had been acquired counted as another's.

Cause: whatever was not "true" was taken for "false".

Lists, documents and leases that are cut were refused already: with a length, in order and by a reset. Now the outcome of such a call is unknown.

--- a/internal/adapter/broken_test.go
+++ b/internal/adapter/broken_test.go
@@ -96,6 +96,28 @@
 	}
 }
 
+// Guards against an answer that breaks off and is taken for less than it was to say. It is cut at
+// every byte: with a length, in order without one, and by a reset.
+func TestAnswersThatAreCut(t *testing.T) {
+	for name, r := range readers() {
+		if name == "store, a renewal" {
+			// Its status says all.
+			continue
+		}
+		for cut := range len(r.body) {
+			for how, answer := range map[string]rawserver.Response{
+				"with a length": {Text: "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" + r.body[:cut], Ending: rawserver.Finish},
+				"in order":      {Text: "HTTP/1.1 200 OK\r\n\r\n" + r.body[:cut], Ending: rawserver.Finish},
+				"by a reset":    {Text: "HTTP/1.1 200 OK\r\n\r\n" + r.body[:cut], Ending: rawserver.Reset, Pause: time.Millisecond},
+			} {
+				if err := play(t, r, answer); err == nil || isKnown(err) {
+					t.Errorf("%s, cut %s to %q: error %v", name, how, r.body[:cut], err)
+				}
+			}
+		}
+	}
+}
+
 // Checks that answers that HTTP allows are taken, however rare. Entry hosts say where each answer
 // ends.
 func TestUnusualAnswers(t *testing.T) {
--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -256,7 +256,14 @@
 	if status != http.StatusOK {
 		return false, k.unexpected(status, body)
 	}
-	return string(bytes.TrimSpace(body)) == "true", nil
+	switch string(bytes.TrimSpace(body)) {
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	}
+	bad := &StatusError{Status: status, Body: "neither true nor false"}
+	return false, k.fail(k.lostCode(bad), bad)
 }
 
 // sessionBody is a lease in the service's JSON.
