An answer without framing that is broken off ends by a reset

What callers would see: a caller of HTTP/1.0 gets a streamed answer, whose server breaks off in its middle, or whose gateway ends, as a whole one. Such an answer has no chunks, and its connection was closed in order.

Cause: the connection of a caller was only closed. With a length or chunks that shows; without, it is the end.

Fix: from the start of such an answer to its end the connection is set to reset when it is closed, by whomever: also if the process is killed. A whole one still ends in order.

--- a/internal/adapter/callerconn/exchange.go
+++ b/internal/adapter/callerconn/exchange.go
@@ -243,6 +243,9 @@
 		if x.chunked {
 			return x.raw([]byte("0\r\n\r\n"))
 		}
+		if x.unframed() {
+			x.c.resetAtClose(false)
+		}
 		return x.lengthError()
 	}
 	if err := x.lengthError(); err != nil {
@@ -275,6 +278,11 @@
 			x.chunked = x.r.ProtoAtLeast(1, 1)
 		}
 	}
+	if x.unframed() {
+		// Until the answer is whole, its end must not look like that of a whole one, even if the
+		// process is killed.
+		x.c.resetAtClose(true)
+	}
 	must := x.mustClose()
 	x.last = (must || x.wantsClose()) && x.c.claimLast(x, must)
 	head := heldPool.Get().(*bytes.Buffer)
@@ -299,10 +307,12 @@
 	return x.raw(head.Bytes())
 }
 
+// unframed reports whether only the end of the connection ends an answer that has started.
+func (x *exchange) unframed() bool { return x.size < 0 && !x.chunked && !x.bodyless() }
+
 // mustClose reports whether the connection cannot be used after this answer.
 func (x *exchange) mustClose() bool {
-	unframed := x.size < 0 && !x.chunked && !x.bodyless()
-	return unframed || x.r.Close || !x.r.ProtoAtLeast(1, 1) || x.body != nil && x.body.failed
+	return x.unframed() || x.r.Close || !x.r.ProtoAtLeast(1, 1) || x.body != nil && x.body.failed
 }
 
 // wantsClose reports whether the connection is better not used after this answer.
--- a/internal/adapter/callerconn/room.go
+++ b/internal/adapter/callerconn/room.go
@@ -263,8 +263,15 @@
 
 // dropUnsent has the kernel drop what the caller does not take once the connection is closed. It
 // keeps that for minutes else.
-func (c *conn) dropUnsent() {
-	if t, ok := c.nc.(interface{ SetLinger(int) error }); ok && t.SetLinger(0) != nil {
+func (c *conn) dropUnsent() { c.resetAtClose(true) }
+
+// resetAtClose sets whether closing the connection resets it, by whomever it is closed.
+func (c *conn) resetAtClose(on bool) {
+	seconds := -1
+	if on {
+		seconds = 0
+	}
+	if t, ok := c.nc.(interface{ SetLinger(int) error }); ok && t.SetLinger(seconds) != nil {
 		// The connection is closed already.
 		return
 	}
