Statuses that are none are refused by every client

What callers would see: an entry host's answer with status 000, 007, 099 or 101 is given to the caller as done; a write of the key-value service with such a status counts as one that had no effect.

Fix: httpclient refuses them and closes the connection, in one place for all; the check of backendhttp is gone, and a caller's package looks at the status whatever client it was given.

--- a/client/send.go
+++ b/client/send.go
@@ -51,7 +51,7 @@
 // readAll reads the body of an entry host's answer.
 func readAll(resp *http.Response, limit int64) ([]byte, error) {
 	defer resp.Body.Close()
-	if err := httpclient.CheckFramed(resp); err != nil {
+	if err := httpclient.CheckResponse(resp); err != nil {
 		return nil, err
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
--- a/internal/adapter/backendhttp/client.go
+++ b/internal/adapter/backendhttp/client.go
@@ -119,11 +119,6 @@
 		return nil, failure(ctx, address, x.abandon(), err)
 	}
 	defer resp.Body.Close()
-	if !port.IsFinalStatus(resp.StatusCode) {
-		room.free()
-		x.abandon()
-		return nil, statusError(address, resp)
-	}
 	refusal := shed(address, resp)
 	a, err := read(ctx, address, r, resp, &room)
 	if err != nil {
@@ -149,10 +144,6 @@
 		return nil, failure(ctx, address, false, err)
 	}
 	defer resp.Body.Close()
-	if !port.IsFinalStatus(resp.StatusCode) {
-		x.abandon()
-		return nil, statusError(address, resp)
-	}
 	if got := resp.Header.Get(HeaderRequestID); got != "" {
 		// An answer to a request, which comes late; that to the check is still due.
 		x.abandon()
@@ -230,12 +221,6 @@
 	return &port.BackendError{Code: code, Address: address, Sent: sent, Err: err}
 }
 
-// statusError returns the failure of an exchange whose answer has a status that is none of a final
-// answer. The server may have run the request.
-func statusError(address string, resp *http.Response) error {
-	return &port.BackendError{Code: port.BackendBroken, Address: address, Sent: true, Err: &port.StatusError{Status: resp.StatusCode}}
-}
-
 // MismatchError is an answer that names another request.
 type MismatchError struct{ Want, Got string }
 
--- a/internal/adapter/broken_test.go
+++ b/internal/adapter/broken_test.go
@@ -156,6 +156,21 @@
 	}
 }
 
+// Guards against a status that HTTP does not have and that a caller gets as an answer.
+func TestStatusesThatAreNone(t *testing.T) {
+	for _, status := range []int{0, 7, 99, http.StatusSwitchingProtocols} {
+		text := fmt.Sprintf("HTTP/1.1 %03d X\r\n%s: done\r\nContent-Length: 0\r\n\r\n", status, api.HeaderOutcome)
+		checkNoAnswer(t, fmt.Sprintf("status %03d", status), rawserver.Response{Text: text, Ending: rawserver.Finish}, nil, 1)
+		for name, r := range readers() {
+			err := play(t, r, rawserver.Response{Text: text, Ending: rawserver.Finish})
+			isWrite := name == "store, a write" || name == "store, a delete" || name == "store, a lock"
+			if err == nil || isKnown(err) || isWrite && !port.IsStoreCode(err, port.StoreUnknown) {
+				t.Errorf("%s, status %03d: error %v", name, status, err)
+			}
+		}
+	}
+}
+
 // checkNoAnswer has a caller send a body of size bytes to an entry host that gives a broken answer:
 // it must be told that its request may have run.
 func checkNoAnswer(t *testing.T, fault string, answer rawserver.Response, h *http.Client, size int) {
--- a/internal/adapter/httpclient/client.go
+++ b/internal/adapter/httpclient/client.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 
 	"cassiatray/internal/adapter/headlimit"
+	"cassiatray/internal/port"
 )
 
 // Default is a client with the settings of http.DefaultClient.
@@ -47,22 +48,32 @@
 
 // RoundTrip implements http.RoundTripper.
 //
-// Errors: those of http.Transport, which wrap *headlimit.MalformedError.
+// Errors: *port.StatusError, and those of http.Transport, which wrap *headlimit.MalformedError.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	ctx := req.Context()
 	got, _ := ctx.Value(gotConnKey{}).(func(net.Conn))
+	var nc net.Conn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(expecter); ok {
+		nc = info.Conn
+		if c, ok := nc.(expecter); ok {
 			c.ExpectResponse()
 		}
 		if got != nil {
-			got(info.Conn)
+			got(nc)
 		}
 	}})
 	resp, err := t.Transport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
+	if !port.IsFinalStatus(resp.StatusCode) {
+		resp.Body.Close()
+		if nc != nil {
+			// What follows on it cannot be told apart.
+			nc.Close()
+		}
+		return nil, &port.StatusError{Status: resp.StatusCode}
+	}
 	headlimit.CheckTrailer(resp)
 	return resp, nil
 }
@@ -72,11 +83,14 @@
 
 func (e *UnframedError) Error() string { return fmt.Sprintf("response %d without a length", e.Status) }
 
-// CheckFramed checks a response of a process of this system, whatever client read it: all of these
-// say where they end, in messages with valid names of fields.
+// CheckResponse checks a response of a process of this system, whatever client read it: all of these
+// have a final status and say where they end, and their fields have valid names.
 //
-// Errors: *UnframedError, *headlimit.MalformedError.
-func CheckFramed(resp *http.Response) error {
+// Errors: *port.StatusError, *UnframedError, *headlimit.MalformedError.
+func CheckResponse(resp *http.Response) error {
+	if !port.IsFinalStatus(resp.StatusCode) {
+		return &port.StatusError{Status: resp.StatusCode}
+	}
 	if resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
 		return &UnframedError{Status: resp.StatusCode}
 	}
--- a/internal/ctl/fetch.go
+++ b/internal/ctl/fetch.go
@@ -55,7 +55,7 @@
 		return nil, &HostError{Address: address, Err: err}
 	}
 	defer resp.Body.Close()
-	if err := httpclient.CheckFramed(resp); err != nil {
+	if err := httpclient.CheckResponse(resp); err != nil {
 		return nil, &HostError{Address: address, Err: err}
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
