Logs and metrics tell which configuration a request was sent under, and when it came

Gauges tell the version in force, since when, and how old its record was by then; counters the pulls by result. Attempts in the line of a request have the version in force, if it is a later one, and the server's region, if it is another. The reports of one message share a line of the log.

--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -36,8 +36,13 @@
 	// free slot.
 	OtherRoom bool `json:"other_room,omitempty"`
 	// Limit is the rate that the server named before the request was sent.
-	Limit  float64 `json:"limit,omitempty"`
-	Status int     `json:"status,omitempty"`
+	Limit float64 `json:"limit,omitempty"`
+	// Region is the server's, if it is not the gateway's own.
+	Region string `json:"region,omitempty"`
+	// Version is that of the configuration in force when the attempt began, if it is not the one
+	// that the request was matched under.
+	Version uint64 `json:"version,omitempty"`
+	Status  int    `json:"status,omitempty"`
 	// Code classifies the error of an attempt that got no response.
 	Code  port.BackendCode `json:"code,omitempty"`
 	Error string           `json:"error,omitempty"`
@@ -100,7 +105,9 @@
 	to          sending
 	started     runningRequest
 	ownRequests int
-	forward     *port.ForwardRequest
+	// version is that of the configuration in force, if it is not the request's.
+	version uint64
+	forward *port.ForwardRequest
 	// ctx ends with the caller, if the request may be cancelled, with the time that a response is
 	// waited for, and by cancel.
 	ctx    context.Context
@@ -138,8 +145,12 @@
 	told := max(minTimeLeft/2, left-n.answerDelayFrom(s))
 	n.dialect.Forward(forward.Header, told, rec.ID)
 	started, ownRequests := s.startRequest(req.objectHash, time.Now())
+	version := n.keeper.configVersion()
+	if version == req.view.config.Version {
+		version = 0
+	}
 	return outgoing{
-		candidate: c, to: sending{server: s, at: started.at, until: started.at.Add(told)}, started: started, ownRequests: ownRequests,
+		candidate: c, version: version, to: sending{server: s, at: started.at, until: started.at.Add(told)}, started: started, ownRequests: ownRequests,
 		forward: forward, ctx: ctx, cancel: cancel,
 	}
 }
@@ -158,9 +169,13 @@
 }
 
 // describe completes what the log tells of an attempt that took some time.
-func (o *outgoing) describe(result attempt, took time.Duration) attempt {
+func (n *Node) describe(o *outgoing, result attempt, took time.Duration) attempt {
 	result.Server, result.Rank, result.Requests, result.WaitMS = o.server.rec().ID, o.rank, o.load, o.wait.Milliseconds()
 	result.Pace, result.ReportAgeMS, result.OtherRoom = o.pace, o.reportAge.Milliseconds(), o.otherRoom
+	result.Version = o.version
+	if o.server.region != n.cfg.Region {
+		result.Region = o.server.region
+	}
 	result.ColdMS, result.Limit, result.MS = o.coldFor.Milliseconds(), o.limit.Rate, took.Milliseconds()
 	return result
 }
@@ -169,7 +184,7 @@
 func (n *Node) finishAttempt(req *inflightRequest, o *outgoing, a *port.ForwardAnswer, took time.Duration, err error, result attempt) {
 	s, to, started := o.server, o.to, o.started
 	rec := s.rec()
-	result = o.describe(result, took)
+	result = n.describe(o, result, took)
 	result.RunMS = n.serviceTimes.expectedRun(req.route, started.warm).Milliseconds()
 	if err != nil {
 		result.Error, result.Code = err.Error(), codeOf(err)
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -179,6 +179,7 @@
 	}
 	sent := time.Now()
 	reply, err := s.pool.Call(ctx, m.Address, &peerv1.Request{Body: &peerv1.Request_MirrorPull{MirrorPull: pull}})
+	s.metrics.pulled(time.Since(sent), err)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/gateway/hedgepair.go
+++ b/internal/daemon/gateway/hedgepair.go
@@ -242,7 +242,7 @@
 	}
 	req.tries++
 	req.runs++
-	req.attempts = append(req.attempts, p.describe(attempt{Hedge: p.isHedge, Lost: true, Code: port.BackendCanceled}, took))
+	req.attempts = append(req.attempts, n.describe(&p.outgoing, attempt{Hedge: p.isHedge, Lost: true, Code: port.BackendCanceled}, took))
 	n.metrics.lostAttempt(req.service, p.limit.Named)
 }
 
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -73,6 +73,8 @@
 	// configRecord is the record of the configuration in force.
 	config       *routing.Config
 	configRecord mirror.Record
+	// taken tells of the configuration in force.
+	taken configTaken
 	// configSince is when the process first had a configuration, pageTaken whether a peer has
 	// said which one is in force there.
 	configSince time.Time
@@ -221,6 +223,21 @@
 	return 0
 }
 
+// configTaken tells when a configuration came into force at this gateway.
+type configTaken struct {
+	version uint64
+	at      time.Time
+	// age is the time since a gateway read the record from the store.
+	age time.Duration
+}
+
+// configTaken returns what there is to tell of the configuration in force.
+func (k *Keeper) configTaken() configTaken {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.taken
+}
+
 // Synced returns when the mirror last equalled the store.
 func (k *Keeper) Synced() time.Time {
 	k.mu.Lock()
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"strconv"
 	"time"
 
@@ -40,6 +41,9 @@
 	customers *customerCounters
 	// processChecks are those of watchProcess.
 	processChecks *prometheus.CounterVec
+	// pulls are the pulls from other gateways by result, pullSeconds how long the answered ones took.
+	pulls       *prometheus.CounterVec
+	pullSeconds prometheus.Histogram
 }
 
 // latencyBuckets cover the latencies that routes aim for, in seconds.
@@ -112,6 +116,13 @@
 	m.quotaAsks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_quota_asks_total", Help: "Asks to issuers of customers' quotas, by result: ok, refused or unreachable.",
 	}, []string{"result"})
+	m.pulls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cassiatray_gateway_pulls_total", Help: "Pulls from other gateways by result: ok, or the class of the failure.",
+	}, []string{"result"})
+	m.pullSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "cassiatray_gateway_pull_seconds", Help: "Time from a pull to its answer, with the wait for news.", Buckets: latencyBuckets,
+	})
+	reg.MustRegister(m.pulls, m.pullSeconds)
 	reg.MustRegister(m.ejections, m.full, m.quotaDecisions, m.quotaAsks, m.hedges, m.unhedged)
 	m.customers = newCustomerCounters()
 	reg.MustRegister(m.customers.requests, m.processChecks, m.requests, m.latency, m.attempts, m.server, m.calls, m.checks, m.opened, m.limited, m.permits, m.signals, m.unknown, m.relays, m.relayed, m.trials)
@@ -162,6 +173,39 @@
 	m.calls.WithLabelValues(kind, result).Inc()
 }
 
+// pulled counts a pull that took some time.
+func (m *Metrics) pulled(took time.Duration, err error) {
+	var pe *port.PeerError
+	switch {
+	case err == nil:
+		m.pulls.WithLabelValues("ok").Inc()
+		m.pullSeconds.Observe(took.Seconds())
+	case errors.As(err, &pe):
+		m.pulls.WithLabelValues(string(pe.Code)).Inc()
+	default:
+		m.pulls.WithLabelValues("error").Inc()
+	}
+}
+
+// configGauges tell which version of the configuration is in force, since when, and how long it
+// took from the store's word to here.
+func configGauges(k *Keeper) []prometheus.Collector {
+	gauge := func(name, help string, value func(configTaken) float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return value(k.configTaken()) })
+	}
+	return []prometheus.Collector{
+		gauge("cassiatray_config_version", "Version of the configuration in force; 0 for none.", func(c configTaken) float64 { return float64(c.version) }),
+		gauge("cassiatray_config_in_force_seconds", "Time since the configuration came into force here.", func(c configTaken) float64 {
+			if c.at.IsZero() {
+				return 0
+			}
+			return time.Since(c.at).Seconds()
+		}),
+		gauge("cassiatray_config_age_at_start_seconds", "Age of the configuration's record when it came into force here: time since a gateway read it from the store.",
+			func(c configTaken) float64 { return c.age.Seconds() }),
+	}
+}
+
 // downGauges tell how many servers count as unreachable, by where that is known from.
 func downGauges(k *Keeper) []prometheus.Collector {
 	gauge := func(source string, counts func(*fleet.Health) bool) prometheus.Collector {
--- a/internal/daemon/gateway/module.go
+++ b/internal/daemon/gateway/module.go
@@ -166,6 +166,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	reg.MustRegister(downGauges(k)...)
+	reg.MustRegister(configGauges(k)...)
 	reg.MustRegister(linksGauge(n), customersGauge(k))
 	closed := memory.NewClosings("gateway", logging.Part(log, "caller"))
 	callers := newCallerServer(n, closed, logging.Part(log, "caller"))
--- a/internal/daemon/gateway/records.go
+++ b/internal/daemon/gateway/records.go
@@ -39,7 +39,7 @@
 	delete(k.lapsed, r.Key)
 	switch kind {
 	case port.RecordConfig:
-		k.takeConfig(r, fields)
+		k.takeConfig(r, fields, now)
 	case port.RecordEvacuation:
 		if k.isMissingInCopy(r) {
 			k.lapse(r, restoreSettle, fields, now)
@@ -79,7 +79,7 @@
 	}
 }
 
-func (k *Keeper) takeConfig(r mirror.Record, fields logrus.Fields) {
+func (k *Keeper) takeConfig(r mirror.Record, fields logrus.Fields, now time.Time) {
 	if r.Deleted {
 		k.log.WithFields(fields).Warn("Configuration removed; the last one stays in force.")
 		return
@@ -99,8 +99,13 @@
 		k.log.WithFields(fields).WithField("version", c.Version).Warn("Configuration names no customers any more: callers need no keys.")
 	}
 	k.config, k.configRecord = c, r
+	k.taken = configTaken{version: c.Version, at: now, age: now.Sub(r.Read)}
 	k.splits, k.priorities = map[*routing.Route]*lockedSplit{}, c.Priorities()
+	homed := 0
 	c.EachRoute(func(route *routing.Route) {
+		if len(route.Homes) > 0 {
+			homed++
+		}
 		if len(route.Parts) > 1 {
 			k.splits[route] = &lockedSplit{split: routing.NewSplit(route.Parts)}
 		}
@@ -108,7 +113,7 @@
 	for _, warning := range c.Warnings {
 		k.log.WithFields(fields).WithField("version", c.Version).Warn("Configuration: " + warning)
 	}
-	k.log.WithFields(fields).WithFields(logrus.Fields{"version": c.Version, "routes": c.Routes(), "customers": c.CountCustomers()}).Info("Configuration in force.")
+	k.log.WithFields(fields).WithFields(logrus.Fields{"version": c.Version, "routes": c.Routes(), "homed_routes": homed, "customers": c.CountCustomers()}).Info("Configuration in force.")
 }
 
 func (k *Keeper) takeServer(id string, r mirror.Record, fields logrus.Fields, now time.Time) {
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"slices"
 	"strconv"
 	"time"
 
@@ -119,6 +120,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	news := false
+	var doubted doubtedServers
 	for _, r := range list {
 		rep := fleet.Report{
 			Origin: r.Origin, Number: r.Number, Server: r.Server, Request: string(r.Fingerprint), Proven: r.Proven, Trial: r.Trial, Cleared: r.Cleared,
@@ -145,19 +147,46 @@
 			continue
 		}
 		if s != nil && s.withHealth(func(h *fleet.Health) bool { return k.doubt(h, rep, now) }) {
-			k.log.WithFields(logrus.Fields{"server": r.Server, "source": r.Origin, "age_ms": now.Sub(rep.At).Milliseconds()}).
-				Info("Server reported unreachable.")
+			doubted.add(rep, now)
 		}
 		if rep.Request != "" {
 			k.logCrash(rep, r.Origin, nil)
 		}
 	}
+	doubted.log(k.log)
 	if news {
 		k.wake()
 		k.wakeTeller()
 	}
 }
 
+// maxLoggedServers bounds the servers that one line of the log names.
+const maxLoggedServers = 8
+
+// doubtedServers are the servers that a list of reports says could not be reached. They share a
+// line of the log: an outage brings hundreds of reports at once.
+type doubtedServers struct {
+	// servers are the first maxLoggedServers of them with the gateways that reported them.
+	servers []string
+	reports int
+	// oldest is the age of the oldest report.
+	oldest time.Duration
+}
+
+func (d *doubtedServers) add(rep fleet.Report, now time.Time) {
+	d.reports++
+	d.oldest = max(d.oldest, now.Sub(rep.At))
+	if named := rep.Server + " by " + rep.Origin; len(d.servers) < maxLoggedServers && !slices.Contains(d.servers, named) {
+		d.servers = append(d.servers, named)
+	}
+}
+
+func (d *doubtedServers) log(log *logrus.Entry) {
+	if d.reports > 0 {
+		log.WithFields(logrus.Fields{"servers": d.servers, "reports": d.reports, "oldest_ms": d.oldest.Milliseconds()}).Info("Servers reported unreachable.")
+	}
+}
+
 // doubt has a server doubted that another gateway could not reach. The caller holds k.mu.
 func (k *Keeper) doubt(h *fleet.Health, rep fleet.Report, now time.Time) bool {
 	if rep.Unanswered {
--- a/internal/daemon/gateway/restore.go
+++ b/internal/daemon/gateway/restore.go
@@ -123,7 +123,7 @@
 // the one here or there is none here. The caller holds k.mu.
 func (k *Keeper) takeLaterConfig(r mirror.Record, source string, now time.Time) {
 	held := k.config
-	k.takeConfig(r, logrus.Fields{"key": r.Key, "revision": r.Revision, "source": source, "age_ms": now.Sub(r.Read).Milliseconds()})
+	k.takeConfig(r, logrus.Fields{"key": r.Key, "revision": r.Revision, "source": source, "age_ms": now.Sub(r.Read).Milliseconds()}, now)
 	if k.config != held {
 		k.placementChanged = true
 		k.wake()
