Test: versions of a large configuration come into force in time

Cause: Syncer.pull gives a pull up after its wait and pullSlack, 1.5 s in all, whatever has come of the reply, and asks the next source, so that the same bytes are sent again. A configuration of 1 MB takes 0.8 s of the link of a small gateway and, for a region of 25, 1 s of its hub's: two replies at a time, and none of them comes in whole. Change: hosts of the test world may have links with rates. Replies of gateways and answers of the store pass them in chunks that take turns; a call that is given up has spent what was sent.

--- a/internal/daemon/gateway/fakestore_test.go
+++ b/internal/daemon/gateway/fakestore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"maps"
 	"strings"
@@ -156,6 +157,32 @@
 type storeClient struct {
 	*fakeStore
 	host string
+	// transfer moves an answer to the host.
+	transfer func(ctx context.Context, from, to string, size int, sent func(bytes int)) error
+}
+
+// Times after which a call counts as lost, as in the platform's client: what is added to a
+// watch's wait, and the time for a call that does not wait and for each further entry.
+const (
+	storeWatchSlack  = 700 * time.Millisecond
+	storeCallTimeout = 1500 * time.Millisecond
+)
+
+// storeSize returns the bytes of an entry in an answer, which has values in base64.
+func storeSize(e port.Entry) int { return len(e.Key) + base64.StdEncoding.EncodedLen(len(e.Value)) }
+
+// receive waits until the entries of an answer have come.
+func (c *storeClient) receive(ctx context.Context, op string, limit time.Duration, entries []port.Entry) error {
+	for _, e := range entries {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		err := c.transfer(ctx, "", c.host, storeSize(e), func(int) {})
+		cancel()
+		if err != nil {
+			return &port.StoreError{Code: port.StoreUnavailable, Op: op, Err: err}
+		}
+		limit = storeCallTimeout
+	}
+	return nil
 }
 
 func (c *storeClient) begin(ctx context.Context) error {
@@ -178,16 +205,22 @@
 	if err := c.begin(ctx); err != nil {
 		return port.Listing{}, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lists++
-	out := port.Listing{Revision: c.revision}
-	for k, e := range c.items {
+	out := c.list(prefix)
+	return out, c.receive(ctx, "list", storeCallTimeout, out.Entries)
+}
+
+// list returns the keys under a prefix.
+func (f *fakeStore) list(prefix string) port.Listing {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lists++
+	out := port.Listing{Revision: f.revision}
+	for k, e := range f.items {
 		if strings.HasPrefix(k, prefix) {
 			out.Entries = append(out.Entries, e)
 		}
 	}
-	return out, nil
+	return out
 }
 
 func (c *storeClient) ListStale(ctx context.Context, prefix string, page func()) (port.Listing, error) {
@@ -209,6 +242,7 @@
 	if err := c.begin(ctx); err != nil {
 		return port.Changes{}, err
 	}
+	began := time.Now()
 	var over <-chan time.Time
 	if wait > 0 {
 		timer := time.NewTimer(wait)
@@ -231,7 +265,11 @@
 		case compacted:
 			return port.Changes{}, &port.StoreError{Code: port.StoreCompacted, Op: "watch"}
 		case len(out.List) > 0 || wait <= 0:
-			return out, nil
+			entries := make([]port.Entry, 0, len(out.List))
+			for _, ch := range out.List {
+				entries = append(entries, ch.Entry)
+			}
+			return out, c.receive(ctx, "watch", max(0, wait)+storeWatchSlack-time.Since(began), entries)
 		}
 		select {
 		case <-changed:
--- a/internal/daemon/gateway/peers_test.go
+++ b/internal/daemon/gateway/peers_test.go
@@ -59,17 +59,31 @@
 	if err != nil {
 		return nil, &port.PeerError{Code: port.PeerRefused, Address: address, Sent: true, Err: err}
 	}
+	p.count(req, reply)
+	sent := func(bytes int) {
+		if req.GetMirrorPull() != nil {
+			p.w.mu.Lock()
+			defer p.w.mu.Unlock()
+			p.w.pullBytes += bytes
+		}
+	}
+	if err := p.w.transfer(ctx, to.cfg.Host, p.self, proto.Size(reply), sent); err != nil {
+		return nil, &port.PeerError{Code: port.PeerTimeout, Address: address, Sent: true, Err: err}
+	}
+	return reply, nil
+}
+
+// count counts an exchange; the bytes of a pull's reply are counted as they are sent.
+func (p *testPeers) count(req *peerv1.Request, reply *peerv1.Reply) {
 	p.w.mu.Lock()
 	defer p.w.mu.Unlock()
-	if req.GetQuotaAsk() != nil {
+	switch {
+	case req.GetQuotaAsk() != nil:
 		p.w.askBytes += proto.Size(reply)
+	case req.GetMirrorPull() != nil:
+		p.w.pulls++
+		p.w.pullBytes += proto.Size(req)
 	}
-	if req.GetMirrorPull() == nil {
-		return reply, nil
-	}
-	p.w.pulls++
-	p.w.pullBytes += proto.Size(req) + proto.Size(reply)
-	return reply, nil
 }
 
 // testStream is a two-way exchange between two gateways of a testCluster.
--- a/internal/daemon/gateway/world_test.go
+++ b/internal/daemon/gateway/world_test.go
@@ -61,12 +61,16 @@
 	latency time.Duration
 	// streams break off the two-way exchanges with the gateway at an address.
 	streams map[string][]context.CancelFunc
+	// links are those of hosts with limits.
+	links map[string]*hostLinks
+	// configure changes the settings of each gateway that is started; nil for none.
+	configure func(cfg *Settings)
 }
 
 var testDomains = []DomainRegion{{"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"b2", "b"}, {"c1", "c"}, {"c2", "c"}}
 
 func newTestCluster(t *testing.T) *testCluster {
-	return &testCluster{t: t, store: newFakeStore(), hosts: map[string]*testHost{}, partitioned: map[string]bool{}, silent: map[string]bool{}, noTrials: map[string]bool{}, numbers: map[string]int{}, streams: map[string][]context.CancelFunc{}}
+	return &testCluster{t: t, store: newFakeStore(), hosts: map[string]*testHost{}, partitioned: map[string]bool{}, silent: map[string]bool{}, noTrials: map[string]bool{}, numbers: map[string]int{}, streams: map[string][]context.CancelFunc{}, links: map[string]*hostLinks{}}
 }
 
 func testSettings(name, domain string, n int) *Settings {
@@ -87,11 +91,14 @@
 	}
 	cfg := testSettings(name, domain, w.numbers[name])
 	cfg.Seeds = w.seeds
+	if w.configure != nil {
+		w.configure(cfg)
+	}
 	log := logging.Discard()
 	k := NewKeeper(cfg, plainSchema{}, log)
 	peers, m := &testPeers{w: w, self: name}, NewMetrics(prometheus.NewRegistry())
 	s := NewSyncer(cfg, peer.Identity{Host: name, Incarnation: uint64(time.Now().UnixNano())}, k,
-		&storeClient{fakeStore: w.store, host: name}, plainSchema{}, peers, log, m)
+		&storeClient{fakeStore: w.store, host: name, transfer: w.transfer}, plainSchema{}, peers, log, m)
 	var servers forwardProber
 	if w.forwarder != nil {
 		servers = w.forwarder(name)
