Gateways send each other a configuration without what the receiver has of it

Cause: a hub sent the whole configuration to each gateway of its region, for each version anew. Two versions of a megabyte within 3.3 s fill the links of hubs and of small gateways; pulls are given up with most of their page received, and begun anew at the next source, so that links stay full.

A pull names the digest of the value that the puller has; the source sends the new one as a zstd frame with that value as its dictionary. A value is compared with its digest, and pulls ask for plain values for a while after one that does not come out. Builds that do not know the fields get plain values.

--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -159,6 +159,20 @@
 	return with[host]
 }
 
+// pullPlain has pulls ask for values as they are for a while.
+func (s *Syncer) pullPlain(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.plainUntil = now.Add(plainPulls)
+}
+
+// pullsPlain reports whether pulls ask for values as they are.
+func (s *Syncer) pullsPlain(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.plainUntil)
+}
+
 // pullOptions say what a pull waits for, and how long.
 type pullOptions struct {
 	wait         time.Duration
@@ -170,7 +184,7 @@
 	defer cancel()
 	pull := &peerv1.MirrorPull{
 		Have: s.keeper.Have(), WaitMicros: o.wait.Microseconds(), Self: s.self(), NoReports: with == nil, AwaitReports: o.awaitReports,
-		ConfigVersion: s.keeper.configVersion(), LagMicros: s.keeper.RecordLag(time.Now()).Microseconds(),
+		ConfigVersion: s.keeper.configVersion(), ReadsEncoded: !s.pullsPlain(time.Now()), ConfigDigest: []byte(s.keeper.configs.digest()), LagMicros: s.keeper.RecordLag(time.Now()).Microseconds(),
 	}
 	var told uint64
 	if with != nil {
@@ -188,6 +202,10 @@
 		return nil, &port.PeerError{Code: port.PeerMismatch, Address: m.Address, Sent: true}
 	}
 	addTransit(page, time.Since(sent))
+	if err := s.keeper.decodeConfig(page); err != nil {
+		s.pullPlain(time.Now())
+		return nil, &port.PeerError{Code: port.PeerMismatch, Address: m.Address, Sent: true, Err: err}
+	}
 	if with == nil {
 		return page, nil
 	}
--- a/internal/daemon/gateway/keeper.go
+++ b/internal/daemon/gateway/keeper.go
@@ -73,6 +73,8 @@
 	// configRecord is the record of the configuration in force.
 	config       *routing.Config
 	configRecord mirror.Record
+	// configs are the values of that record and of earlier ones.
+	configs configValues
 	// taken tells of the configuration in force.
 	taken configTaken
 	// configSince is when the process first had a configuration, pageTaken whether a peer has
--- a/internal/daemon/gateway/peers_test.go
+++ b/internal/daemon/gateway/peers_test.go
@@ -59,6 +59,9 @@
 	if err != nil {
 		return nil, &port.PeerError{Code: port.PeerRefused, Address: address, Sent: true, Err: err}
 	}
+	if page := reply.GetMirrorPage(); page != nil && p.w.onPage != nil {
+		p.w.onPage(page)
+	}
 	p.count(req, reply)
 	sent := func(bytes int) {
 		if req.GetMirrorPull() != nil {
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -30,6 +30,7 @@
 func (k *Keeper) Page(ctx context.Context, epoch uint64, req *peerv1.MirrorPull) *peerv1.MirrorPage {
 	began := time.Now()
 	page := k.awaitPage(ctx, epoch, req, began)
+	k.encodeConfig(page, req)
 	page.HeldMicros = max(1, time.Since(began).Microseconds())
 	return page
 }
--- a/internal/daemon/gateway/sync.go
+++ b/internal/daemon/gateway/sync.go
@@ -75,6 +75,8 @@
 
 	mu     sync.Mutex
 	failed map[string]time.Time
+	// plainUntil is until when pulls ask for values as they are: one could not be decoded.
+	plainUntil time.Time
 	// lease holds this gateway's record in the store, granted in leaseEra.
 	lease    port.LeaseID
 	leaseEra uint64
--- a/internal/daemon/gateway/world_test.go
+++ b/internal/daemon/gateway/world_test.go
@@ -20,6 +20,7 @@
 	"cassiatray/internal/core/routing"
 	"cassiatray/internal/logging"
 	"cassiatray/internal/port"
+	peerv1 "cassiatray/proto/peer/v1"
 )
 
 // testHost is one gateway of a testCluster.
@@ -61,6 +62,8 @@
 	latency time.Duration
 	// streams break off the two-way exchanges with the gateway at an address.
 	streams map[string][]context.CancelFunc
+	// onPage changes the pages that gateways get; nil for none.
+	onPage func(page *peerv1.MirrorPage)
 	// links are those of hosts with limits.
 	links map[string]*hostLinks
 	// configure changes the settings of each gateway that is started; nil for none.
