Pulls: a page that is coming in is not given up

After two large versions gateways on small links gave up pages that were coming in 1.5 s after they had asked, asked the next source, and got the same page from its beginning; their links stayed full. Encoded values make such pages rare; sources of other builds, and what cannot be made smaller, still send them.

Cause: a pull had one deadline, its wait and pullSlack, for the first byte and the last.

- port.WithProgress gives a call two bounds, until the first byte of the reply and between bytes after that; the deadline of the context bounds it as a whole.
The causes are typed (ErrNoReply, ErrStalled).
Pool.Call keeps them outside of the read: yamux holds a stream's lock while a frame is partly received, so that a read outlasts its deadline there.
Calls without the bounds are as before.
- The receiver is told the time until the first byte, as before.
It sends replies in pieces of 16 KiB, since the other side sees no part of a frame, and bounds each by writeTimeout and all by ReplyMost (13.4 s) where one deadline of 5 s held for the whole reply, less than 8 MiB take at 10 Mbit/s.
- Syncer.pull keeps wait + pullSlack for the first byte, then pullSlack between bytes, and wait + pullMost in all.
The time of a page on its way beyond pullSlack does not make its source count as lost, which would have sent the puller to the next one.
- The test world keeps to the same bounds.

--- a/internal/adapter/peer/limits.go
+++ b/internal/adapter/peer/limits.go
@@ -24,6 +24,11 @@
 	maxStreams = 512
 	// maxHeld bounds the requests that a server holds at once, in bytes.
 	maxHeld = 128 << 20
+	// slowestLink is the least bandwidth of a host's link, in bytes a second.
+	slowestLink = 10_000_000 / 8
+	// ReplyMost bounds how long a reply may take that keeps coming: two of MaxFrame at a time over
+	// one slowestLink.
+	ReplyMost = 2 * MaxFrame * time.Second / slowestLink
 )
 
 // SizeError is a frame over its limit, in bytes.
--- a/internal/adapter/peer/pool.go
+++ b/internal/adapter/peer/pool.go
@@ -217,6 +217,9 @@
 
 // Call implements port.PeerCaller.
 func (p *Pool) Call(ctx context.Context, address string, req *peerv1.Request) (*peerv1.Reply, error) {
+	if bounds, ok := port.ProgressOf(ctx); ok {
+		return p.callWithProgress(ctx, address, req, bounds)
+	}
 	stream, err := p.begin(ctx, address, req)
 	if err != nil {
 		return nil, err
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -26,7 +26,7 @@
 	// yet accepted.
 	streamBacklog = 256
 	// keepAlive is the interval of yamux pings; a peer that misses one for
-	// writeTimeout is cut.
+	// writeTimeout is cut. It also bounds how long a peer may take in nothing of a reply.
 	keepAlive    = 5 * time.Second
 	writeTimeout = 5 * time.Second
 	// firstFrameTimeout bounds how long a peer may take to send its request.
@@ -196,8 +196,7 @@
 		}
 		reply.ExchangeId = req.ExchangeId
 		reply.FromIncarnation = s.self.Incarnation
-		stream.SetWriteDeadline(time.Now().Add(writeTimeout))
-		return writeFrame(stream, reply)
+		return writeFrame(newReplyWriter(stream), reply)
 	}
 	if req.GetRelayOffer() != nil {
 		if err := s.serveStream(ctx, cancel, mux, stream, r, req); err != nil {
--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -44,7 +44,7 @@
 		if !await && (rank > 0 || time.Since(s.keeper.Synced()) > times.staleSource || s.keeper.AwaitsPeer(time.Now())) {
 			wait = 0
 		}
-		page, err := s.pull(ctx, m, pullOptions{wait: wait, awaitReports: await}, with)
+		got, err := s.pull(ctx, m, pullOptions{wait: wait, awaitReports: await}, with)
 		if ctx.Err() != nil {
 			return
 		}
@@ -55,8 +55,8 @@
 			sleep.For(ctx, seekPause)
 			continue
 		}
-		s.keeper.TakePage(page, m.Host, time.Now())
-		if page.AgeMicros < 0 || time.Duration(page.AgeMicros)*time.Microsecond > times.staleSource {
+		s.keeper.TakePage(got.page, m.Host, time.Now())
+		if got.stale(times) {
 			// The source lost the store, too; another may still have it.
 			s.fail(m.Host)
 			pause := times.seekAfter(stale, len(order))
@@ -179,9 +179,26 @@
 	awaitReports bool
 }
 
-func (s *Syncer) pull(ctx context.Context, m mirror.Member, o pullOptions, with *exchanged) (*peerv1.MirrorPage, error) {
-	ctx, cancel := context.WithTimeout(ctx, o.wait+s.times.Load().pullSlack)
+// pulled is the answer of a pull.
+type pulled struct {
+	// page has the time that it was on its way in its ages.
+	page *peerv1.MirrorPage
+	// transit is that time.
+	transit time.Duration
+}
+
+// stale reports whether the source has lost the store. A page that was on its way for longer than
+// pullSlack was a large one, which says nothing about its source.
+func (p *pulled) stale(t *timing) bool {
+	age := time.Duration(p.page.AgeMicros) * time.Microsecond
+	return age < 0 || age-max(0, p.transit-t.pullSlack) > t.staleSource
+}
+
+func (s *Syncer) pull(ctx context.Context, m mirror.Member, o pullOptions, with *exchanged) (*pulled, error) {
+	slack := s.times.Load().pullSlack
+	ctx, cancel := context.WithTimeout(ctx, o.wait+pullMost)
 	defer cancel()
+	ctx = port.WithProgress(ctx, port.Progress{First: o.wait + slack, Stall: slack})
 	pull := &peerv1.MirrorPull{
 		Have: s.keeper.Have(), WaitMicros: o.wait.Microseconds(), Self: s.self(), NoReports: with == nil, AwaitReports: o.awaitReports,
 		ConfigVersion: s.keeper.configVersion(), ReadsEncoded: !s.pullsPlain(time.Now()), ConfigDigest: []byte(s.keeper.configs.digest()), LagMicros: s.keeper.RecordLag(time.Now()).Microseconds(),
@@ -201,18 +218,18 @@
 	if page == nil {
 		return nil, &port.PeerError{Code: port.PeerMismatch, Address: m.Address, Sent: true}
 	}
-	addTransit(page, time.Since(sent))
+	got := &pulled{page: page, transit: addTransit(page, time.Since(sent))}
 	if err := s.keeper.decodeConfig(page); err != nil {
 		s.pullPlain(time.Now())
 		return nil, &port.PeerError{Code: port.PeerMismatch, Address: m.Address, Sent: true, Err: err}
 	}
 	if with == nil {
-		return page, nil
+		return got, nil
 	}
 	if with.epoch != 0 && with.epoch != page.ReportsEpoch {
 		// The source started anew and knows none of what it was told.
 		told = 0
 	}
 	with.told, with.from, with.epoch = told, page.ReportsNext, page.ReportsEpoch
-	return page, nil
+	return got, nil
 }
--- a/internal/daemon/gateway/largeconfig_test.go
+++ b/internal/daemon/gateway/largeconfig_test.go
@@ -184,11 +184,12 @@
 	report("version %d: in force later than %v at %d of %d gateways, the last of them after %v; not in force at %d by the end", v.version, configBound, late, len(w.hosts), latest.Round(observeEvery), missing)
 }
 
-// playLargeVersions has a large version and a small change of it come into force. It returns
-// after observeTime.
-func playLargeVersions(t *testing.T, fn func(w *testCluster, versions []*versionTimes)) {
+// playLargeVersions has a large version and a small change of it come into force. Plain has
+// gateways send each other values as they are. It returns after observeTime.
+func playLargeVersions(t *testing.T, plain bool, fn func(w *testCluster, versions []*versionTimes)) {
 	synctest.Test(t, func(t *testing.T) {
 		w, c := newTestCluster(t), newLargeConfig()
+		w.plainPages = plain
 		c.grow(firstRoutes)
 		c.write(w)
 		for _, d := range testDomains {
@@ -225,7 +226,17 @@
 // Guards against versions of a large configuration that come into force late, since pulls are
 // given up while their replies are under way and the same bytes are sent again.
 func TestLargeConfigurationsComeIntoForceInTime(t *testing.T) {
-	playLargeVersions(t, func(w *testCluster, versions []*versionTimes) {
+	playLargeVersions(t, false, func(w *testCluster, versions []*versionTimes) {
+		for _, v := range versions {
+			v.check(w)
+		}
+	})
+}
+
+// Guards against versions of a large configuration that come late, or never, to gateways whose
+// sources send it whole, since pulls are given up while it is under way.
+func TestLargePlainConfigurationsComeIntoForceInTime(t *testing.T) {
+	playLargeVersions(t, true, func(w *testCluster, versions []*versionTimes) {
 		for _, v := range versions {
 			v.check(w)
 		}
@@ -237,7 +248,7 @@
 func TestLateVersionsDoNotKeepLinksFull(t *testing.T) {
 	// controlBytes is what a daemon may spend on control, in bytes a second.
 	const controlBytes = 16_000
-	playLargeVersions(t, func(w *testCluster, versions []*versionTimes) {
+	playLargeVersions(t, false, func(w *testCluster, versions []*versionTimes) {
 		bytes, pulls := w.traffic(quietSpan)
 		last := versions[len(versions)-1]
 		if n := w.inForce(last.version); n != len(w.hosts) {
--- a/internal/daemon/gateway/linkrates_test.go
+++ b/internal/daemon/gateway/linkrates_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"time"
 
+	"cassiatray/internal/port"
 	"cassiatray/internal/sleep"
 )
 
@@ -95,17 +97,29 @@
 	return receive(ctx, chunks)
 }
 
-// receive waits for the chunks of a message, whose times of arrival are sent on a channel.
+// receive waits for the chunks of a message, whose times of arrival are sent on a channel. With
+// bounds on its progress it fails once none has come for their Stall.
 func receive(ctx context.Context, chunks <-chan time.Time) error {
+	bounds, bounded := port.ProgressOf(ctx)
 	for {
+		var stalled <-chan time.Time
+		if bounded {
+			stalled = time.After(bounds.Stall)
+		}
 		select {
 		case at, more := <-chunks:
 			if !more {
 				return ctx.Err()
 			}
+			if bounded && time.Until(at) > bounds.Stall {
+				sleep.For(ctx, bounds.Stall)
+				return cmp.Or(ctx.Err(), error(port.ErrStalled))
+			}
 			if !sleep.For(ctx, time.Until(at)) {
 				return ctx.Err()
 			}
+		case <-stalled:
+			return port.ErrStalled
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/daemon/gateway/peers_test.go
+++ b/internal/daemon/gateway/peers_test.go
@@ -40,9 +40,15 @@
 	if err != nil {
 		return nil, err
 	}
+	awaiting := ctx
+	if bounds, ok := port.ProgressOf(ctx); ok {
+		var cancel context.CancelFunc
+		awaiting, cancel = context.WithTimeout(ctx, bounds.First)
+		defer cancel()
+	}
 	if silent {
-		<-ctx.Done()
-		return nil, &port.PeerError{Code: port.PeerTimeout, Address: address, Sent: true, Err: ctx.Err()}
+		<-awaiting.Done()
+		return nil, &port.PeerError{Code: port.PeerTimeout, Address: address, Sent: true, Err: awaiting.Err()}
 	}
 	if req.GetQuotaAsk() != nil {
 		p.w.mu.Lock()
@@ -53,8 +59,11 @@
 	// Cloned, since the caller may change the request later.
 	req = proto.CloneOf(req)
 	req.FromHost = p.self
+	if pull := req.GetMirrorPull(); pull != nil && p.w.plainPages {
+		pull.ReadsEncoded = false
+	}
 	time.Sleep(p.w.latency)
-	reply, err := (&exchanges{node: to.node, epoch: to.syncer.identity.Incarnation}).Serve(ctx, req)
+	reply, err := (&exchanges{node: to.node, epoch: to.syncer.identity.Incarnation}).Serve(awaiting, req)
 	time.Sleep(p.w.latency)
 	if err != nil {
 		return nil, &port.PeerError{Code: port.PeerRefused, Address: address, Sent: true, Err: err}
--- a/internal/daemon/gateway/pull.go
+++ b/internal/daemon/gateway/pull.go
@@ -125,11 +125,11 @@
 
 // addTransit adds to the ages in a page, which came after some time, what it spent on the way:
 // without that, gateways that pull from each other in a circle would take what they know for
-// newer at each turn.
-func addTransit(page *peerv1.MirrorPage, took time.Duration) {
+// newer at each turn. It returns that time, which is 0 if it is not known.
+func addTransit(page *peerv1.MirrorPage, took time.Duration) time.Duration {
 	transit := took.Microseconds() - page.HeldMicros
 	if page.HeldMicros <= 0 || transit <= 0 {
-		return
+		return 0
 	}
 	if page.AgeMicros >= 0 {
 		page.AgeMicros += transit
@@ -137,6 +137,7 @@
 	for i := range page.HeardAgeMicros {
 		page.HeardAgeMicros[i] += transit
 	}
+	return time.Duration(transit) * time.Microsecond
 }
 
 // TakePage takes in the answer of a pull.
--- a/internal/daemon/gateway/tell.go
+++ b/internal/daemon/gateway/tell.go
@@ -32,11 +32,11 @@
 			continue
 		}
 		m := steady[0]
-		page, err := s.pull(ctx, m, pullOptions{}, exchangedWith(cursors, m.Host, steady[:1]))
+		got, err := s.pull(ctx, m, pullOptions{}, exchangedWith(cursors, m.Host, steady[:1]))
 		if err != nil {
 			s.log.WithError(err).WithField("peer", m.Host).Debug("Source not told of reports; the next pull tells it.")
 			continue
 		}
-		s.keeper.TakePage(page, m.Host, time.Now())
+		s.keeper.TakePage(got.page, m.Host, time.Now())
 	}
 }
--- a/internal/daemon/gateway/timing.go
+++ b/internal/daemon/gateway/timing.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"cassiatray/internal/adapter/peer"
+)
 
 // timing holds the times of the exchange with the store and with peers that
 // follow from the operators' bounds on how soon a change must count everywhere.
@@ -18,7 +22,8 @@
 	// pullWait is how long the first source may keep a pull waiting, and
 	// spareEvery how often the second is asked.
 	pullWait, spareEvery time.Duration
-	// pullSlack is added to a pull's wait before its source counts as failed.
+	// pullSlack is added to a pull's wait before its source counts as failed, unless its page has
+	// begun to come. From then on it is how long nothing of the page may come.
 	pullSlack time.Duration
 	// seekSlowly is the pause between sources when the store seems to be away
 	// for all of them.
@@ -32,6 +37,9 @@
 	// shortestBound is the least bound that can be kept: two round trips between
 	// regions, and the least time between two watches.
 	shortestBound = 600 * time.Millisecond
+	// pullMost is added to a pull's wait before a page that still comes is given up: the time of
+	// a page of peer.MaxFrame from each of the two sources at once.
+	pullMost = peer.ReplyMost
 )
 
 // newTiming lays out the times for the shortest bound.
--- a/internal/daemon/gateway/world_test.go
+++ b/internal/daemon/gateway/world_test.go
@@ -64,6 +64,8 @@
 	streams map[string][]context.CancelFunc
 	// onPage changes the pages that gateways get; nil for none.
 	onPage func(page *peerv1.MirrorPage)
+	// plainPages has pages carry values as they are, as those of builds that encode none.
+	plainPages bool
 	// links are those of hosts with limits.
 	links map[string]*hostLinks
 	// configure changes the settings of each gateway that is started; nil for none.
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -13,7 +13,8 @@
 //
 // Errors: *PeerError.
 type PeerCaller interface {
-	// Call sends one request and returns its one reply.
+	// Call sends one request and returns its one reply, within the deadline of the context and the
+	// bounds of WithProgress.
 	Call(ctx context.Context, address string, req *peerv1.Request) (*peerv1.Reply, error)
 	// Follow sends one request and passes each reply to fn until the stream
 	// ends, the context ends or fn fails.
@@ -104,6 +105,42 @@
 
 func (f sessionFault) Error() string { return string(f) }
 
+// Progress bounds a call by how its reply comes in, in place of one time for all of it. The
+// deadline of the call's context bounds it as a whole.
+type Progress struct {
+	// First is how long after the start of the call the first byte of the reply may come. The
+	// receiver is told that it has this long to answer. It is positive.
+	First time.Duration
+	// Stall is how long nothing of the reply may come once it has begun to. It is positive.
+	Stall time.Duration
+}
+
+// Causes of a PeerError with code PeerTimeout that ends a call with Progress.
+const (
+	// ErrNoReply means that no byte of the reply came within Progress.First.
+	ErrNoReply = progressFault("no reply in time")
+	// ErrStalled means that no byte of a reply that had begun came for Progress.Stall.
+	ErrStalled = progressFault("reply stalled")
+)
+
+type progressFault string
+
+func (f progressFault) Error() string { return string(f) }
+
+type progressKey struct{}
+
+// WithProgress returns a context for PeerCaller.Call with the bounds of p. A call that exceeds one
+// fails with a *PeerError of code PeerTimeout, whose cause is ErrNoReply or ErrStalled.
+func WithProgress(ctx context.Context, p Progress) context.Context {
+	return context.WithValue(ctx, progressKey{}, p)
+}
+
+// ProgressOf returns the bounds that a context was given by WithProgress, if any.
+func ProgressOf(ctx context.Context) (Progress, bool) {
+	p, ok := ctx.Value(progressKey{}).(Progress)
+	return p, ok
+}
+
 // NoEffect reports whether the receiver provably did nothing.
 func (e *PeerError) NoEffect() bool {
 	switch e.Code {
