--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -102,6 +102,9 @@
 	// BackendSuspect means that the request was refused, since servers that
 	// ran it crashed: nothing was sent.
 	BackendSuspect BackendCode = "suspect"
+	// BackendWithdrawn means that the request may not go to the server any more: nothing was
+	// sent (ForwardRequest.Admit).
+	BackendWithdrawn BackendCode = "withdrawn"
 )
 
 // BackendError is a failed request to a backend server.
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -30,6 +30,9 @@
 	// SameProcess asks for a BackendRestarted error in place of a new connection if the
 	// server closed all kept ones, as a process that ends does.
 	SameProcess bool
+	// Admit is called once there is a connection, right before the first byte is sent. Its error
+	// ends the exchange with BackendWithdrawn, and nothing is sent. Nil admits the request.
+	Admit func() error
 }
 
 // AnswerHolder decides how much of an answer is kept in memory.
