A request in hand keeps to the home regions in force

Cause: endUnadmitted took the customer from the configuration in force but left the route as matched at arrival, and allowsRegion asked that route; where no key is needed it did not look at the configuration at all.

Fix: what decides which servers may get a request (admission) is made anew by each later configuration, with a new match of host and path, also for relayed requests and where no key is needed. Service, kind, attempts, deadline, priority and stickiness stay those of the route at arrival. A request that matches no route any more keeps the homes matched last. Two tests of quotas name the field customer by its new place.

--- a/internal/daemon/gateway/callers.go
+++ b/internal/daemon/gateway/callers.go
@@ -93,6 +93,11 @@
 
 // matchRoute returns the route that matches the request, or nil.
 func matchRoute(c *routing.Config, r *http.Request) *routing.Route {
-	path, _, _ := strings.Cut(requestTarget(r), "?")
-	return c.Match(strings.ToLower(r.Host), path)
+	return matchTarget(c, r.Host, requestTarget(r))
+}
+
+// matchTarget is matchRoute for a host and a request target in origin form.
+func matchTarget(c *routing.Config, host, target string) *routing.Route {
+	path, _, _ := strings.Cut(target, "?")
+	return c.Match(strings.ToLower(host), path)
 }
--- a/internal/daemon/gateway/customer.go
+++ b/internal/daemon/gateway/customer.go
@@ -45,7 +45,7 @@
 		return true
 	}
 	now := time.Now()
-	req.customer = c.CustomerOf(req.caller.Key)
+	req.customer = c.CustomerOf(req.callerKey)
 	switch {
 	case !n.keeper.Settled(now):
 		// A process that has just started, or was paused, may know an earlier version only.
@@ -75,53 +75,29 @@
 	return req.customer != nil
 }
 
-// endUnadmitted ends a request that the configuration in force no longer admits: its key was
-// withdrawn after it was identified. Otherwise the customer is as in that configuration from here
-// on. It is called before each attempt.
-func (n *Node) endUnadmitted(w http.ResponseWriter, r *http.Request, req *inflightRequest) bool {
-	c := n.keeper.View().config
-	if c == req.admittedBy() {
-		return false
-	}
-	req.recheckedBy = c
-	if req.origin != "" {
-		// The origin alone knows the key, and whether one is needed.
-		if req.customer == nil || !c.HasCustomers() {
-			return false
-		}
-		if customer := c.Customer(req.customer.Name); customer != nil {
-			req.customer = customer
-			return false
-		}
-		n.writeFailure(w, req, reasonNoCustomer)
-		return true
-	}
-	route := matchRoute(c, r)
-	if route == nil {
-		route = req.route
-	}
-	if !needsKey(c, route, req.uri) {
-		req.customer = nil
-		return false
-	}
-	if customer := c.CustomerOf(req.caller.Key); customer != nil {
-		req.customer = customer
-		return false
+// readmit holds the request against the configuration in force, before each attempt. It returns why
+// that no longer admits the request, if so; otherwise the customer and the home regions are as in
+// that configuration from here on.
+func (n *Node) readmit(req *inflightRequest) string {
+	next, reason := req.admission.by(n.keeper.View().config)
+	if reason == "" {
+		req.admission = next
 	}
-	if req.mayHaveRun || req.fallbackAnswer != nil {
-		n.writeFailure(w, req, reasonWithdrawnKey)
-	} else {
-		n.writeError(w, req, http.StatusUnauthorized, reasonWithdrawnKey)
-	}
-	return true
+	return reason
 }
 
-// admittedBy returns the configuration that last admitted the request.
-func (req *inflightRequest) admittedBy() *routing.Config {
-	if req.recheckedBy != nil {
-		return req.recheckedBy
+// endUnadmitted is readmit, and ends a request that is no longer admitted. It reports whether it did.
+func (n *Node) endUnadmitted(w http.ResponseWriter, req *inflightRequest) bool {
+	reason := n.readmit(req)
+	switch {
+	case reason == "":
+		return false
+	case reason == reasonNoCustomer, req.mayHaveRun, req.fallbackAnswer != nil:
+		n.writeFailure(w, req, reason)
+	default:
+		n.writeError(w, req, http.StatusUnauthorized, reason)
 	}
-	return req.view.config
+	return true
 }
 
 // forwardedHeaders returns the headers of a caller's request that backend servers get. A key is
@@ -132,19 +108,6 @@
 	return h
 }
 
-// customerName returns the name of the request's customer; empty for none.
-func (req *inflightRequest) customerName() string {
-	if req.customer == nil {
-		return ""
-	}
-	return req.customer.Name
-}
-
-// allowsRegion reports whether servers of a region may serve the request.
-func (req *inflightRequest) allowsRegion(region string) bool {
-	return req.route.AllowsRegion(region) && req.customer.AllowsRegion(region)
-}
-
 // priority returns the request's priority; 0 is the highest.
 func (req *inflightRequest) priority() int {
 	if req.customer != nil && req.customer.Priority != nil {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -199,7 +199,7 @@
 		if !n.linksWhole() && n.mayRelay(req) && n.relay(w, r, req) {
 			return
 		}
-		if n.endUnadmitted(w, r, req) {
+		if n.endUnadmitted(w, req) {
 			return
 		}
 		// The current view may lack servers that were in the request's view.
--- a/internal/daemon/gateway/quota_test.go
+++ b/internal/daemon/gateway/quota_test.go
@@ -70,7 +70,7 @@
 func (h *testHost) admits(customer string) (bool, time.Duration) {
 	v := h.keeper.View()
 	r := httptest.NewRequest("GET", "http://h/get/", nil)
-	req := &inflightRequest{start: time.Now(), view: v, route: matchRoute(v.config, r), customer: v.config.Customer(customer)}
+	req := &inflightRequest{start: time.Now(), view: v, route: matchRoute(v.config, r), admission: admission{customer: v.config.Customer(customer)}}
 	return h.node.quotas.admit(h.node.ctx, req)
 }
 
--- a/internal/daemon/gateway/quotacost_test.go
+++ b/internal/daemon/gateway/quotacost_test.go
@@ -36,7 +36,7 @@
 					for _, h := range w.hosts {
 						v := h.keeper.View()
 						c := v.config.Customer(list[i].Name)
-						h.node.quotas.admit(context.Background(), &inflightRequest{view: v, route: &routing.Route{}, customer: c})
+						h.node.quotas.admit(context.Background(), &inflightRequest{view: v, route: &routing.Route{}, admission: admission{customer: c}})
 					}
 					time.Sleep(span / time.Duration(customers))
 				}
--- a/internal/daemon/gateway/relay.go
+++ b/internal/daemon/gateway/relay.go
@@ -87,7 +87,7 @@
 func (n *Node) relay(w http.ResponseWriter, r *http.Request, req *inflightRequest) bool {
 	tried := map[string]bool{}
 	for len(tried) < maxHelpers && time.Until(req.deadline) >= minTimeLeft {
-		if n.endUnadmitted(w, r, req) {
+		if n.endUnadmitted(w, req) {
 			return true
 		}
 		passed := n.relays.pausedNow(time.Now())
--- a/internal/daemon/gateway/relayed.go
+++ b/internal/daemon/gateway/relayed.go
@@ -171,6 +171,7 @@
 
 // prepareRelayed is prepare for a relayed request.
 func (n *Node) prepareRelayed(req *inflightRequest, r *http.Request, offer *peerv1.RelayOffer) {
+	req.setAdmission()
 	req.setDeadline()
 	if deadline, ok := r.Context().Deadline(); ok {
 		req.deadline = deadline.Add(-answerGrace - n.answerDelayTo(req))
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -22,16 +22,12 @@
 	start  time.Time
 	caller port.CallerMeta
 	view   *view
-	// uri is the request target in origin form.
-	uri    string
 	method string
-	route  *routing.Route
-	// customer is the one that the caller's key belongs to; nil if callers need no keys.
-	customer *routing.Customer
-	// recheckedBy is the later configuration that admitted the request again; nil if none did.
-	recheckedBy *routing.Config
-	service     string
-	objectHash  uint64
+	// route is the one that the request matched when it arrived.
+	route *routing.Route
+	admission
+	service    string
+	objectHash uint64
 	// isHead is set for HEAD requests, whose responses have no body.
 	isHead bool
 	// deadline is when the caller must have received a response.
@@ -50,8 +46,6 @@
 	secondChance map[*server]bool
 	attempts     []attempt
 	permitAsks   []permitAsk
-	// origin is the gateway that relays the request; empty for one of a caller.
-	origin string
 	// runs is how many servers may have run the request, maxRuns how many may. tries counts
 	// the attempts that this gateway made at servers, of at most maxTries.
 	runs, maxRuns, tries, maxTries int
@@ -109,19 +103,27 @@
 
 // newRequest returns the state of a request that arrives now.
 func (n *Node) newRequest(r *http.Request) *inflightRequest {
+	caller := n.dialect.Caller(r.Header)
 	return &inflightRequest{
-		start: time.Now(), caller: n.dialect.Caller(r.Header), method: r.Method, uri: requestTarget(r), isHead: r.Method == http.MethodHead,
-		excluded: map[*server]bool{}, secondChance: map[*server]bool{},
+		start: time.Now(), caller: caller, method: r.Method, isHead: r.Method == http.MethodHead,
+		admission: admission{host: r.Host, uri: requestTarget(r), callerKey: caller.Key},
+		excluded:  map[*server]bool{}, secondChance: map[*server]bool{},
 	}
 }
 
 // prepare sets the request's deadline, object hash and service.
 func (n *Node) prepare(req *inflightRequest) {
+	req.setAdmission()
 	req.setDeadline()
 	point := req.setObject()
 	req.service = req.view.service(req.route, point)
 }
 
+// setAdmission has the request admitted as it was matched.
+func (req *inflightRequest) setAdmission() {
+	req.admittedBy, req.homeRoute = req.view.config, req.route
+}
+
 // setDeadline sets the request's deadline and how many servers may run it.
 func (req *inflightRequest) setDeadline() {
 	req.maxRuns = req.route.MaxAttempts
--- a/internal/daemon/gateway/trial.go
+++ b/internal/daemon/gateway/trial.go
@@ -151,7 +151,7 @@
 			break
 		}
 		asked++
-		if n.endUnadmitted(w, r, req) {
+		if n.endUnadmitted(w, req) {
 			return false, nil
 		}
 		if ended, _ := n.relayTo(w, r, req, coordinator); ended {
