Trials are offered in the home regions in force

Cause: offerTrial held the request against the configuration in force only after it had chosen the coordinator by the regions as they were before.

Fix: the check comes before the choice.

--- a/internal/daemon/gateway/trial.go
+++ b/internal/daemon/gateway/trial.go
@@ -143,6 +143,9 @@
 		if host == n.cfg.Host {
 			return n.startTrial(w, req, v, now)
 		}
+		if n.endUnadmitted(w, req) {
+			return false, nil
+		}
 		coordinator := view.helper(host)
 		if coordinator == nil || !req.allowsRegion(coordinator.Region) || n.trials.isPassedOver(now, host) {
 			continue
@@ -151,9 +154,6 @@
 			break
 		}
 		asked++
-		if n.endUnadmitted(w, req) {
-			return false, nil
-		}
 		if ended, _ := n.relayTo(w, r, req, coordinator); ended {
 			return false, nil
 		}
