A second attempt is held against the configuration in force

Cause: startHedge chose the second server by the admission of the first attempt.

Evidence: TestHomeRegionsInForceBindHedges, red in 4 of 5 cases of homes and in that of the key ("second attempt at i-a1, the home regions are [b]", "status 200 after 2 arrivals"), green now, also with -race. A case is new: the second attempt is withdrawn while its connection opens, and the first one's answer is delivered.

Fix: the request is readmitted before the second server is chosen. If it is not admitted any more, none is sent (cause "unadmitted") and the first attempt, which a server may be running, decides.

--- a/internal/core/hedge/hedge.go
+++ b/internal/core/hedge/hedge.go
@@ -37,6 +37,8 @@
 	CauseServerBusy Cause = "server-busy"
 	// CauseBudget means that what is left of the retry budget is kept for retries.
 	CauseBudget Cause = "budget"
+	// CauseUnadmitted means that the configuration in force no longer admits the request.
+	CauseUnadmitted Cause = "unadmitted"
 )
 
 const (
--- a/internal/daemon/gateway/hedgepair.go
+++ b/internal/daemon/gateway/hedgepair.go
@@ -192,6 +192,10 @@
 	if r.Context().Err() != nil {
 		return nil
 	}
+	if n.readmit(req) != "" {
+		n.metrics.unhedged.WithLabelValues(string(hedge.CauseUnadmitted)).Inc()
+		return nil
+	}
 	now := time.Now()
 	c, cause := n.decideHedge(n.keeper.View(), req, first.server, now)
 	if cause != hedge.None {
--- a/internal/daemon/gateway/requestinhand_test.go
+++ b/internal/daemon/gateway/requestinhand_test.go
@@ -64,7 +64,7 @@
 // openingServers are servers whose connections take a while to open: opening is called meanwhile,
 // with the number of the connection, from 1. Requests that are withdrawn then reach no server.
 type openingServers struct {
-	*fakeServers
+	port.Forwarder
 	opening func(n int, address string)
 
 	mu                sync.Mutex
@@ -88,7 +88,7 @@
 			return nil, &port.BackendError{Code: port.BackendWithdrawn, Address: address, Err: err}
 		}
 	}
-	return s.fakeServers.Forward(ctx, address, req)
+	return s.Forwarder.Forward(ctx, address, req)
 }
 
 // inHand is a gateway with one request for which the configuration changes.
@@ -113,7 +113,7 @@
 		}
 		return okAnswer(), nil
 	})
-	h.opening = &openingServers{fakeServers: h.servers}
+	h.opening = &openingServers{Forwarder: h.servers}
 	h.node.forwarder = h.opening
 	h.setConfig(atVersion(2, c.before))
 	return h
@@ -298,7 +298,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newCustomerFixture(nil)
 				defer f.stop()
-				opening := &openingServers{fakeServers: f.servers}
+				opening := &openingServers{Forwarder: f.servers}
 				f.node.forwarder = opening
 				var withdrawnFrom *server
 				opening.opening = func(n int, address string) {
@@ -330,7 +330,7 @@
 		const withdrawn = 3
 		f := newCustomerFixture(nil)
 		defer f.stop()
-		opening := &openingServers{fakeServers: f.servers}
+		opening := &openingServers{Forwarder: f.servers}
 		f.node.forwarder = opening
 		opening.opening = func(n int, _ string) {
 			if n <= withdrawn {
@@ -378,6 +378,23 @@
 			})
 		})
 	}
+	t.Run("while its connection is opened", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f, s := newHedgeFixture(1)
+			defer f.stop()
+			opening := &openingServers{Forwarder: s, opening: func(n int, _ string) {
+				if n == 2 {
+					f.setConfig(atVersion(3, homesRoutes([]string{"b"})))
+				}
+			}}
+			f.node.forwarder = opening
+			s.plan = func(string, int, string) pacedRun { return pacedRun{after: 3 * warmRun} }
+			w := f.do(http.MethodGet, "/get/", "Id", "long")
+			if w.Code != http.StatusOK || opening.withdrawn != 1 || s.count("long") != 1 {
+				t.Errorf("status %d, withdrawn %d times, %d arrivals", w.Code, opening.withdrawn, s.count("long"))
+			}
+		})
+	})
 	t.Run("key withdrawn", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f, s := newHedgeFixture(1)
