Relayed requests keep to the home regions of the origin's version

Fix: an offer names the origin's version and the regions that may serve the request by it. It matches the request again when a version comes.

TestKeysStayHidden made an offer of a request that was never prepared; it prepares it now, as all that are offered are. Its checks are unchanged.

--- a/internal/daemon/gateway/admission.go
+++ b/internal/daemon/gateway/admission.go
@@ -15,7 +15,7 @@
 // Reasons for which an attempt is withdrawn, beside those for which a request is not admitted.
 const (
 	reasonOtherCustomer = "the key belongs to another customer by now"
-	reasonOtherHomes    = "the server's region is no home any more"
+	reasonOtherHomes    = "other home regions by now"
 	reasonServerGone    = "the server gets no requests any more"
 )
 
@@ -37,6 +37,10 @@
 	homeRoute *routing.Route
 	// customer is the one that the caller's key belongs to; nil if callers need no keys.
 	customer *routing.Customer
+	// offeredVersion is that of the origin's configuration, and offeredRegions are those that may
+	// serve the request by it; none for no restriction.
+	offeredVersion uint64
+	offeredRegions []string
 }
 
 // by returns the admission by a later configuration, or why that does not admit the request.
@@ -70,7 +74,23 @@
 
 // allowsRegion reports whether servers of a region may serve the request.
 func (a *admission) allowsRegion(region string) bool {
-	return a.homeRoute.AllowsRegion(region) && a.customer.AllowsRegion(region)
+	return a.homeRoute.AllowsRegion(region) && a.customer.AllowsRegion(region) && a.originAllows(region)
+}
+
+// originAllows reports whether the origin's configuration, unless it is an earlier one, lets servers
+// of a region serve the request.
+func (a *admission) originAllows(region string) bool {
+	return len(a.offeredRegions) == 0 || a.admittedBy.Version > a.offeredVersion || slices.Contains(a.offeredRegions, region)
+}
+
+// regions returns the regions that may serve the request; none for no restriction. The homes of the
+// route and of the customer must have a region in common.
+func (a *admission) regions() []string {
+	homes := a.homeRoute.Homes
+	if len(homes) == 0 && a.customer != nil {
+		homes = a.customer.Homes
+	}
+	return slices.DeleteFunc(slices.Clone(homes), func(region string) bool { return !a.allowsRegion(region) })
 }
 
 // customerName returns the name of the request's customer; empty for none.
@@ -122,6 +142,19 @@
 	return ""
 }
 
+// offerWithdrawal is withdrawal for an offer to a helper in a region, which holds the request to the
+// regions of the offer.
+func (a admission) offerWithdrawal(c *routing.Config, region string) string {
+	reason := a.withdrawal(c, region)
+	if reason != "" || c == a.admittedBy {
+		return reason
+	}
+	if next, _ := a.by(c); !slices.Equal(next.regions(), a.regions()) {
+		return reasonOtherHomes
+	}
+	return ""
+}
+
 // offers reports whether a server may receive requests to a service.
 func (v *view) offers(service string, s *server) bool {
 	g := v.groups[service]
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -77,6 +77,8 @@
 	proofUnsent notRunProof = "unsent"
 	// proofNotAccepted means that a helper did not accept the request in time.
 	proofNotAccepted notRunProof = "not-accepted"
+	// proofWithdrawn means that the offer to a helper was withdrawn before the body was sent.
+	proofWithdrawn notRunProof = "withdrawn"
 	// proofRejected is a helper's word that no server ran the request.
 	proofRejected notRunProof = "rejected"
 )
--- a/internal/daemon/gateway/customermetrics_test.go
+++ b/internal/daemon/gateway/customermetrics_test.go
@@ -36,6 +36,7 @@
 	if !f.node.identify(httptest.NewRecorder(), req) {
 		t.Fatal("not identified")
 	}
+	f.node.prepare(req)
 	families, err := reg.Gather()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/daemon/gateway/metrics.go
+++ b/internal/daemon/gateway/metrics.go
@@ -87,7 +87,7 @@
 		Name: "cassiatray_gateway_unknown_headers_total", Help: "Responses of backend servers with a header that this version does not know, by its name.",
 	}, []string{"header"})
 	m.relays = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "cassiatray_gateway_relays_total", Help: "Requests offered to other gateways because of this one's links to servers: answered, refused before they were sent, or failed.",
+		Name: "cassiatray_gateway_relays_total", Help: "Requests offered to other gateways because of this one's links to servers: answered, refused before they were sent, withdrawn after a helper had accepted them, or failed.",
 	}, []string{"result"})
 	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cassiatray_gateway_relayed_requests_total", Help: "Requests that other gateways relayed here, by status; 0 when the caller left.",
--- a/internal/daemon/gateway/relay.go
+++ b/internal/daemon/gateway/relay.go
@@ -98,10 +98,14 @@
 			break
 		}
 		tried[h.Host] = true
+		withdrawn := req.withdrawn
 		ended, again := n.relayTo(w, r, req, h)
 		if ended {
 			return true
 		}
+		if req.withdrawn > withdrawn {
+			delete(tried, h.Host)
+		}
 		if !again {
 			break
 		}
@@ -135,6 +139,12 @@
 		return false, true
 	}
 	defer x.Close()
+	if reason := req.offerWithdrawal(n.keeper.View().config, h.Region); reason != "" {
+		result.NotRun = proofWithdrawn
+		req.withdrawn++
+		n.recordRelay(req, result, started, &WithdrawnError{Reason: reason})
+		return n.endUnadmitted(w, req), req.withdrawn < maxWithdrawn
+	}
 	// The helper counts it for the retry budget.
 	req.counted = true
 	head, a, err := n.exchange(ctx, x, req)
@@ -270,6 +280,7 @@
 	return s.PeerStream.Close()
 }
 
+// offerOf returns the offer of the request to a helper in a region that may serve it.
 func (n *Node) offerOf(r *http.Request, req *inflightRequest) *peerv1.RelayOffer {
 	size := r.ContentLength
 	if req.unreadBody == nil {
@@ -279,6 +290,7 @@
 		Method: r.Method, Uri: req.uri, Host: r.Host, Headers: headersToWire(n.forwardedHeaders(r, req)), Size: size,
 		Service: req.service, RunsLeft: req.runsLeft(), Repeat: req.repeat,
 		Trial: req.trial, Customer: req.customerName(),
+		ConfigVersion: req.admittedBy.Version, Regions: req.regions(),
 	}
 	for s := range req.excluded {
 		offer.Tried = append(offer.Tried, s.rec().ID)
@@ -345,8 +357,12 @@
 	if err != nil {
 		result.Error = err.Error()
 		label = "failed"
-		if isRefused(err) {
+		var withdrawn *WithdrawnError
+		switch {
+		case isRefused(err):
 			label = "refused"
+		case errors.As(err, &withdrawn):
+			label = "withdrawn"
 		}
 		n.log.WithFields(logrus.Fields{"request": req.caller.ID, "peer": result.Via}).WithError(err).Debug("Request not relayed.")
 	}
--- a/internal/daemon/gateway/relayed.go
+++ b/internal/daemon/gateway/relayed.go
@@ -95,6 +95,11 @@
 	if !req.identifyRelayed(offer.Customer) {
 		return &RelayRefusedError{Reason: relayOtherConfig}
 	}
+	req.setAdmission()
+	req.offeredVersion, req.offeredRegions = offer.ConfigVersion, offer.Regions
+	if !req.allowsRegion(n.cfg.Region) {
+		return &RelayRefusedError{Reason: relayOtherConfig}
+	}
 	bodyCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	hold := new(membudget.Holder)
@@ -171,7 +176,6 @@
 
 // prepareRelayed is prepare for a relayed request.
 func (n *Node) prepareRelayed(req *inflightRequest, r *http.Request, offer *peerv1.RelayOffer) {
-	req.setAdmission()
 	req.setDeadline()
 	if deadline, ok := r.Context().Deadline(); ok {
 		req.deadline = deadline.Add(-answerGrace - n.answerDelayTo(req))
--- a/internal/daemon/gateway/trial.go
+++ b/internal/daemon/gateway/trial.go
@@ -154,9 +154,14 @@
 			break
 		}
 		asked++
+		withdrawn := req.withdrawn
 		if ended, _ := n.relayTo(w, r, req, coordinator); ended {
 			return false, nil
 		}
+		if req.withdrawn > withdrawn {
+			// The next one in order is not the coordinator of this request.
+			break
+		}
 		n.trials.passOver(host, now.Add(coordinatorPause))
 	}
 	n.rejectSuspect(w, req, reasonOnTrial, 0)
