--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -316,7 +316,7 @@
 
 // isWithdrawn reports whether an attempt was withdrawn before a byte of it was sent. That says
 // nothing of the server.
-func isWithdrawn(err error) bool { return codeOf(err) == port.BackendWithdrawn }
+func isWithdrawn(err error) bool { return err != nil && codeOf(err) == port.BackendWithdrawn }
 
 // limitsColdServers reports whether a service limits the requests to cold servers.
 func (n *Node) limitsColdServers(v *view, service string) bool {
