--- a/internal/daemon/gateway/requestinhand_test.go
+++ b/internal/daemon/gateway/requestinhand_test.go
@@ -13,6 +13,9 @@
 	"testing/synctest"
 	"time"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"cassiatray/internal/core/document"
 	"cassiatray/internal/core/links"
 	"cassiatray/internal/core/mirror"
 	"cassiatray/internal/core/ratelimit"
@@ -400,6 +403,27 @@
 	})
 }
 
+// Guards against a retry that draws on the retry budget each time that it is withdrawn.
+func TestWithdrawnRetriesDrawOnTheBudgetOnce(t *testing.T) {
+	f := newCustomerFixture(func(_ context.Context, n int, _ string) (*port.ForwardAnswer, error) {
+		if n == 1 {
+			return nil, brokenError(true)
+		}
+		return okAnswer(), nil
+	})
+	// One retry for one request.
+	f.node.bounds.Store(&Bounds{RetryWindow: document.Duration(defaultRetryWindow), RetryRatio: 1.5})
+	opening := &openingServers{Forwarder: f.servers, opening: func(n int, _ string) {
+		if n == 2 || n == 3 {
+			f.setConfig(customerConfig(uint64(10+n), []string{secretKey}, []string{"b", "c"}[n%2]))
+		}
+	}}
+	f.node.forwarder = opening
+	if w := f.do("GET", "/get/", "Key", secretKey); w.Code != http.StatusOK || opening.withdrawn != 2 || f.servers.count() != 2 {
+		t.Errorf("status %d, withdrawn %d times, sent %d times", w.Code, opening.withdrawn, f.servers.count())
+	}
+}
+
 // Guards against a second attempt beside the first that goes to a server outside the home regions
 // in force, or for a key that was withdrawn while the first ran.
 func TestHomeRegionsInForceBindHedges(t *testing.T) {
@@ -581,6 +605,28 @@
 	}
 }
 
+// Guards against an offer that is withdrawn and not made anew, though its only helper may take it.
+func TestWithdrawnOffersAreMadeAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelayWorld(t, "b1-0")
+		defer w.stopAll()
+		origin := w.hosts["a1-0"]
+		streams := &watchedStreams{PeerStreamer: origin.node.relays.streams, bodies: map[string]int{}, accepted: func() {
+			origin.setOwnConfig(11, homesRoutes([]string{"b"}))
+		}}
+		origin.node.relays.streams = streams
+		hook := logtest.NewLocal(origin.node.log.Logger)
+		answer := origin.send(t.Context(), "GET", handPath, nil)
+		if answer.Code != http.StatusOK || len(streams.offers) != 2 || !slices.Equal(streams.offers[1].Regions, []string{"b"}) || streams.offers[1].ConfigVersion != 11 {
+			t.Errorf("status %d, offers %v", answer.Code, streams.offers)
+		}
+		attempts := lastAttempts(t, hook)
+		if len(attempts) != 2 || attempts[0]["via"] != "b1-0" || attempts[0]["not_run"] != string(proofWithdrawn) || attempts[1]["via"] != "b1-0" {
+			t.Errorf("logged %v", attempts)
+		}
+	})
+}
+
 // Guards against a helper that serves an offered request outside the regions that both gateways
 // allow, or, with a later version, by those of the earlier one.
 func TestHelpersKeepToOfferedRegions(t *testing.T) {
