--- a/internal/daemon/gateway/hedgepair.go
+++ b/internal/daemon/gateway/hedgepair.go
@@ -192,6 +192,10 @@
 	if r.Context().Err() != nil {
 		return nil
 	}
+	if n.readmit(req) != "" {
+		n.metrics.unhedged.WithLabelValues(string(hedge.CauseUnadmitted)).Inc()
+		return nil
+	}
 	now := time.Now()
 	c, cause := n.decideHedge(n.keeper.View(), req, first.server, now)
 	if cause != hedge.None {
@@ -266,7 +270,7 @@
 	if be.Sent && res.p.unfinished {
 		n.noteUnfinished(s, res.p.run, now)
 	}
-	if be.Code == port.BackendCanceled {
+	if be.Code == port.BackendCanceled || be.Code == port.BackendWithdrawn {
 		return
 	}
 	n.noteFailure(rec.ID, res.err, res.took, now)
--- a/internal/daemon/gateway/relayed.go
+++ b/internal/daemon/gateway/relayed.go
@@ -95,6 +95,11 @@
 	if !req.identifyRelayed(offer.Customer) {
 		return &RelayRefusedError{Reason: relayOtherConfig}
 	}
+	req.setAdmission()
+	req.offeredVersion, req.offeredRegions = offer.ConfigVersion, offer.Regions
+	if !req.allowsRegion(n.cfg.Region) {
+		return &RelayRefusedError{Reason: relayOtherConfig}
+	}
 	bodyCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	hold := new(membudget.Holder)
