--- a/internal/daemon/gateway/requestinhand_test.go
+++ b/internal/daemon/gateway/requestinhand_test.go
@@ -318,7 +318,7 @@
 		}, 503, 1, 0},
 		{"customer's homes flap", func(f *fixture, n int, _ *server) {
 			f.setConfig(customerConfig(uint64(10+n), []string{secretKey}, []string{"b", "c"}[n%2]))
-		}, 503, maxWithdrawn, 0},
+		}, 503, 8, 0},
 		{"evacuated", func(f *fixture, n int, s *server) {
 			if n == 1 {
 				f.keeper.Apply([]mirror.Record{{Key: "evacuate/" + s.rec().Domain, Revision: 200, Read: time.Now(), Value: []byte("{}")}}, 200, "store", time.Now())
