Records of a page age on their way

The age of a record is when a gateway read it from the store; the time of the page on its way was left out. A page may now be on its way for seconds: the age that the metrics and the log tell of a configuration lacked just the delay that they are to show, and a cold server's record behind a large page counted as news of a later cold spell.

--- a/internal/daemon/gateway/largepage_test.go
+++ b/internal/daemon/gateway/largepage_test.go
@@ -72,3 +72,16 @@
 		t.Errorf("two pages of %d bytes take %v, the bound is %v", peer.MaxFrame, 2*takes, pullMost)
 	}
 }
+
+// Guards against records that count as read later than they were, by the time of a large page on its way.
+func TestRecordsAgeOnTheirWay(t *testing.T) {
+	const age, takes = 100 * time.Millisecond, 6 * time.Second
+	page := &peerv1.MirrorPage{HeldMicros: 1, Records: []*peerv1.StoreRecord{{AgeMicros: age.Microseconds()}}, Config: &peerv1.StoreRecord{AgeMicros: age.Microseconds()}}
+	addTransit(page, takes)
+	now := time.Now()
+	for r := range recordsOfPage(page) {
+		if got := now.Sub(recordOf(r, now).Read); got < age+takes-time.Millisecond {
+			t.Errorf("read %v ago, want %v", got, age+takes)
+		}
+	}
+}
