A page for a version that is gone by now is asked for again at once

Versions that come while a page is on its way may drop the one that it was encoded for. The source counted as failed then, and values were asked for whole for 5 s, just when versions come in series.

--- a/internal/daemon/gateway/follow.go
+++ b/internal/daemon/gateway/follow.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"cassiatray/internal/core/mirror"
+	"cassiatray/internal/core/valuecodec"
 	"cassiatray/internal/port"
 	"cassiatray/internal/sleep"
 	peerv1 "cassiatray/proto/peer/v1"
@@ -194,23 +196,51 @@
 	return age < 0 || age-max(0, p.transit-t.pullSlack) > t.staleSource
 }
 
+// pull asks a source for what this gateway lacks.
+//
+// Errors: *port.PeerError.
 func (s *Syncer) pull(ctx context.Context, m mirror.Member, o pullOptions, with *exchanged) (*pulled, error) {
+	got, err := s.pullOnce(ctx, m, o, with)
+	var unknown *UnknownBaseError
+	if errors.As(err, &unknown) {
+		got, err = s.pullOnce(ctx, m, o, with)
+	}
+	return got, err
+}
+
+func (s *Syncer) pullOnce(ctx context.Context, m mirror.Member, o pullOptions, with *exchanged) (*pulled, error) {
 	slack := s.times.Load().pullSlack
 	ctx, cancel := context.WithTimeout(ctx, o.wait+pullMost)
 	defer cancel()
 	ctx = port.WithProgress(ctx, port.Progress{First: o.wait + slack, Stall: slack})
+	now := time.Now()
 	pull := &peerv1.MirrorPull{
 		Have: s.keeper.Have(), WaitMicros: o.wait.Microseconds(), Self: s.self(), NoReports: with == nil, AwaitReports: o.awaitReports,
-		ConfigVersion: s.keeper.configVersion(), ReadsEncoded: !s.pullsPlain(time.Now()), ConfigDigest: []byte(s.keeper.configs.digest()), LagMicros: s.keeper.RecordLag(time.Now()).Microseconds(),
+		ConfigVersion: s.keeper.configVersion(), ConfigDigest: []byte(s.keeper.configs.digest()), ReadsEncoded: !s.pullsPlain(now),
+		LagMicros: s.keeper.RecordLag(now).Microseconds(),
 	}
 	var told uint64
 	if with != nil {
 		pull.ReportsFrom, pull.ReportsEpoch = with.from, with.epoch
-		pull.Reports, told = s.keeper.ownReports(with.told, time.Now())
+		pull.Reports, told = s.keeper.ownReports(with.told, now)
+	}
+	got, err := s.ask(ctx, m, pull)
+	s.metrics.pulled(time.Since(now), err)
+	if err != nil || with == nil {
+		return got, err
 	}
+	if with.epoch != 0 && with.epoch != got.page.ReportsEpoch {
+		// The source started anew and knows none of what it was told.
+		told = 0
+	}
+	with.told, with.from, with.epoch = told, got.page.ReportsNext, got.page.ReportsEpoch
+	return got, nil
+}
+
+// ask sends a pull and returns its answer with the configuration decoded.
+func (s *Syncer) ask(ctx context.Context, m mirror.Member, pull *peerv1.MirrorPull) (*pulled, error) {
 	sent := time.Now()
 	reply, err := s.pool.Call(ctx, m.Address, &peerv1.Request{Body: &peerv1.Request_MirrorPull{MirrorPull: pull}})
-	s.metrics.pulled(time.Since(sent), err)
 	if err != nil {
 		return nil, err
 	}
@@ -220,16 +250,11 @@
 	}
 	got := &pulled{page: page, transit: addTransit(page, time.Since(sent))}
 	if err := s.keeper.decodeConfig(page); err != nil {
-		s.pullPlain(time.Now())
+		var spoilt *valuecodec.DecodeError
+		if errors.As(err, &spoilt) {
+			s.pullPlain(time.Now())
+		}
 		return nil, &port.PeerError{Code: port.PeerMismatch, Address: m.Address, Sent: true, Err: err}
 	}
-	if with == nil {
-		return got, nil
-	}
-	if with.epoch != 0 && with.epoch != page.ReportsEpoch {
-		// The source started anew and knows none of what it was told.
-		told = 0
-	}
-	with.told, with.from, with.epoch = told, page.ReportsNext, page.ReportsEpoch
 	return got, nil
 }
--- a/internal/daemon/gateway/peers_test.go
+++ b/internal/daemon/gateway/peers_test.go
@@ -69,7 +69,9 @@
 		return nil, &port.PeerError{Code: port.PeerRefused, Address: address, Sent: true, Err: err}
 	}
 	if page := reply.GetMirrorPage(); page != nil && p.w.onPage != nil {
+		p.w.mu.Lock()
 		p.w.onPage(page)
+		p.w.mu.Unlock()
 	}
 	p.count(req, reply)
 	sent := func(bytes int) {
