--- a/internal/daemon/gateway/admission.go
+++ b/internal/daemon/gateway/admission.go
@@ -8,6 +8,12 @@
 	"cassiatray/internal/core/routing"
 )
 
+// A request is matched once, when it arrives (ServeHTTP, ServeRelay). What operators and servers may
+// change meanwhile is looked at again: readmit holds the request against the configuration in force
+// before each choice of a server or helper, and checkOf the choice right before its first byte,
+// offerWithdrawal an offer before its body. Both withdraw what the request was chosen for, and the
+// choice is made anew.
+
 // maxWithdrawn is how often a request's attempts may be withdrawn before a byte is sent. Each time
 // something has changed since the choice of a server.
 const maxWithdrawn = 8
@@ -83,8 +89,8 @@
 	return len(a.offeredRegions) == 0 || a.admittedBy.Version > a.offeredVersion || slices.Contains(a.offeredRegions, region)
 }
 
-// regions returns the regions that may serve the request; none for no restriction. The homes of the
-// route and of the customer must have a region in common.
+// regions returns the regions that may serve the request; none for no restriction. It is not called if
+// no region may: allowsRegion has refused all helpers then.
 func (a *admission) regions() []string {
 	homes := a.homeRoute.Homes
 	if len(homes) == 0 && a.customer != nil {
