Slots: take a server's address after the wait for its slot

Callers got failures, or an answer of whatever runs at an address that their server no longer has, when a document changed while they waited for a slot.

The queue starts requests by the index in force, but the slot took its address from the request's own service index, which may be of a document from before the wait: empty for a server that came meanwhile, the former one for a server that moved. The lender of a slot did the same with the index that it read before the wait.

A slot now gets its address from the index in force when it is granted, here and at a lender. If that no longer names the server, the slot goes back and the request is refused as not sent.

The index of the tests' domain is behind its mutex now, since it changes while hosts run.

--- a/internal/daemon/slots/acquire.go
+++ b/internal/daemon/slots/acquire.go
@@ -66,7 +66,7 @@
 func (m *Manager) acquire(ctx context.Context, w Want) (*Slot, error) {
 	s := m.service(w.Service.Name)
 	if server, ok := m.try(s); ok {
-		return m.own(s, w, server), nil
+		return m.own(s, server)
 	}
 	if slot := m.borrow(ctx, s, w); slot != nil {
 		return slot, nil
@@ -77,21 +77,38 @@
 	return m.waitElsewhere(ctx, s, w)
 }
 
-// own makes a slot of one that the pool has counted.
-func (m *Manager) own(s *service, w Want, server string) *Slot {
-	return &Slot{
-		Server: server, Address: addressOf(w.Service, m.cfg.Domain, server),
-		end: func(took time.Duration) { m.done(s, server, took) },
+// own makes a slot of one that the pool has counted. The server's address is that of the document in
+// force, which may have changed while the request waited.
+func (m *Manager) own(s *service, server string) (*Slot, error) {
+	address, ok := m.serverAddress(s, server)
+	if !ok {
+		m.done(s, server, 0)
+		return nil, serverGone()
 	}
+	return &Slot{Server: server, Address: address, end: func(took time.Duration) { m.done(s, server, took) }}, nil
 }
 
-func addressOf(svc *document.ServiceIndex, domain, server string) string {
-	for _, b := range svc.In(domain) {
+// serverAddress returns the address of a server of this domain, and whether the document in force
+// names the server.
+func (m *Manager) serverAddress(s *service, server string) (string, bool) {
+	index := m.source.Index()
+	if index == nil {
+		return "", false
+	}
+	svc := index.Service(s.name)
+	if svc == nil {
+		return "", false
+	}
+	for _, b := range svc.In(m.cfg.Domain) {
 		if b.Name == server {
-			return b.Address.String()
+			return b.Address.String(), true
 		}
 	}
-	return ""
+	return "", false
+}
+
+func serverGone() *RefusedError {
+	return &RefusedError{Reason: admission.ReasonNoSlots, RetryAfter: roundInterval}
 }
 
 func (m *Manager) holdsAny(s *service) bool {
@@ -133,7 +150,7 @@
 	for {
 		select {
 		case v := <-verdict:
-			slot, err := m.judged(s, w, v)
+			slot, err := m.judged(s, v)
 			if err == nil || open == 0 {
 				return slot, err
 			}
@@ -185,11 +202,11 @@
 	return slots, len(hosts), cancel
 }
 
-func (m *Manager) judged(s *service, w Want, v admission.Verdict) (*Slot, error) {
+func (m *Manager) judged(s *service, v admission.Verdict) (*Slot, error) {
 	if v.Server == "" {
 		return nil, &RefusedError{Reason: v.Reason, RetryAfter: v.RetryAfter}
 	}
-	return m.own(s, w, v.Server), nil
+	return m.own(s, v.Server)
 }
 
 // waitElsewhere queues the request at the least loaded host that answers.
--- a/internal/daemon/slots/lease.go
+++ b/internal/daemon/slots/lease.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"cassiatray/internal/core/admission"
-	"cassiatray/internal/core/document"
 	"cassiatray/internal/port"
 	peerv1 "cassiatray/proto/peer/v1"
 )
@@ -135,7 +134,12 @@
 	if fail != nil {
 		return send(m.refusal(s, fail))
 	}
-	return m.lend(ctx, s, svc, server, deadline, send)
+	address, ok := m.serverAddress(s, server)
+	if !ok {
+		m.done(s, server, 0)
+		return send(m.refusal(s, serverGone()))
+	}
+	return m.lend(ctx, s, server, address, deadline, send)
 }
 
 func leaseReply(l *peerv1.SlotLease) *peerv1.Reply {
@@ -182,10 +186,10 @@
 // lend lets another host use a slot until it closes the stream. When the
 // session itself is lost the other host may still be at work, so the slot
 // stays counted until the deadline.
-func (m *Manager) lend(ctx context.Context, s *service, svc *document.ServiceIndex, server string, deadline time.Time, send func(*peerv1.Reply) error) error {
+func (m *Manager) lend(ctx context.Context, s *service, server, address string, deadline time.Time, send func(*peerv1.Reply) error) error {
 	begin := m.clock.Now()
 	err := send(leaseReply(&peerv1.SlotLease{
-		State: peerv1.SlotState_SLOT_STATE_GRANTED, Server: server, Address: addressOf(svc, m.cfg.Domain, server), Load: m.loadOf(s),
+		State: peerv1.SlotState_SLOT_STATE_GRANTED, Server: server, Address: address, Load: m.loadOf(s),
 	}))
 	if err == nil {
 		<-ctx.Done()
--- a/internal/daemon/slots/manager_test.go
+++ b/internal/daemon/slots/manager_test.go
@@ -38,10 +38,10 @@
 // domain is a failure domain of managers that reach each other in memory, and
 // the servers' own count of what is on them.
 type domain struct {
-	index *document.Index
 	nodes map[string]*node
 
 	mu    sync.Mutex
+	index *document.Index
 	on    map[string]int
 	high  int
 	dead  map[string]bool
@@ -57,7 +57,19 @@
 	done   chan struct{}
 }
 
-func (n *node) Index() *document.Index { return n.d.index }
+func (n *node) Index() *document.Index { return n.d.inForce() }
+
+func (d *domain) inForce() *document.Index {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.index
+}
+
+func (d *domain) put(index *document.Index) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.index = index
+}
 
 func (n *node) Live() []string {
 	n.d.mu.Lock()
@@ -172,7 +184,7 @@
 }
 
 func (d *domain) want(class int) Want {
-	svc := d.index.Service("svc")
+	svc := d.inForce().Service("svc")
 	c := &svc.Classes[class]
 	return Want{Service: svc, Class: c, Deadline: time.Now().Add(c.Deadline.D())}
 }
