Entry: requests in hand do not take steering back to an earlier document

Look-ups could send callers back to preferences and drains of an earlier document for a moment, and start to move callers between the two anew, while requests from before the document were still being routed.

When the view in force was of a later document, viewFor built and published one of the earlier document, for all requests and look-ups, and recorded the step back, and the next one forward, as changes of preferences.

viewFor now keeps the later document.

--- a/internal/daemon/entry/steering.go
+++ b/internal/daemon/entry/steering.go
@@ -69,10 +69,11 @@
 	}
 }
 
-// viewFor returns the view of a snapshot. While another goroutine builds a newer view, it
-// returns the previous one.
+// viewFor returns the view of a snapshot, or of one with a later document that was viewed before.
+// While another goroutine builds a newer view, it returns the previous one.
 func (s *steering) viewFor(snap *Snapshot, now time.Time) *routingView {
 	v := s.view.Load()
+	snap = v.later(snap)
 	if v != nil && v.isCurrent(snap, now) {
 		return v
 	}
@@ -82,7 +83,9 @@
 		return v
 	}
 	defer s.mu.Unlock()
-	if v = s.view.Load(); v != nil && v.isCurrent(snap, now) {
+	v = s.view.Load()
+	snap = v.later(snap)
+	if v != nil && v.isCurrent(snap, now) {
 		return v
 	}
 	v = s.buildView(snap, now)
@@ -90,6 +93,15 @@
 	return v
 }
 
+// later returns the snapshot with the later document of the view's and another one, which wins a
+// tie. The view may be nil.
+func (v *routingView) later(snap *Snapshot) *Snapshot {
+	if v != nil && v.snapshot.Head.Sequence > snap.Head.Sequence {
+		return v.snapshot
+	}
+	return snap
+}
+
 func (v *routingView) isCurrent(snap *Snapshot, now time.Time) bool {
 	age := now.Sub(v.builtAt)
 	if v.snapshot == snap {
--- a/internal/daemon/entry/steering_test.go
+++ b/internal/daemon/entry/steering_test.go
@@ -204,6 +204,26 @@
 	}
 }
 
+// Guards against a request of an earlier snapshot that takes the steering of others back to it.
+func TestSteeringKeepsLaterDocument(t *testing.T) {
+	n, clock := newTestNode(t, nil)
+	earlier := n.feed.Snapshot()
+	next := *earlier
+	next.Head.Sequence++
+	next.Table = earlier.Table.With([]document.Client{clientBlock("10.0.0.0/16", "alta", "sask")}, nil)
+	n.steering.viewFor(earlier, clock.now)
+	n.steering.viewFor(&next, clock.now)
+	for range 10 {
+		clock.now = clock.now.Add(500 * time.Millisecond)
+		if v := n.steering.viewFor(earlier, clock.now); v.snapshot != &next {
+			t.Fatalf("steering by document %d, want %d", v.snapshot.Head.Sequence, next.Head.Sequence)
+		}
+	}
+	if len(n.steering.changes) != 1 {
+		t.Errorf("%d changes of preferences, want 1", len(n.steering.changes))
+	}
+}
+
 func clientBlock(block string, regions ...string) document.Client {
 	return document.Client{Block: document.Prefix{Prefix: netip.MustParsePrefix(block)}, Regions: regions}
 }
