--- a/internal/daemon/entry/drain_test.go
+++ b/internal/daemon/entry/drain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -122,3 +123,52 @@
 		}
 	}
 }
+
+// drainingBackend puts a document in force during its first exchange, which is not sent.
+type drainingBackend struct {
+	*fakeBackend
+	drain func()
+}
+
+func (b *drainingBackend) Do(ctx context.Context, address string, req *port.BackendRequest) (*port.BackendAnswer, error) {
+	if b.drain != nil {
+		b.drain()
+		b.drain = nil
+		return nil, &port.BackendError{Code: port.BackendConnect, Address: address}
+	}
+	return b.fakeBackend.Do(ctx, address, req)
+}
+
+// Guards against retries that choose a place by the document of the first attempt, and that take the
+// steering of other requests back to that document.
+func TestRetryUsesDocumentInForce(t *testing.T) {
+	before := threeRegionDocument()
+	before.Services[0].Classes[0].Deadline = document.Duration(time.Minute)
+	before.Services[0].Classes[0].Retries = 100
+	for i := range before.Regions {
+		for j := range before.Regions[i].Domains {
+			before.Regions[i].Domains[j].EntryHosts = before.Regions[i].Domains[j].EntryHosts[:1]
+		}
+	}
+	// Only sask-a has servers, and its servers are the first attempt's only candidates.
+	before.Services[0].Servers = before.Services[0].Servers[:3]
+	after := *before
+	after.Services = slices.Clone(before.Services)
+	after.Services[0].Servers = slices.Clone(before.Services[0].Servers)
+	for i := range after.Services[0].Servers {
+		after.Services[0].Servers[i].Domain = "sask-b"
+	}
+	n, clock := newTestNode(t, func(d *document.Document) { *d = *before })
+	n.slots = unlimitedSlots{domain: "sask-a"}
+	peers := new(servingPeers)
+	n.peers = peers
+	backend := &drainingBackend{fakeBackend: &fakeBackend{runs: map[string]int{}}, drain: func() {
+		putInForce(n, clock, &after)
+		n.steering.viewFor(n.feed.Snapshot(), clock.now)
+	}}
+	n.backend.Backend, n.backend.prober = backend, backend
+	wantText(t, answerText(n.Do(context.Background(), newTestRequest(t, n, saskClient).received)), "elsewhere")
+	if v := n.steering.view.Load(); v.snapshot != n.feed.Snapshot() {
+		t.Errorf("steering by document %d, want %d", v.snapshot.Head.Sequence, n.feed.Snapshot().Head.Sequence)
+	}
+}
--- a/internal/daemon/entry/route.go
+++ b/internal/daemon/entry/route.go
@@ -25,11 +25,15 @@
 	minServerTime = 20 * time.Millisecond
 )
 
-// route makes one attempt of a request. A request that another host forwarded runs on a
-// server of this domain. A request of this host's own caller is sent to one host after
-// another until one accepts it; the next host is tried only if the request is known not to
-// have run.
+// route makes one attempt of a request, by the snapshot in force. A request that another host
+// forwarded runs on a server of this domain. A request of this host's own caller is sent to
+// one host after another until one accepts it; the next host is tried only if the request is
+// known not to have run.
 func (n *Node) route(ctx context.Context, r *request) result {
+	service := r.svc.Name
+	if r = n.refreshed(r); r == nil {
+		return result{failure: unknownService(service)}
+	}
 	if r.hops > 0 {
 		return n.runLocally(ctx, r)
 	}
