Only a hub asks the store for the changes before its listing

A gateway that turned to the store for the first time, since its sources lagged, asked for 1,000 revisions before its listing: 2.2 MB with the configurations among them, before it got the version that it lacked. Only gateways that others pull from need them, as the design says; one that becomes a hub within as many revisions asks then.

--- a/internal/daemon/gateway/sync.go
+++ b/internal/daemon/gateway/sync.go
@@ -202,8 +202,10 @@
 	s.awaitLoad(ctx)
 	// relist is set when the store has forgotten what follows the mirror's revision.
 	relist := false
-	// backfilled is set once the changes before the first listing were asked for.
+	// backfilled is set once a hub has asked for the changes before the first listing, which was at
+	// the revision listed.
 	backfilled := false
+	listed := s.keeper.Have()
 	failures := 0
 	for ctx.Err() == nil {
 		if !s.watching() {
@@ -212,10 +214,12 @@
 		}
 		started := time.Now()
 		revision := s.keeper.Have()
-		if revision > 0 && !backfilled {
-			s.backfill(ctx)
+		if !backfilled && s.sources().hub {
+			if revision > 0 && revision < listed+startOverlap {
+				s.backfill(ctx)
+			}
+			backfilled = true
 		}
-		backfilled = true
 		err := s.step(ctx, revision, relist || revision == 0)
 		if err != nil {
 			if ctx.Err() != nil {
