--- a/internal/daemon/entry/dispatch.go
+++ b/internal/daemon/entry/dispatch.go
@@ -51,17 +51,17 @@
 	if err != nil {
 		return result{failure: slotError(err)}
 	}
-	if !n.maySend(r) {
+	if !n.localPlaceUsable(r) {
 		slot.Unused()
 		return result{failure: noServer(r.svc.Name)}
 	}
 	return n.sendToServer(ctx, r, slot, deadline)
 }
 
-// maySend reports whether the snapshot in force, which may be a later one than the request's,
+// localPlaceUsable reports whether the snapshot in force, which may be a later one than the request's,
 // lets servers of this domain run the request.
-func (n *Node) maySend(r *request) bool {
-	latest := n.refreshed(r)
+func (n *Node) localPlaceUsable(r *request) bool {
+	latest := n.withCurrentSnapshot(r)
 	return latest != nil && n.steering.viewFor(latest.snap, n.clock.Now()).usable(latest, n.localHost(latest))
 }
 
--- a/internal/daemon/entry/node.go
+++ b/internal/daemon/entry/node.go
@@ -139,9 +139,9 @@
 	return r, nil
 }
 
-// refreshed returns a copy of the request with the snapshot in force and the class that it was
+// withCurrentSnapshot returns a copy of the request with the snapshot in force and the class that it was
 // matched with, or nil if its service is gone.
-func (n *Node) refreshed(r *request) *request {
+func (n *Node) withCurrentSnapshot(r *request) *request {
 	out := *r
 	out.snap = n.feed.Snapshot()
 	if out.svc = out.snap.Index.Service(r.svc.Name); out.svc == nil {
--- a/internal/daemon/entry/route.go
+++ b/internal/daemon/entry/route.go
@@ -31,7 +31,7 @@
 // known not to have run.
 func (n *Node) route(ctx context.Context, r *request) result {
 	service := r.svc.Name
-	if r = n.refreshed(r); r == nil {
+	if r = n.withCurrentSnapshot(r); r == nil {
 		return result{failure: unknownService(service)}
 	}
 	if r.hops > 0 {
--- a/internal/daemon/gateway/admission.go
+++ b/internal/daemon/gateway/admission.go
@@ -10,7 +10,7 @@
 
 // A request is matched once, when it arrives (ServeHTTP, ServeRelay). What operators and servers may
 // change meanwhile is looked at again: readmit holds the request against the configuration in force
-// before each choice of a server or helper, and checkOf the choice right before its first byte,
+// before each choice of a server or helper, and firstByteCheck the choice right before its first byte,
 // offerWithdrawal an offer before its body. Both withdraw what the request was chosen for, and the
 // choice is made anew.
 
@@ -49,8 +49,8 @@
 	offeredRegions []string
 }
 
-// by returns the admission by a later configuration, or why that does not admit the request.
-func (a admission) by(c *routing.Config) (admission, string) {
+// under returns the admission under a later configuration, or why that does not admit the request.
+func (a admission) under(c *routing.Config) (admission, string) {
 	if c == a.admittedBy {
 		return a, ""
 	}
@@ -107,11 +107,11 @@
 	return a.customer.Name
 }
 
-// checkOf returns what tells right before the first byte of an attempt whether the request may still
+// firstByteCheck returns what tells right before the first byte of an attempt whether the request may still
 // go to the candidate. It does not touch the request, beside which it may run.
 //
 // Errors: *WithdrawnError.
-func (n *Node) checkOf(req *inflightRequest, c *candidate) func() error {
+func (n *Node) firstByteCheck(req *inflightRequest, c *candidate) func() error {
 	chosen, service, s, under, leaving := req.admission, req.service, c.server, c.view, c.leaving
 	return func() error {
 		v := n.keeper.View()
@@ -135,7 +135,7 @@
 	if c == a.admittedBy {
 		return ""
 	}
-	next, reason := a.by(c)
+	next, reason := a.under(c)
 	switch {
 	case reason != "":
 		return reason
@@ -155,7 +155,7 @@
 	if reason != "" || c == a.admittedBy {
 		return reason
 	}
-	if next, _ := a.by(c); !slices.Equal(next.regions(), a.regions()) {
+	if next, _ := a.under(c); !slices.Equal(next.regions(), a.regions()) {
 		return reasonOtherHomes
 	}
 	return ""
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -139,7 +139,7 @@
 	forward := &port.ForwardRequest{
 		Method: r.Method, URI: req.uri, Host: r.Host, Header: n.forwardedHeaders(r, req), Body: req.body, Rest: req.unreadBody,
 		Size: r.ContentLength, ID: req.caller.ID, SameProcess: n.limitsColdServers(req.view, req.service),
-		Hold: req, Admit: n.checkOf(req, &c),
+		Hold: req, Admit: n.firstByteCheck(req, &c),
 	}
 	if req.unreadBody == nil {
 		forward.Size = int64(len(req.body))
--- a/internal/daemon/gateway/customer.go
+++ b/internal/daemon/gateway/customer.go
@@ -79,7 +79,7 @@
 // that no longer admits the request, if so; otherwise the customer and the home regions are as in
 // that configuration from here on.
 func (n *Node) readmit(req *inflightRequest) string {
-	next, reason := req.admission.by(n.keeper.View().config)
+	next, reason := req.admission.under(n.keeper.View().config)
 	if reason == "" {
 		req.admission = next
 	}
