--- a/internal/adapter/peer/frame_fuzz_test.go
+++ b/internal/adapter/peer/frame_fuzz_test.go
@@ -32,6 +32,20 @@
 	})
 }
 
+// Guards against a message that breaks off and is taken for a shorter one.
+func TestCutFrames(t *testing.T) {
+	var whole bytes.Buffer
+	if err := writeFrame(&whole, &peerv1.Request{ExchangeId: 3, FromHost: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	for cut := range whole.Len() {
+		m := new(peerv1.Request)
+		if err := readFrame(bufio.NewReader(bytes.NewReader(whole.Bytes()[:cut])), m); err == nil {
+			t.Errorf("cut after %d of %d bytes: %v", cut, whole.Len(), m)
+		}
+	}
+}
+
 func TestReadFrameRefusesLargeLength(t *testing.T) {
 	raw := []byte{0x81, 0x80, 0x80, 0x04} // 8 MiB and one byte
 	err := readFrame(bufio.NewReader(bytes.NewReader(raw)), new(peerv1.Request))
