Review case 11: a stop loses requests that wait at servers

Cause: 5.2 s after SIGTERM a gateway resets the connections of requests without an answer, also of those that still wait in a server's queue (rule LOST). Planned work alone, on a service that is short of slots.

Done: a script: 16 gateways, four stopped at a time, and clients that want more than the servers can do. Each request that the rule excuses is left out.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/cassiatray-gateway ] && [ -x target/standin-3 ] || { echo "not built"; exit 2; }
-exec target/standin-3 split "$here/record.txt"
+exec target/standin-3 stop "$here/record.txt"
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -125,6 +125,11 @@
 
 // addServers adds backend servers of a service, evenly over the zones.
 func (w *world) addServers(service string, n int, work time.Duration) error {
+	return w.addServersLike(backend{service: service, slots: 3, queue: 9, work: work}, n)
+}
+
+// addServersLike adds backend servers, evenly over the zones.
+func (w *world) addServersLike(like backend, n int) error {
 	for i := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -132,7 +137,8 @@
 		}
 		address := l.Addr().String()
 		l.Close()
-		b := &backend{fleet: w.fleet, service: service, address: address, zone: zoneOrder[i%len(zoneOrder)].zone, slots: 3, queue: 9, work: work}
+		b := like
+		b.fleet, b.address, b.zone = w.fleet, address, zoneOrder[i%len(zoneOrder)].zone
 		if err := b.start(false); err != nil {
 			return err
 		}
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -30,6 +30,14 @@
 	service, server string
 }
 
+// stay is what became of a client's request at a server; times that did not come are zero.
+type stay struct {
+	server                string
+	arrived, began, ended time.Time
+	// answered is set if the server sent its answer.
+	answered bool
+}
+
 // fleet is the backend servers with their entries in the store.
 type fleet struct {
 	store *store
@@ -37,8 +45,9 @@
 	// poison is the path of the request that crashes each server that begins to run it.
 	poison string
 
-	mu   sync.Mutex
-	runs []run
+	mu    sync.Mutex
+	runs  []run
+	stays map[string]*stay
 }
 
 // backend is a server's address; each start is a process of its own.
@@ -47,6 +56,8 @@
 	service, address, zone string
 	slots, queue           int
 	work                   time.Duration
+	// Of the runs, a share of tail takes tailTimes as long.
+	tail, tailTimes float64
 }
 
 // process is one start of a server.
@@ -140,6 +151,9 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	id := r.Header.Get("Cassiatray-Attempt-Id")
+	here := p.fleet.arrive(id, p.id)
+	defer p.fleet.note(func() { here.ended = time.Now() })
 	if !p.enter(r) {
 		h.Set("Cassiatray-Not-Executed", "1")
 		h.Set("Cassiatray-Server-Load", p.load())
@@ -155,13 +169,16 @@
 		}
 		return
 	}
-	id := r.Header.Get("Cassiatray-Attempt-Id")
+	p.fleet.note(func() { here.began = time.Now() })
 	p.fleet.noteRun(run{at: time.Now(), request: id, path: r.URL.Path, service: p.service, server: p.id})
 	if r.URL.Path == p.fleet.poison {
 		p.crash()
 		return
 	}
-	work := p.work
+	work := time.Duration(float64(p.work) * (0.85 + 0.3*rand.Float64()))
+	if rand.Float64() < p.tail {
+		work = time.Duration(float64(work) * p.tailTimes)
+	}
 	if p.coldLeft() > 0 {
 		work *= 2
 	}
@@ -174,6 +191,7 @@
 	}
 	h.Set("Cassiatray-Response-Stamp", "stamp."+id)
 	h.Set("Cassiatray-Server-Load", p.load())
+	p.fleet.note(func() { here.answered = true })
 	fmt.Fprintf(w, "%s %s", id, strings.Repeat("x", 200))
 }
 
@@ -208,6 +226,38 @@
 	p.running--
 }
 
+// arrive notes a client's request at a server; checks have no id.
+func (f *fleet) arrive(id, server string) *stay {
+	s := &stay{server: server, arrived: time.Now()}
+	if id == "" {
+		return s
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stays == nil {
+		f.stays = map[string]*stay{}
+	}
+	f.stays[id] = s
+	return s
+}
+
+func (f *fleet) note(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// stayOf returns what became of a request at the last server that got it.
+func (f *fleet) stayOf(id string) (stay, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.stays[id]
+	if s == nil {
+		return stay{}, false
+	}
+	return *s, true
+}
+
 func (f *fleet) noteRun(r run) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
