--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -trimpath -o target/standin-3 ./review/standin-3
+out=$(pwd)/target/standin-3
+cd review/standin-3
+go build -trimpath -o "$out" .
