Log writer: requests that a stop has cut off may log beside Close

Cause: Async.Close closed the channel of its queue while requests whose connections the stop had reset still ended and logged: "panic: send on closed channel".

Change: the queue stays open. Close ends the writer once the queue is empty; lines that come later are dropped and counted like those that find the queue full.

--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,17 +22,21 @@
 )
 
 // Async writes lines to a slow writer without ever waiting for it. Lines that
-// find the queue full are dropped and counted.
+// find the queue full, or come after Close, are dropped and counted.
 type Async struct {
-	lines   chan []byte
-	done    chan struct{}
-	queued  atomic.Int64
-	dropped atomic.Uint64
+	lines chan []byte
+	// closing ends the writing once the queue is empty. The queue itself stays open: requests that
+	// a stop has cut off may still log.
+	closing   chan struct{}
+	closeOnce sync.Once
+	done      chan struct{}
+	queued    atomic.Int64
+	dropped   atomic.Uint64
 }
 
 // NewAsync returns a writer in front of w.
 func NewAsync(w io.Writer) *Async {
-	a := &Async{lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	a := &Async{lines: make(chan []byte, queueLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go a.run(w)
 	return a
 }
@@ -41,7 +46,7 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	if a.queued.Add(int64(len(p))) > queueBytes {
+	if a.queued.Add(int64(len(p))) > queueBytes || a.closed() {
 		a.drop(p)
 		return len(p), nil
 	}
@@ -53,14 +58,23 @@
 	return len(p), nil
 }
 
+func (a *Async) closed() bool {
+	select {
+	case <-a.closing:
+		return true
+	default:
+		return false
+	}
+}
+
 func (a *Async) drop(p []byte) {
 	a.queued.Add(-int64(len(p)))
 	a.dropped.Add(1)
 }
 
-// Close writes what is queued, for at most a while.
+// Close writes what is queued, for at most a while. It may be called while others write.
 func (a *Async) Close(atMost time.Duration) {
-	close(a.lines)
+	a.closeOnce.Do(func() { close(a.closing) })
 	select {
 	case <-a.done:
 	case <-time.After(atMost):
@@ -70,21 +84,45 @@
 func (a *Async) run(w io.Writer) {
 	defer close(a.done)
 	last := time.Now()
-	for line := range a.lines {
-		if _, err := w.Write(line); err != nil {
-			a.dropped.Add(1)
-		}
-		a.queued.Add(-int64(len(line)))
-		if time.Since(last) < reportEvery {
-			continue
+	for {
+		select {
+		case line := <-a.lines:
+			last = a.writeLine(w, line, last)
+		case <-a.closing:
+			a.flush(w, last)
+			return
 		}
-		last = time.Now()
-		if n := a.dropped.Swap(0); n > 0 {
-			fmt.Fprintf(w, "{\"level\":\"warning\",\"msg\":\"log: Lines dropped.\",\"lines\":%d}\n", n)
+	}
+}
+
+// flush writes the lines that are queued.
+func (a *Async) flush(w io.Writer, last time.Time) {
+	for {
+		select {
+		case line := <-a.lines:
+			last = a.writeLine(w, line, last)
+		default:
+			return
 		}
 	}
 }
 
+// writeLine writes a line, and reports dropped ones if that was last done long ago. It returns when
+// that was last done.
+func (a *Async) writeLine(w io.Writer, line []byte, last time.Time) time.Time {
+	if _, err := w.Write(line); err != nil {
+		a.dropped.Add(1)
+	}
+	a.queued.Add(-int64(len(line)))
+	if time.Since(last) < reportEvery {
+		return last
+	}
+	if n := a.dropped.Swap(0); n > 0 {
+		fmt.Fprintf(w, "{\"level\":\"warning\",\"msg\":\"log: Lines dropped.\",\"lines\":%d}\n", n)
+	}
+	return time.Now()
+}
+
 // Capped is a formatter that leaves out lines beyond a number a second. Warnings
 // have a number of their own, so that they keep their room under load.
 type Capped struct {
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -53,6 +54,40 @@
 	}
 }
 
+// Guards against a process that panics at its end because requests still log.
+func TestWritesBesideClose(t *testing.T) {
+	for range 50 {
+		var out countedLines
+		a := NewAsync(&out)
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() {
+				for range 200 {
+					if n, err := a.Write([]byte("line\n")); n != 5 || err != nil {
+						t.Errorf("wrote %d: %v", n, err)
+					}
+				}
+			})
+		}
+		a.Write([]byte("line\n"))
+		a.Close(10 * time.Second)
+		if out.lines == 0 {
+			t.Fatal("a line written before Close is lost")
+		}
+		wg.Wait()
+		a.Write([]byte("line\n"))
+		a.Close(10 * time.Second)
+	}
+}
+
+// countedLines counts what is written to it.
+type countedLines struct{ lines int }
+
+func (c *countedLines) Write(p []byte) (int, error) {
+	c.lines++
+	return len(p), nil
+}
+
 // TestLogIsCapped checks that information is left out beyond the cap, counted in
 // the next second, and that warnings are kept.
 func TestLogIsCapped(t *testing.T) {
