Planned stops: every request ends, with an answer, before the process does

Cause: a stopping gateway took requests for 0.45 of its grace, and held others from before, with their callers' whole deadline. Neither its estimate of the wait nor the server's queue knew that all must end with the stop, and at its end nobody was answered: callerconn.Server.Abort reset what was left.

Change: a request waits until its deadline or the end of the stop, whichever is earlier (boundByStop). From that follow the deadline that servers are told, at which they drop it from their queues and say so, and the refusal at once of what cannot end in time, with Retry-After 0. What no server has answered early in the last sixth of the grace is answered on the usual path: 503 if it is proven not to have run, else 504.

--- a/internal/daemon/gateway/answer.go
+++ b/internal/daemon/gateway/answer.go
@@ -95,6 +95,10 @@
 // writeError sends an error response of the gateway itself. It says when to come back unless
 // that is set.
 func (n *Node) writeError(w http.ResponseWriter, req *inflightRequest, status int, reason string) {
+	if status == http.StatusServiceUnavailable && reason == string(reasonStopping) {
+		// Other gateways take it at once.
+		w.Header().Set("Retry-After", "0")
+	}
 	if status == http.StatusServiceUnavailable && w.Header().Get("Retry-After") == "" {
 		after := minRetryAfter + req.fullServer.wait/2
 		if req.comeBackAfter > 0 {
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -111,9 +111,11 @@
 	version uint64
 	forward *port.ForwardRequest
 	// ctx ends with the caller, if the request may be cancelled, with the time that a response is
-	// waited for, and by cancel.
+	// waited for, with Node.waits, and by cancel.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// answered has the attempt outlast Node.waits.
+	answered func() bool
 }
 
 // sendAttempt sends the request to the candidate and records the result.
@@ -153,13 +155,14 @@
 	}
 	return outgoing{
 		candidate: c, version: version, to: sending{server: s, at: started.at, until: started.at.Add(told)}, started: started, ownRequests: ownRequests,
-		forward: forward, ctx: ctx, cancel: cancel,
+		forward: forward, ctx: ctx, cancel: cancel, answered: context.AfterFunc(n.waits, cancel),
 	}
 }
 
 // forward sends the request and waits for the response. It changes nothing of the request's state.
 func (n *Node) forward(o *outgoing) (*port.ForwardAnswer, time.Duration, error) {
 	a, err := n.forwarder.Forward(o.ctx, o.server.rec().Address, o.forward)
+	o.answered()
 	o.server.endRequest(o.started)
 	took := time.Since(o.started.at)
 	if a == nil || a.Rest == nil {
--- a/internal/daemon/gateway/evenload.go
+++ b/internal/daemon/gateway/evenload.go
@@ -87,15 +87,19 @@
 	return list[best]
 }
 
+// expectedRun returns how long the request is expected to run at the chosen server.
+func (c *candidate) expectedRun(times *loadview.Times) time.Duration {
+	if c.paced {
+		return times.Typical
+	}
+	return times.Mean
+}
+
 // maxWait returns the longest time that the request may wait at the chosen server. One that
 // reports its pace and is expected to have a free slot is never too full.
 func (n *Node) maxWait(v *view, req *inflightRequest, c *candidate, times *loadview.Times, now time.Time) time.Duration {
-	run := times.Mean
-	if c.paced {
-		if c.state.HasRoom() {
-			return c.wait
-		}
-		run = times.Typical
+	if c.paced && c.state.HasRoom() {
+		return c.wait
 	}
-	return overload.MaxWait(req.route.Target, req.deadline.Sub(now), run, v.priorities.Level(req.route, req.priority()))
+	return overload.MaxWait(req.route.Target, req.callerWaits(now), c.expectedRun(times), v.priorities.Level(req.route, req.priority()))
 }
--- a/internal/daemon/gateway/hedgepair.go
+++ b/internal/daemon/gateway/hedgepair.go
@@ -189,7 +189,7 @@
 
 // startHedge sends the second attempt, if it may be sent.
 func (n *Node) startHedge(r *http.Request, req *inflightRequest, first *pairedAttempt, results chan<- pairedResult) *pairedAttempt {
-	if r.Context().Err() != nil {
+	if r.Context().Err() != nil || n.waits.Err() != nil {
 		return nil
 	}
 	if n.readmit(req) != "" {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -58,6 +58,13 @@
 	// stopping is set while the gateway is out of the directory, refusing once it takes no
 	// more requests.
 	stopping, refusing atomic.Bool
+	// stopTimes are set once the gateway stops.
+	stopTimes atomic.Pointer[stopTimes]
+	// waits ends, by endWaits, when requests that no server has answered are ended. cut counts those
+	// that a server may have run.
+	waits    context.Context
+	endWaits context.CancelFunc
+	cut      atomic.Int64
 
 	// confirming is set while the links are checked for reports that are held.
 	confirming atomic.Bool
@@ -92,6 +99,7 @@
 		ctx: ctx, cancel: cancel, retryBudgets: map[string]*retry.Window{}, memory: membudget.New(cfg.limits(0).BudgetBytes()), places: membudget.NewPlaces(0),
 		permitPeers: permitPeers{pool: peers, unreachable: map[string]time.Time{}}, relays: newRelayPeers(relays), links: newLinkWatch(), trials: newTrials(), random: rand.Float64,
 	}
+	n.waits, n.endWaits = context.WithCancel(context.Background())
 	n.quotas = newQuotas(n, peers)
 	n.bounds.Store(&cfg.Bounds)
 	k.replaced = func(s *server) {
@@ -111,9 +119,7 @@
 	req.hold = holderOf(w)
 	if n.refusing.Load() {
 		req.view = n.keeper.View()
-		// Other gateways take it at once.
-		w.Header().Set("Retry-After", "0")
-		n.writeError(w, req, http.StatusServiceUnavailable, "stopping")
+		n.writeError(w, req, http.StatusServiceUnavailable, string(reasonStopping))
 		return
 	}
 	n.awaitStart(r.Context(), req.caller.Left)
@@ -194,6 +200,10 @@
 	// drawn is set while a withdrawn attempt has drawn on the retry budget for the next one.
 	drawn := false
 	for {
+		if n.cutByStop(req) {
+			n.writeStopped(w, req)
+			return
+		}
 		if time.Until(req.deadline) < minTimeLeft {
 			n.writeFailure(w, req, "out of time")
 			return
@@ -263,6 +273,10 @@
 				n.recordEnd(req, 0, "caller left")
 				return
 			}
+			if n.cutByStop(req) {
+				n.writeStopped(w, req)
+				return
+			}
 			if final {
 				n.writeFailure(w, req, "server failed: "+string(be.Code))
 				return
--- a/internal/daemon/gateway/pick.go
+++ b/internal/daemon/gateway/pick.go
@@ -61,6 +61,8 @@
 	reasonLimited     rejectReason = "servers at their limit"
 	reasonLeaving     rejectReason = "servers leaving"
 	reasonPaused      rejectReason = "servers pause"
+	// reasonStopping means that this gateway ends before the request would. Others may take it at once.
+	reasonStopping rejectReason = "stopping"
 )
 
 // pickServer chooses a server for the request. If the server names a limit, pickServer
@@ -145,6 +147,8 @@
 		return limited, reasonLimited
 	case best.server == nil:
 		return candidate{}, why
+	case !req.endsBeforeStop(best.wait, best.expectedRun(&times), now):
+		return best, reasonStopping
 	case best.wait > n.maxWait(v, req, &best, &times, now):
 		return best, reasonFull
 	case best.coldFor > 0 && !n.takeColdPermit(v, best.server, now):
--- a/internal/daemon/gateway/relay.go
+++ b/internal/daemon/gateway/relay.go
@@ -86,7 +86,7 @@
 // not, no gateway took it.
 func (n *Node) relay(w http.ResponseWriter, r *http.Request, req *inflightRequest) bool {
 	tried := map[string]bool{}
-	for len(tried) < maxHelpers && time.Until(req.deadline) >= minTimeLeft {
+	for len(tried) < maxHelpers && n.timeLeft(req) >= minTimeLeft {
 		if n.endUnadmitted(w, req) {
 			return true
 		}
@@ -124,6 +124,8 @@
 	started := time.Now()
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(answerGrace))
 	defer cancel()
+	awaited := context.AfterFunc(n.waits, cancel)
+	defer awaited()
 	result := attempt{Via: h.Host}
 	x, err := n.offer(ctx, r, req, h)
 	if err != nil {
@@ -148,6 +150,7 @@
 	// The helper counts it for the retry budget.
 	req.counted = true
 	head, a, err := n.exchange(ctx, x, req)
+	awaited()
 	if err != nil {
 		n.recordRelay(req, result, started, err)
 		req.mayHaveRun, req.repeat = true, true
@@ -158,6 +161,9 @@
 		case r.Context().Err() != nil:
 			n.recordEnd(req, 0, "caller left")
 			return true, false
+		case n.cutByStop(req):
+			n.writeStopped(w, req)
+			return true, false
 		case n.mayRelay(req) && time.Until(req.deadline) >= minTimeLeft:
 			n.relays.pause(h.Host, time.Now().Add(helperPause))
 			return false, true
@@ -218,7 +224,7 @@
 // such as the view of a process that has just started, so that another gateway may serve it.
 func mayBeHelpersOwn(reason rejectReason) bool {
 	switch reason {
-	case reasonUnreachable, reasonCold, reasonNoServer, reasonNoMemory, reasonNoPlace:
+	case reasonUnreachable, reasonCold, reasonNoServer, reasonNoMemory, reasonNoPlace, reasonStopping:
 		return true
 	}
 	return false
--- a/internal/daemon/gateway/relayed.go
+++ b/internal/daemon/gateway/relayed.go
@@ -180,6 +180,7 @@
 	if deadline, ok := r.Context().Deadline(); ok {
 		req.deadline = deadline.Add(-answerGrace - n.answerDelayTo(req))
 	}
+	n.boundByStop(req)
 	req.setObject()
 	req.service = offer.Service
 	req.maxRuns = min(req.maxRuns, int(max(1, offer.RunsLeft)))
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -30,10 +30,11 @@
 	objectHash uint64
 	// isHead is set for HEAD requests, whose responses have no body.
 	isHead bool
-	// deadline is when the caller must have received a response.
-	deadline   time.Time
-	body       []byte
-	unreadBody io.Reader
+	// deadline is when the caller must have received a response. callerDeadline is the one of before
+	// it was moved forward to the end of a stop; zero if it was not.
+	deadline, callerDeadline time.Time
+	body                     []byte
+	unreadBody               io.Reader
 	// hold counts what is held for the request; nil for nobody.
 	hold *membudget.Holder
 	// pairHolding protects hold while attempts run beside each other.
@@ -118,6 +119,7 @@
 func (n *Node) prepare(req *inflightRequest) {
 	req.setAdmission()
 	req.setDeadline()
+	n.boundByStop(req)
 	point := req.setObject()
 	req.service = req.view.service(req.route, point)
 }
--- a/internal/daemon/gateway/start.go
+++ b/internal/daemon/gateway/start.go
@@ -148,7 +148,7 @@
 	if left > 0 {
 		hold = min(hold, time.Duration(startHoldShare*float64(left)))
 	}
-	for end := time.Now().Add(hold); !n.keeper.Settled(time.Now()) && time.Now().Before(end); {
+	for end := time.Now().Add(hold); !n.keeper.Settled(time.Now()) && time.Now().Before(end) && n.waits.Err() == nil; {
 		if !sleep.For(ctx, startPoll) {
 			return
 		}
