Planned stops: uploads that are on their way get an answer

Callers saw their connection reset at the end of a stop while they still sent a request's body, and nothing said whether a server had got a part of it.

Cause: the end of the wait for a server reaches no handler that reads a body: it went on until Abort.

Change: with the other requests' wait the reading of bodies ends (callerconn.Server.StopBodies). If no byte was sent on the caller gets 503 with Retry-After 0, else 504.

Evidence: TestStopAnswersUnfinishedUploads fails on: "status 0, unexpected EOF, 5.2s after the signal".

--- a/internal/adapter/callerconn/room.go
+++ b/internal/adapter/callerconn/room.go
@@ -132,6 +132,15 @@
 	return n
 }
 
+// StopBodies ends the reading of all request bodies, whose handlers get a time-out.
+func (s *Server) StopBodies() {
+	s.each(func(c *conn) {
+		if c.bodyBegan.Load() > 0 {
+			c.stopBody()
+		}
+	})
+}
+
 // Abort ends all connections at once, after Shutdown.
 func (s *Server) Abort() {
 	s.each(func(c *conn) {
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -189,6 +189,8 @@
 		return http.StatusRequestEntityTooLarge, "body over the limit"
 	case refused || !req.enterWorking():
 		return http.StatusServiceUnavailable, string(reasonNoMemory)
+	case errors.Is(err, os.ErrDeadlineExceeded) && n.waits.Err() != nil:
+		return http.StatusServiceUnavailable, string(reasonStopping)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout, "body stalled"
 	case err != nil:
@@ -255,6 +257,8 @@
 		n.writeError(w, req, http.StatusRequestEntityTooLarge, "body over the limit")
 	case req.hold.Ended():
 		n.recordEnd(req, 0, string(reasonNoMemory))
+	case errors.Is(err, os.ErrDeadlineExceeded) && n.waits.Err() != nil:
+		n.writeStopped(w, req)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		n.recordEnd(req, 0, "body stalled")
 	default:
--- a/internal/daemon/gateway/stop.go
+++ b/internal/daemon/gateway/stop.go
@@ -64,7 +64,7 @@
 	n.log.WithField("grace_ms", grace.Milliseconds()).Info("Stopping: out of the directory.")
 	ctx, cancel := context.WithDeadline(ctx, times.cut)
 	defer cancel()
-	ending := time.AfterFunc(time.Until(times.answer), func() { n.endRequests() })
+	ending := time.AfterFunc(time.Until(times.answer), func() { n.endRequests(callers) })
 	defer ending.Stop()
 	go n.syncer.Leave(ctx)
 	sleep.For(ctx, time.Until(times.refuse))
@@ -87,9 +87,10 @@
 
 // endRequests ends the wait of all requests that no server has answered, so that their callers get an
 // answer before the process ends.
-func (n *Node) endRequests() {
+func (n *Node) endRequests(callers *callerconn.Server) {
 	n.log.WithFields(logrus.Fields{"in_flight": n.inFlight.Load(), "relayed": n.relayed.Load()}).Info("Stopping: requests without an answer are ended.")
 	n.endWaits()
+	callers.StopBodies()
 }
 
 // endCallers waits until all requests are answered, and returns how many were cut off whose servers
--- a/internal/daemon/gateway/stopanswers_test.go
+++ b/internal/daemon/gateway/stopanswers_test.go
@@ -285,6 +285,53 @@
 	}
 }
 
+// Guards against requests whose bodies are on their way at the end of a stop, and which end without
+// an answer.
+func TestStopAnswersUnfinishedUploads(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		size, status int
+	}{
+		{"none of it sent on", 1000, http.StatusServiceUnavailable},
+		{"a part sent on", 1 << 20, http.StatusGatewayTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newStopWorld(6*time.Second, nil)
+				defer w.stop()
+				w.servers.answer = func(ctx context.Context, n int, _ string) (*port.ForwardAnswer, error) {
+					w.servers.mu.Lock()
+					rest := w.servers.sent[n-1].req.Rest
+					w.servers.mu.Unlock()
+					if _, err := io.Copy(io.Discard, rest); err != nil {
+						return nil, &port.BackendError{Code: port.BackendCanceled, Sent: true, Err: err}
+					}
+					return okAnswer(), nil
+				}
+				upload, caller := io.Pipe()
+				replied := w.send(http.MethodPost, "/post/1", upload, c.size)
+				go func() {
+					// The caller makes progress all the while.
+					for piece := make([]byte, c.size/3); ; time.Sleep(4 * time.Second) {
+						if _, err := caller.Write(piece); err != nil {
+							return
+						}
+					}
+				}()
+				time.Sleep(100 * time.Millisecond)
+				ended := w.begin()
+				r := <-replied
+				if after := r.at.Sub(w.began); r.err != nil || r.status != c.status || after < 5*time.Second || after >= 6*time.Second {
+					t.Errorf("status %d, %v, %v after the signal", r.status, r.err, after)
+				}
+				<-ended
+				caller.Close()
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
 // Guards against gateways that stop and leave the ones whose requests they relay without a word.
 func TestStoppingHelperAnswersWhatItRelays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
