Requests that crash servers: one identity over all services, and one for each host

Cause: a request was identified by the service that the split had drawn, and not by its host. Each part of a split, and each service to which a version moved the route, began anew with three crashes and a trial.

Change: suspect.Identity says for both programs what a request is: host (or the service that callers of entry processes name), method, path, query, object, body. Crashes and runs to the end are reported with their service (ServerReport.service, run_micros). Crashes at other services count if the request was sent after the crash before: copies in flight at once, as when a failure domain is lost, do not. A run to the end voids the crashes at its own service, and for that service all before. A service at which nothing crashed has a trial of its own within two failed in all. Fingerprints of entry processes stay as they are.

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -48,7 +48,7 @@
 				}
 				seen[name] = true
 			}
-			counts[fmt.Sprint(gateways[i].Verdict("r", false).Crashes)]++
+			counts[fmt.Sprint(gateways[i].Verdict("r", "", false).Crashes)]++
 		}
 		if len(counts) != 1 {
 			t.Fatalf("gateways disagree on the number of crashes: %v", counts)
@@ -59,7 +59,7 @@
 func TestCrashingRequestIsRefused(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var r Reports
-	refused := func(request string) bool { return !r.Verdict(request, false).Runs() }
+	refused := func(request string) bool { return !r.Verdict(request, "", false).Runs() }
 	for n := range suspect.TrialThreshold {
 		if refused("bad") {
 			t.Fatalf("rejected after %d crashes", n)
@@ -75,6 +75,33 @@
 	}
 }
 
+// Guards against a run to completion at one service that says something of another: it voids the crashes
+// there, and for that service all before it.
+func TestCompletionAtAService(t *testing.T) {
+	now := time.Unix(1000, 0)
+	at := func(s int) time.Time { return now.Add(time.Duration(s) * time.Second) }
+	for _, c := range []struct {
+		name      string
+		completed string
+		crashes   map[string]int
+	}{
+		{"at the service of the crashes", "s", map[string]int{"s": 0, "t": 0, "u": 0}},
+		{"at another one", "t", map[string]int{"s": 3, "t": 0, "u": 3}},
+		{"passed on by an older build", "", map[string]int{"s": 0, "t": 0, "u": 0}},
+	} {
+		var r Reports
+		for n := range suspect.TrialThreshold {
+			r.Add(at(n), Report{Origin: "g", Number: uint64(n + 1), Server: fmt.Sprint(n), Service: "s", Sent: at(n), At: at(n), Request: "bad"})
+		}
+		r.Add(at(9), Report{Origin: "g", Number: 9, Service: c.completed, At: at(9), Request: "bad", Cleared: true})
+		for service, want := range c.crashes {
+			if got := r.Verdict("bad", service, false).Crashes; got != want || r.Held("bad", service) != (want > 0) {
+				t.Errorf("%s: %d crashes count at %s, want %d", c.name, got, service, want)
+			}
+		}
+	}
+}
+
 // TestReportsOfOneCrashCountOnce checks that reports of one crash from several
 // gateways count once, and that a later crash of the same server counts again.
 func TestReportsOfOneCrashCountOnce(t *testing.T) {
@@ -83,11 +110,11 @@
 	for n := range 2 * suspect.TrialThreshold {
 		r.Add(now, Report{Origin: fmt.Sprint(n), Number: 1, Server: "s", At: now.Add(time.Duration(n) * time.Second / 10), Request: "bad"})
 	}
-	if n := r.Verdict("bad", false).Crashes; n != 1 {
+	if n := r.Verdict("bad", "", false).Crashes; n != 1 {
 		t.Errorf("%d crashes for reports of one crash, want 1", n)
 	}
 	r.Add(now, Report{Origin: "a", Number: 1, Server: "s", At: now.Add(3 * time.Second), Request: "bad"})
-	if n := r.Verdict("bad", false).Crashes; n != 2 {
+	if n := r.Verdict("bad", "", false).Crashes; n != 2 {
 		t.Errorf("%d crashes after a second one, want 2", n)
 	}
 }
@@ -175,7 +202,7 @@
 	}
 	later := now.Add(2 * time.Minute)
 	r.Add(later, Report{Origin: "b", Number: 1e6, Server: "s", At: later})
-	if r.Verdict("bad", false).Runs() {
+	if r.Verdict("bad", "", false).Runs() {
 		t.Error("crash reports were evicted")
 	}
 	if list, _ := r.Since(later, 0); len(list) != suspect.TrialThreshold+1 {
--- a/internal/core/fleet/reports.go
+++ b/internal/core/fleet/reports.go
@@ -19,13 +19,17 @@
 	Server string
 	At     time.Time
 	// Request is the fingerprint of the request that was in flight when the
-	// server crashed; empty if the server was only unreachable.
+	// server crashed; empty if the server was only unreachable. Service is that of the server, or the
+	// one at which the request completed; empty if a gateway of an older build passed the report on.
+	// Sent is when the request was sent.
 	Request string
-	// Proven is set if that request had run to completion before, as far as the reporting
+	Service string
+	Sent    time.Time
+	// Proven is set if that request had run to completion at the service before, as far as the reporting
 	// gateway knows, and Trial if it ran as a trial.
 	Proven, Trial bool
-	// Cleared is set when the request completed, which clears it of earlier
-	// crashes. Without a request, the server has answered a check that was
+	// Cleared is set when the request completed at the service, which clears it of earlier
+	// crashes there, and of all earlier ones for that service. Without a request, the server has answered a check that was
 	// reported as unanswered.
 	Cleared bool
 	// Unanswered is set when the server has not answered a check of the
@@ -39,6 +43,14 @@
 	Born    int64
 }
 
+// RunTime returns how long the request had been at the server when it crashed.
+func (r *Report) RunTime() time.Duration {
+	if r.Sent.IsZero() {
+		return 0
+	}
+	return r.At.Sub(r.Sent)
+}
+
 // Limits of reports.
 const (
 	// unreachableTTL is how long a report of an unreachable or cold server is
@@ -67,27 +79,30 @@
 	lastSequence uint64
 	// lastNumber is the highest report number received from each origin.
 	lastNumber map[string]uint64
-	// lastCompleted is the time at which each request last completed.
-	lastCompleted map[string]time.Time
+	// lastCompleted is the time at which each request last completed at each service.
+	lastCompleted map[completedAt]time.Time
 }
 
+// completedAt is a request at a service; none for a completion at an unknown one.
+type completedAt struct{ request, service string }
+
 // Add stores a report and reports whether it is new.
 func (r *Reports) Add(now time.Time, rep Report) bool {
 	if r.lastNumber == nil {
-		r.lastNumber, r.lastCompleted = map[string]uint64{}, map[string]time.Time{}
+		r.lastNumber, r.lastCompleted = map[string]uint64{}, map[completedAt]time.Time{}
 	}
 	if rep.Number <= r.lastNumber[rep.Origin] {
 		return false
 	}
 	r.lastNumber[rep.Origin] = rep.Number
 	r.lastSequence++
-	maps.DeleteFunc(r.lastCompleted, func(_ string, at time.Time) bool { return now.Sub(at) > crashTTL })
+	maps.DeleteFunc(r.lastCompleted, func(_ completedAt, at time.Time) bool { return now.Sub(at) > crashTTL })
 	list, ttl := &r.unreachable, unreachableTTL
 	if rep.Request != "" {
 		list, ttl = &r.crashes, crashTTL
 	}
-	if rep.Cleared && rep.Request != "" && rep.At.After(r.lastCompleted[rep.Request]) {
-		r.lastCompleted[rep.Request] = rep.At
+	if at := (completedAt{rep.Request, rep.Service}); rep.Cleared && rep.Request != "" && rep.At.After(r.lastCompleted[at]) {
+		r.lastCompleted[at] = rep.At
 	}
 	*list = append(prune(*list, now, ttl), storedReport{rep, r.lastSequence})
 	return true
@@ -124,22 +139,28 @@
 	return list, r.lastSequence
 }
 
-// Held reports whether a request is suspected of crashing a server.
-func (r *Reports) Held(request string) bool { return len(r.sightings(request)) > 0 }
+// Held reports whether a request is suspected of crashing a server, as far as a completion at the service
+// would clear it.
+func (r *Reports) Held(request, service string) bool { return len(r.sightings(request, service)) > 0 }
 
-// Verdict says how a request is to be treated; proven is set if this gateway knows that it has
-// run to completion.
-func (r *Reports) Verdict(request string, proven bool) suspect.Verdict {
-	return suspect.Judge(r.sightings(request), proven)
+// Verdict says how to treat a request at a service; proven is set if this gateway knows that it has
+// run to completion there.
+func (r *Reports) Verdict(request, service string, proven bool) suspect.Verdict {
+	return suspect.Judge(r.sightings(request, service), service, proven)
 }
 
-// sightings returns the crashes during which a request was in flight since it last completed.
-func (r *Reports) sightings(request string) []suspect.Sighting {
+// sightings returns the crashes during which a request was in flight and that count at a service: those
+// since it last completed there, and since it last completed at the service of the crash.
+func (r *Reports) sightings(request, service string) []suspect.Sighting {
 	var out []suspect.Sighting
+	cleared := func(at time.Time, service string) bool {
+		return !at.After(r.lastCompleted[completedAt{request, service}])
+	}
 	for _, k := range r.crashes {
-		if k.Request == request && !k.Cleared && k.At.After(r.lastCompleted[request]) {
-			out = append(out, suspect.Sighting{Server: k.Server, At: k.At, Proven: k.Proven, Trial: k.Trial})
+		if k.Request != request || k.Cleared || cleared(k.At, service) || cleared(k.At, k.Service) || cleared(k.At, "") {
+			continue
 		}
+		out = append(out, suspect.Sighting{Server: k.Server, Service: k.Service, Sent: k.Sent, At: k.At, Proven: k.Proven, Trial: k.Trial})
 	}
 	return out
 }
--- a/internal/core/suspect/completed.go
+++ b/internal/core/suspect/completed.go
@@ -1,11 +1,6 @@
 package suspect
 
-import (
-	"encoding/binary"
-	"sync/atomic"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "sync/atomic"
 
 // completedSlots is the number of requests that a Completed remembers, 64 KiB in all.
 const completedSlots = 8192
@@ -20,18 +15,3 @@
 
 // Has reports whether a request is known to have run to completion.
 func (c *Completed) Has(key uint64) bool { return key != 0 && c.keys[key%completedSlots].Load() == key }
-
-// Key returns the key of a request with a body and other parts. It is much cheaper than a
-// Fingerprint, and two requests may share one.
-func Key(body []byte, parts ...string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	var size [8]byte
-	for _, part := range parts {
-		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
-		d.Write(size[:])
-		d.WriteString(part)
-	}
-	d.Write(body)
-	return d.Sum64()
-}
--- a/internal/core/suspect/table.go
+++ b/internal/core/suspect/table.go
@@ -20,33 +20,11 @@
 
 import (
 	"cmp"
-	"crypto/sha256"
-	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
 )
 
-// Fingerprint identifies equal requests by a hash of their contents.
-type Fingerprint [sha256.Size]byte
-
-// Of returns the fingerprint of a request. Callers control the contents of the
-// parts, so each part is hashed with its length to prevent collisions by shifting
-// bytes between parts.
-func Of(service, method, path, query string, body []byte) Fingerprint {
-	h := sha256.New()
-	for _, part := range [][]byte{[]byte(service), []byte(method), []byte(path), []byte(query), body} {
-		var size [8]byte
-		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
-		h.Write(size[:])
-		h.Write(part)
-	}
-	return Fingerprint(h.Sum(nil))
-}
-
-// Key returns the key of the request for Completed.
-func (f Fingerprint) Key() uint64 { return binary.BigEndian.Uint64(f[:]) }
-
 // Thresholds, time windows and size limits of a Table.
 const (
 	// CrashLimit is the number of counted crashes at which a request is refused, and
--- a/internal/core/suspect/table_test.go
+++ b/internal/core/suspect/table_test.go
@@ -9,8 +9,8 @@
 )
 
 var (
-	crashing = Of("orders", "GET", "/bad", "", nil)
-	harmless = Of("orders", "GET", "/stock", "", nil)
+	crashing = of("/bad")
+	harmless = of("/stock")
 )
 
 func serverIn(domain string, n int) Server {
@@ -36,7 +36,7 @@
 			t.Crash(at(0), crashing, serverIn("a", 1), at(-0.01))
 			t.Crash(at(0), harmless, serverIn("a", 1), at(-0.01))
 			t.Crash(at(1), crashing, serverIn("a", 2), at(0.9))
-			t.Crash(at(1.2), Of("orders", "GET", "/other", "", nil), serverIn("a", 1), at(1.1))
+			t.Crash(at(1.2), of("/other"), serverIn("a", 1), at(1.1))
 		}, Refused, at(2)},
 		{"two servers one after the other", func(t *Table) {
 			t.Crash(at(0), crashing, serverIn("a", 1), at(0-0.01))
@@ -184,7 +184,7 @@
 	})
 }
 
-func request(n int) Fingerprint { return Of("orders", "GET", fmt.Sprint(n), "", nil) }
+func request(n int) Fingerprint { return of(fmt.Sprint(n)) }
 
 func TestTableSizeIsBounded(t *testing.T) {
 	now := time.Unix(1e9, 0)
@@ -201,3 +201,9 @@
 		t.Fatalf("the table lists %d entries", n)
 	}
 }
+
+// of returns the fingerprint of a request for a path.
+func of(path string) Fingerprint {
+	id := Identity{Authority: "orders", Method: "GET", Path: path}
+	return id.Fingerprint()
+}
--- a/internal/core/suspect/trials.go
+++ b/internal/core/suspect/trials.go
@@ -26,8 +26,12 @@
 // Sighting is a report that a request was in flight at a server when it crashed.
 type Sighting struct {
 	Server string
-	At     time.Time
-	// Proven is set if the request had run to completion before, Trial if this was a trial.
+	// Service is the server's; empty if it is not known.
+	Service string
+	// Sent is when the request was sent, At when the server crashed.
+	Sent, At time.Time
+	// Proven is set if the request had run to completion at this service before, Trial if this was a
+	// trial.
 	Proven, Trial bool
 }
 
@@ -44,23 +48,47 @@
 // Runs reports whether the request may run as any other.
 func (v Verdict) Runs() bool { return v.State == Clear }
 
-// Judge decides on a request by the crashes since it last ran to completion. Crashes alone
-// never settle it: a failure domain that is lost takes down several servers at once, whatever
+// Judge decides whether a request may run at a service, by the crashes since it last ran to completion.
+// Crashes alone never settle it: a failure domain that is lost takes down several servers at once, whatever
 // they were running. A request that was in flight at TrialThreshold crashes runs on in trials,
 // one copy at a time in the whole system, and only trials that crash their servers refuse it.
-// proven is set if the request is known to have run to completion, whatever the sightings say.
-func Judge(sightings []Sighting, proven bool) Verdict {
-	v := Verdict{Crashes: countCrashes(sightings, false), Failed: countCrashes(sightings, true)}
+//
+// Crashes at other services count if the request was sent after the crash before: it crashes servers there
+// one after the other, and comes again until it meets all of them. Copies that were in flight at once, as
+// when a failure domain of several services is lost, count at their own service only. A service at which
+// nothing has crashed has a trial even if one has failed elsewhere.
+//
+// proven is set if the request is known to have run to completion at the service, whatever the sightings say.
+func Judge(sightings []Sighting, service string, proven bool) Verdict {
+	crashes := crashesOf(sightings)
+	var v Verdict
 	var last time.Time
+	crashedHere := false
+	for _, c := range crashes {
+		here := c.Service == service || c.Service == ""
+		crashedHere = crashedHere || here
+		if here || !c.Sent.Before(last) {
+			v.Crashes++
+		}
+		last = c.At
+	}
+	var trials []Sighting
 	for _, s := range sightings {
-		proven = proven || s.Proven
+		proven = proven || s.Proven && s.Service == service
+		if s.Trial {
+			trials = append(trials, s)
+		}
 		if s.At.After(last) {
 			last = s.At
 		}
 	}
+	v.Failed = len(crashesOf(trials))
 	pause, most := trialPause, maxTrials
 	if !proven {
-		pause, most = unprovenTrialPause, maxUnprovenTrials
+		pause = unprovenTrialPause
+	}
+	if !proven && crashedHere {
+		most = maxUnprovenTrials
 	}
 	switch {
 	case v.Crashes < TrialThreshold:
@@ -73,19 +101,25 @@
 	return v
 }
 
-// countCrashes returns the number of crashes, or of those under trials. Several sightings may
-// be of one crash.
-func countCrashes(sightings []Sighting, trialsOnly bool) int {
-	n := 0
-	latest := map[string]time.Time{}
+// crashesOf returns the crashes that sightings tell of, in order: several may be of one crash, of which
+// the earliest copy of the request counts.
+func crashesOf(sightings []Sighting) []Sighting {
+	var out []Sighting
+	// latest holds the index of each server's latest crash, and when it was last sighted.
+	type sighted struct {
+		crash int
+		at    time.Time
+	}
+	latest := map[string]sighted{}
 	for _, s := range slices.SortedStableFunc(slices.Values(sightings), func(a, b Sighting) int { return a.At.Compare(b.At) }) {
-		if trialsOnly && !s.Trial {
-			continue
-		}
-		if at, ok := latest[s.Server]; !ok || s.At.Sub(at) > sameCrashWindow {
-			n++
+		known, ok := latest[s.Server]
+		if !ok || s.At.Sub(known.at) > sameCrashWindow {
+			known.crash = len(out)
+			out = append(out, s)
+		} else if c := &out[known.crash]; s.Sent.Before(c.Sent) {
+			c.Sent = s.Sent
 		}
-		latest[s.Server] = s.At
+		latest[s.Server] = sighted{known.crash, s.At}
 	}
-	return n
+	return out
 }
--- a/internal/daemon/entry/suspect.go
+++ b/internal/daemon/entry/suspect.go
@@ -34,8 +34,10 @@
 
 func newSuspects() *suspects { return new(suspects) }
 
+// fingerprint returns that of the request. Callers address services by their names.
 func (r *request) fingerprint() suspect.Fingerprint {
-	return suspect.Of(r.svc.Name, r.received.Method, r.received.Path, r.received.RawQuery, r.received.Body)
+	id := suspect.Identity{Authority: r.svc.Name, Method: r.received.Method, Path: r.received.Path, Query: r.received.RawQuery, Body: r.received.Body}
+	return id.Fingerprint()
 }
 
 // state returns how to treat a request, and for how much longer it is quarantined.
--- a/internal/daemon/entry/suspect_test.go
+++ b/internal/daemon/entry/suspect_test.go
@@ -25,7 +25,7 @@
 	for _, server := range []string{"s-1", "s-2"} {
 		n := c.nodes["a-1"]
 		now := n.clock.Now()
-		f := suspect.Of("orders", popular.Method, popular.Path, "", nil)
+		f := (&suspect.Identity{Authority: "orders", Method: popular.Method, Path: popular.Path}).Fingerprint()
 		for _, h := range hosts {
 			c.nodes[h].suspects.recordCrash(now, f, suspect.Server{Service: "orders", Name: server, Domain: "a"}, now)
 		}
--- a/internal/daemon/entry/suspectbackend.go
+++ b/internal/daemon/entry/suspectbackend.go
@@ -135,7 +135,8 @@
 }
 
 func backendFingerprint(req *port.BackendRequest) suspect.Fingerprint {
-	return suspect.Of(req.Service, req.Method, req.Path, req.RawQuery, req.Body)
+	id := suspect.Identity{Authority: req.Service, Method: req.Method, Path: req.Path, Query: req.RawQuery, Body: req.Body}
+	return id.Fingerprint()
 }
 
 func (b *suspectBackend) isRefused(req *port.BackendRequest) bool {
--- a/internal/daemon/entry/turn_test.go
+++ b/internal/daemon/entry/turn_test.go
@@ -20,7 +20,7 @@
 	c.backend.failures = []error{crash, timeout}
 	c.nodes["a-1"].Do(context.Background(), bad)
 	c.backend.failures = nil
-	return c, bad, suspect.Of("orders", http.MethodGet, "/stock/bad", "", nil)
+	return c, bad, (&suspect.Identity{Authority: "orders", Method: http.MethodGet, Path: "/stock/bad"}).Fingerprint()
 }
 
 // TestSuspectRunsOnceAtATime checks that copies of a suspect on different hosts run one at
--- a/internal/daemon/gateway/attempt.go
+++ b/internal/daemon/gateway/attempt.go
@@ -204,7 +204,7 @@
 		if l := a.Meta.Load; a.Meta.NotRun && !a.Meta.OtherInstance && l != nil && !l.HasRoom() {
 			n.metrics.fullServer(req.service, o.otherRoom)
 		}
-		n.recordRuns(s.recordAnswer(a.Meta, o.ownRequests, started.at, n.coldUnseen(req.view, req.service, now), now))
+		n.recordRuns(s.recordAnswer(a.Meta, o.ownRequests, started.at, n.coldUnseen(req.view, req.service, now), now), rec.Service)
 		if a.Meta.OtherInstance {
 			n.processEnded(s, endOtherInstance, now)
 		}
@@ -344,9 +344,9 @@
 // reportCrash reports the server's crash for each of the requests that were
 // running on it.
 func (n *Node) reportCrash(s *server, requests []fleet.InFlight, proof processEnd, now time.Time) {
-	held := false
+	held, rec := false, s.rec()
 	for _, request := range requests {
-		held = !n.keeper.ReportCrash(s.rec().ID, request, proof, now) || held
+		held = !n.keeper.ReportCrash(rec.ID, rec.Service, request, proof, now) || held
 	}
 	if held {
 		n.confirmLinks()
--- a/internal/daemon/gateway/builds_test.go
+++ b/internal/daemon/gateway/builds_test.go
@@ -34,12 +34,12 @@
 	recorded(t, "b31ef2f", "pull", pull)
 	k.takeReports(pull.GetMirrorPull().GetReports()[:1], now)
 	const print = "0123456789abcdef0123456789abcdef"
-	v := k.reports.Verdict(print, false)
+	v := k.reports.Verdict(print, "s", false)
 	if v.State != suspect.Clear || v.Crashes != 1 || v.Failed != 0 {
 		t.Errorf("verdict %+v after the report of a crash", v)
 	}
 	k.takeReports(pull.GetMirrorPull().GetReports(), now)
-	if k.reports.Held(print) {
+	if k.reports.Held(print, "s") {
 		t.Error("held after the report of a run to its end")
 	}
 	recorded(t, "b31ef2f", "offer", offer)
--- a/internal/daemon/gateway/crashes_test.go
+++ b/internal/daemon/gateway/crashes_test.go
@@ -39,8 +39,10 @@
 	ended map[string]chan struct{}
 	// crashing reports whether a request crashes the servers that run it, and shape says how.
 	crashing func(uri string) bool
-	shape    crashShape
-	runs     []crashRun
+	// spared reports whether servers at an address stand the requests that crash others; nil for none.
+	spared func(address string) bool
+	shape  crashShape
+	runs   []crashRun
 	// ends is when the latest process at an address ended, and hung until when it does not respond.
 	ends, hung map[string]time.Time
 	// instances names the processes that took the place of ones that hung; replaced is called
@@ -51,8 +53,8 @@
 
 // crashRun is a request that a server began to run.
 type crashRun struct {
-	uri string
-	at  time.Time
+	uri, address string
+	at           time.Time
 }
 
 // Connect implements port.Prober.
@@ -79,6 +81,8 @@
 	return time.Now().Before(s.hung[address])
 }
 
+func (s *crashServers) spares(address string) bool { return s.spared != nil && s.spared(address) }
+
 func (s *crashServers) down(address string) bool { return time.Now().Before(s.back[address]) }
 
 // Forward implements port.Forwarder.
@@ -90,14 +94,14 @@
 	}
 	hung := time.Now().Before(s.hung[address])
 	if !hung {
-		s.runs = append(s.runs, crashRun{req.URI, time.Now()})
+		s.runs = append(s.runs, crashRun{req.URI, address, time.Now()})
 	}
 	ended := s.ended[address]
 	if ended == nil {
 		ended = make(chan struct{})
 		s.ended[address] = ended
 	}
-	crashing := s.crashing(req.URI)
+	crashing := s.crashing(req.URI) && !s.spares(address)
 	s.mu.Unlock()
 	if hung {
 		<-ended
@@ -160,7 +164,7 @@
 	defer s.mu.Unlock()
 	var third time.Time
 	for _, r := range s.runs {
-		if r.uri != uri || !s.crashing(uri) {
+		if r.uri != uri || !s.crashing(uri) || s.spares(r.address) {
 			continue
 		}
 		runs++
--- a/internal/daemon/gateway/hedgepair.go
+++ b/internal/daemon/gateway/hedgepair.go
@@ -283,11 +283,12 @@
 // settleLostAnswer is settleLost for a response that came too late.
 func (n *Node) settleLostAnswer(res pairedResult, now time.Time) {
 	s, a := res.p.server, res.a
+	rec := s.rec()
 	if a.Rest != nil {
 		a.Rest.Close()
 	}
 	n.noteResponse(a.Opened, now)
-	n.recordRuns(s.recordAnswer(a.Meta, res.p.ownRequests, res.p.started.at, res.p.coldUnseen, now))
+	n.recordRuns(s.recordAnswer(a.Meta, res.p.ownRequests, res.p.started.at, res.p.coldUnseen, now), rec.Service)
 	if a.Meta.OtherInstance {
 		n.processEnded(s, endOtherInstance, now)
 	}
@@ -303,7 +304,7 @@
 	switch run := res.p.run; {
 	case !res.p.unfinished:
 	case a.Rest == nil && !a.Unframed:
-		n.recordRun(run.Key, func() string { return run.Request }, run.Sent)
+		n.recordRun(run.Key, func() string { return run.Request }, rec.Service, run.Sent)
 	default:
 		n.noteUnfinished(s, run, now)
 	}
--- a/internal/daemon/gateway/processwatch.go
+++ b/internal/daemon/gateway/processwatch.go
@@ -61,7 +61,7 @@
 		s.mu.Lock()
 		completed := s.unfinished.Open(now.Add(-processOpenMargin))
 		s.mu.Unlock()
-		n.recordRuns(completed)
+		n.recordRuns(completed, rec.Service)
 		return true
 	}
 	if pause, _ := s.pauseLeft(now); pause > 0 || s.isLeaving() || n.keeper.server(rec.ID, 0) != s {
--- a/internal/daemon/gateway/report.go
+++ b/internal/daemon/gateway/report.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/hex"
 	"slices"
-	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -50,14 +50,14 @@
 	k.report(fleet.Report{Server: server, Cleared: true, At: now})
 }
 
-// ReportCrash tells the other gateways that a server crashed under a request. A link that resets
+// ReportCrash tells the other gateways that a server of a service crashed under a request. A link that resets
 // connections, so that the server seems to refuse them, looks the same.
 //
 // It reports whether it did so at once.
-func (k *Keeper) ReportCrash(server string, f fleet.InFlight, proof processEnd, now time.Time) bool {
+func (k *Keeper) ReportCrash(server, service string, f fleet.InFlight, proof processEnd, now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	rep := fleet.Report{Server: server, Request: f.Request, Proven: f.Proven, Trial: f.Trial, At: f.Lost}
+	rep := fleet.Report{Server: server, Service: service, Request: f.Request, Sent: f.Sent, Proven: f.Proven, Trial: f.Trial, At: f.Lost}
 	told := k.reportOnceReached(rep, now)
 	k.logCrash(rep, k.origin, logrus.Fields{"exchange": f.Exchange, "proof": proof})
 	return told
@@ -66,9 +66,9 @@
 // logCrash logs that a server crashed under a request, with what the source alone knows of it.
 // The caller holds k.mu.
 func (k *Keeper) logCrash(rep fleet.Report, source string, known logrus.Fields) {
-	v := k.reports.Verdict(rep.Request, rep.Proven)
+	v := k.reports.Verdict(rep.Request, rep.Service, rep.Proven)
 	k.log.WithFields(known).WithFields(logrus.Fields{
-		"server": rep.Server, "source": source, "fingerprint": shortPrint(rep.Request), "crashes": v.Crashes, "trials_failed": v.Failed,
+		"server": rep.Server, "service": rep.Service, "source": source, "fingerprint": shortPrint(rep.Request), "crashes": v.Crashes, "trials_failed": v.Failed,
 		"proven": rep.Proven, "trial": rep.Trial, "state": v.State.String(),
 	}).Warn("Server crashed under a request.")
 }
@@ -123,10 +123,11 @@
 	var doubted doubtedServers
 	for _, r := range list {
 		rep := fleet.Report{
-			Origin: r.Origin, Number: r.Number, Server: r.Server, Request: string(r.Fingerprint), Proven: r.Proven, Trial: r.Trial, Cleared: r.Cleared,
+			Origin: r.Origin, Number: r.Number, Server: r.Server, Service: r.Service, Request: string(r.Fingerprint), Proven: r.Proven, Trial: r.Trial, Cleared: r.Cleared,
 			Cold: time.Duration(r.ColdMicros) * time.Microsecond, Leaving: r.Leaving, Born: r.Born, Unanswered: r.Unanswered,
 			At: now.Add(-time.Duration(r.AgeMicros) * time.Microsecond),
 		}
+		rep.Sent = rep.At.Add(-time.Duration(max(0, r.RunMicros)) * time.Microsecond)
 		if !k.reports.Add(now, rep) {
 			continue
 		}
@@ -217,6 +218,7 @@
 		out = append(out, &peerv1.ServerReport{
 			Origin: r.Origin, Number: r.Number, Server: r.Server, AgeMicros: now.Sub(r.At).Microseconds(), Fingerprint: []byte(r.Request), Proven: r.Proven, Trial: r.Trial, Cleared: r.Cleared,
 			ColdMicros: r.Cold.Microseconds(), Leaving: r.Leaving, Born: r.Born, Unanswered: r.Unanswered,
+			Service: r.Service, RunMicros: r.RunTime().Microseconds(),
 		})
 	}
 	return out, next
@@ -229,50 +231,58 @@
 	return k.reportsSince(sequence, now)
 }
 
-// verdict says how to treat a request that servers may have crashed under; proven reports
-// whether it is known here to have run to completion.
-func (k *Keeper) verdict(request func() string, proven func() bool) suspect.Verdict {
+// verdict says how to treat a request at a service that servers may have crashed under; proven reports
+// whether it is known here to have run to completion there.
+func (k *Keeper) verdict(request func() string, service string, proven func() bool) suspect.Verdict {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.reports.Empty() {
 		return suspect.Verdict{}
 	}
-	v := k.reports.Verdict(request(), false)
+	v := k.reports.Verdict(request(), service, false)
 	if v.Runs() || !proven() {
 		return v
 	}
-	return k.reports.Verdict(request(), true)
+	return k.reports.Verdict(request(), service, true)
 }
 
 // ran tells everyone when a request under which servers crashed, and that was sent after that,
-// has run to completion.
-func (k *Keeper) ran(request func() string, sent time.Time) {
+// has run to completion at a service.
+func (k *Keeper) ran(request func() string, service string, sent time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.reports.Empty() {
 		return
 	}
-	if f := request(); k.reports.Held(f) {
-		k.report(fleet.Report{Request: f, Cleared: true, At: sent})
-		k.log.WithFields(logrus.Fields{"fingerprint": shortPrint(f)}).Info("Request cleared: it ran to completion.")
+	if f := request(); k.reports.Held(f, service) {
+		k.report(fleet.Report{Request: f, Service: service, Cleared: true, At: sent, Sent: sent})
+		k.log.WithFields(logrus.Fields{"fingerprint": shortPrint(f), "service": service}).Info("Request cleared: it ran to completion.")
 	}
 }
 
-// fingerprint identifies requests that do the same for the same caller. One whose body is not
+// identity returns what makes a request the same one that comes again. One whose body is not
 // buffered whole is identified by the part that is and by its size, as far as that is known.
+func (req *inflightRequest) identity() suspect.Identity {
+	id := suspect.Identity{
+		Authority: strings.ToLower(req.host), Method: req.method, Caller: req.caller.Object, Body: req.body,
+		Partial: req.unreadBody != nil, Size: req.bodySize,
+	}
+	id.Path, id.Query = suspect.SplitTarget(req.uri)
+	return id
+}
+
+// fingerprint returns that of the request's identity.
 func (req *inflightRequest) fingerprint() string {
 	if req.print == "" {
-		object := req.caller.Object
-		if req.unreadBody != nil {
-			object += "\x00" + strconv.FormatInt(req.bodySize, 10)
-		}
-		f := suspect.Of(req.service, req.method, req.uri, object, req.body)
+		id := req.identity()
+		f := id.Fingerprint()
 		req.print = string(f[:])
 	}
 	return req.print
 }
 
-// key is fingerprint for what is asked for every request.
+// key is fingerprint at the request's service, for what is asked for every request.
 func (req *inflightRequest) key() uint64 {
-	return suspect.Key(req.body, req.service, req.method, req.uri, req.caller.Object)
+	id := req.identity()
+	return id.KeyAt(req.service)
 }
--- a/internal/daemon/gateway/serverlinks_test.go
+++ b/internal/daemon/gateway/serverlinks_test.go
@@ -155,7 +155,7 @@
 		}, false},
 		{"a crash, and a response just before", func(k *Keeper) {
 			k.ServersReached(now.Add(-time.Millisecond))
-			k.ReportCrash("i-a1", fleet.InFlight{Request: "request", Lost: now}, endRefused, now)
+			k.ReportCrash("i-a1", "s", fleet.InFlight{Request: "request", Lost: now}, endRefused, now)
 		}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/daemon/gateway/sync_test.go
+++ b/internal/daemon/gateway/sync_test.go
@@ -120,17 +120,17 @@
 func TestRestartedGatewayLearnsItsReports(t *testing.T) {
 	play(t, 2, func(w *testCluster) {
 		for i := range 3 {
-			w.hosts["a1-0"].keeper.ReportCrash(fmt.Sprint("i-", i), fleet.InFlight{Request: "bad", Lost: time.Now()}, endRefused, time.Now())
+			w.hosts["a1-0"].keeper.ReportCrash(fmt.Sprint("i-", i), "s", fleet.InFlight{Request: "bad", Lost: time.Now()}, endRefused, time.Now())
 			w.hosts["a1-0"].keeper.ServersReached(time.Now())
 		}
 		time.Sleep(3 * time.Second)
 		w.kill("a1-0")
 		time.Sleep(time.Second)
 		h := w.add("a1-0", "a1")
-		h.keeper.ReportCrash("i-9", fleet.InFlight{Request: "other", Lost: time.Now()}, endRefused, time.Now())
+		h.keeper.ReportCrash("i-9", "s", fleet.InFlight{Request: "other", Lost: time.Now()}, endRefused, time.Now())
 		h.keeper.ServersReached(time.Now())
 		w.waitFor(3*time.Second, "the request is refused", func() bool {
-			return !h.keeper.verdict(func() string { return "bad" }, func() bool { return false }).Runs()
+			return !h.keeper.verdict(func() string { return "bad" }, "s", func() bool { return false }).Runs()
 		})
 	})
 }
--- a/internal/daemon/gateway/trial.go
+++ b/internal/daemon/gateway/trial.go
@@ -103,10 +103,15 @@
 	return now.Before(t.passedOver[host])
 }
 
+// verdict says how to treat the request at its service.
+func (n *Node) verdict(req *inflightRequest) suspect.Verdict {
+	return n.keeper.verdict(req.fingerprint, req.service, func() bool { return n.completed.Has(req.key()) })
+}
+
 // admitSuspect decides whether a request may run here, if servers crashed under it. If so, end
 // is to be called after the run; otherwise the request has ended.
 func (n *Node) admitSuspect(w http.ResponseWriter, r *http.Request, req *inflightRequest) (admitted bool, end func()) {
-	v := n.keeper.verdict(req.fingerprint, func() bool { return n.completed.Has(req.key()) })
+	v := n.verdict(req)
 	now := time.Now()
 	switch {
 	case v.Runs():
--- a/internal/daemon/gateway/unfinished.go
+++ b/internal/daemon/gateway/unfinished.go
@@ -79,16 +79,16 @@
 	n.reportCrash(s, crashed, proof, now)
 }
 
-// recordRun records that a request has run to completion.
-func (n *Node) recordRun(key uint64, fingerprint func() string, sent time.Time) {
+// recordRun records that a request has run to completion at a service.
+func (n *Node) recordRun(key uint64, fingerprint func() string, service string, sent time.Time) {
 	n.completed.Add(key)
-	n.keeper.ran(fingerprint, sent)
+	n.keeper.ran(fingerprint, service, sent)
 }
 
-// recordRuns is recordRun for requests whose answers turn out to have been whole.
-func (n *Node) recordRuns(completed []fleet.InFlight) {
+// recordRuns is recordRun for requests at a service whose answers turn out to have been whole.
+func (n *Node) recordRuns(completed []fleet.InFlight, service string) {
 	for _, r := range completed {
-		n.recordRun(r.Key, func() string { return r.Request }, r.Sent)
+		n.recordRun(r.Key, func() string { return r.Request }, service, r.Sent)
 	}
 }
 
@@ -107,7 +107,7 @@
 func (n *Node) recordWhole(req *inflightRequest, to sending, unframed bool) {
 	if !unframed {
 		req.completed = true
-		n.recordRun(req.key(), req.fingerprint, to.at)
+		n.recordRun(req.key(), req.fingerprint, req.service, to.at)
 		return
 	}
 	now := time.Now()
