Requests that crash servers: the verdict is asked before each attempt

Callers' servers: the attempt under which the third server crashed went on to crash a fourth, since the verdict was asked once, before the attempts, and the crash shows only after the retry has been sent.

No second attempt is sent beside one that may be the decisive crash (label "suspect").

Evidence: TestNoAttemptFollowsTheDecisiveCrash on: "4 servers crashed, want the 3 that decide".

--- a/internal/core/hedge/hedge.go
+++ b/internal/core/hedge/hedge.go
@@ -39,6 +39,8 @@
 	CauseBudget Cause = "budget"
 	// CauseUnadmitted means that the configuration in force no longer admits the request.
 	CauseUnadmitted Cause = "unadmitted"
+	// CauseSuspect means that servers crashed under the request, and two copies could crash two more.
+	CauseSuspect Cause = "suspect"
 )
 
 const (
--- a/internal/daemon/gateway/crashsplit_test.go
+++ b/internal/daemon/gateway/crashsplit_test.go
@@ -122,6 +122,22 @@
 	}
 }
 
+// Guards against the attempt under which the third server crashes and that goes on to crash a fourth.
+func TestNoAttemptFollowsTheDecisiveCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newSplitWorld(t, 1, "s")
+		defer w.stop()
+		w.servers.crashing = func(uri string) bool { return uri == "/get/bad" }
+		w.others.Go(func() { w.ask("/other/page", 33*time.Millisecond, 30*time.Second) })
+		// The gateway may spend its part of the retry budget.
+		time.Sleep(time.Duration(w.hosts["a1-0"].node.bounds.Load().RetryWindow))
+		w.askEvery("GET", "/get/bad", 4, 3*time.Second, nil)
+		if n := w.crashesBy("/get/bad"); n != suspect.TrialThreshold {
+			t.Errorf("%d servers crashed, want the %d that decide", n, suspect.TrialThreshold)
+		}
+	})
+}
+
 // Guards against a request that only the servers of one part cannot stand and that crashes them without
 // end, since it runs well at another, or that is refused where it runs well.
 func TestRequestThatOnePartCannotStand(t *testing.T) {
--- a/internal/daemon/gateway/hedgepair.go
+++ b/internal/daemon/gateway/hedgepair.go
@@ -196,6 +196,10 @@
 		n.metrics.unhedged.WithLabelValues(string(hedge.CauseUnadmitted)).Inc()
 		return nil
 	}
+	if n.maySuspect(req) {
+		n.metrics.unhedged.WithLabelValues(string(hedge.CauseSuspect)).Inc()
+		return nil
+	}
 	now := time.Now()
 	c, cause := n.decideHedge(n.keeper.View(), req, first.server, now)
 	if cause != hedge.None {
--- a/internal/daemon/gateway/node.go
+++ b/internal/daemon/gateway/node.go
@@ -211,7 +211,7 @@
 		if !n.linksWhole() && n.mayRelay(req) && n.relay(w, r, req) {
 			return
 		}
-		if n.endUnadmitted(w, req) {
+		if n.endUnadmitted(w, req) || n.endSuspect(w, req) {
 			return
 		}
 		// The current view may lack servers that were in the request's view.
@@ -308,6 +308,9 @@
 	case be != nil && be.Sent:
 		req.mayHaveRun = true
 		req.runs++
+		if be.EndedByServer() {
+			req.brokenOff++
+		}
 	}
 	return be
 }
--- a/internal/daemon/gateway/relay.go
+++ b/internal/daemon/gateway/relay.go
@@ -87,7 +87,7 @@
 func (n *Node) relay(w http.ResponseWriter, r *http.Request, req *inflightRequest) bool {
 	tried := map[string]bool{}
 	for len(tried) < maxHelpers && n.timeLeft(req) >= minTimeLeft {
-		if n.endUnadmitted(w, req) {
+		if n.endUnadmitted(w, req) || n.endSuspect(w, req) {
 			return true
 		}
 		passed := n.relays.pausedNow(time.Now())
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -55,6 +55,9 @@
 	withdrawn int
 	// print is the request's fingerprint, once it was asked for.
 	print string
+	// crashes is how many crashes were known to count against the request at its latest attempt, and
+	// brokenOff how many of its attempts servers have broken off since.
+	crashes, brokenOff int
 	// trial is set while the request runs, or is to run elsewhere, as a trial.
 	trial bool
 	// completed is set once a server has run the request to completion.
--- a/internal/daemon/gateway/trial.go
+++ b/internal/daemon/gateway/trial.go
@@ -37,8 +37,10 @@
 	// reasonCrashesServers comes from gateways of builds that make no trials.
 	reasonCrashesServers rejectReason = "crashes servers"
 	reasonRefused        rejectReason = "crashed servers in trials"
-	reasonProbation      rejectReason = "servers crashed under it, no trial due"
-	reasonOnTrial        rejectReason = "servers crashed under it, trial under way"
+	// reasonSuspect ends a request that may have run: another attempt could crash another server.
+	reasonSuspect   rejectReason = "servers crashed under its attempts"
+	reasonProbation rejectReason = "servers crashed under it, no trial due"
+	reasonOnTrial   rejectReason = "servers crashed under it, trial under way"
 )
 
 // trials is the gateway's state of requests under which servers crashed.
@@ -115,7 +117,7 @@
 	now := time.Now()
 	switch {
 	case v.Runs():
-		req.trial = false
+		req.trial, req.crashes = false, v.Crashes
 		return true, func() {}
 	case v.State == suspect.Refused:
 		n.rejectSuspect(w, req, reasonRefused, v.Until.Sub(now))
@@ -129,6 +131,34 @@
 	return n.offerTrial(w, r, req, v, now)
 }
 
+// endSuspect ends a request that may run no more because servers crashed under it since its attempts
+// began. The server that broke off the latest one counts: whether it has crashed shows later.
+func (n *Node) endSuspect(w http.ResponseWriter, req *inflightRequest) bool {
+	if req.trial || len(req.attempts) == 0 {
+		return false
+	}
+	v, now := n.verdict(req), time.Now()
+	crashes := max(v.Crashes, req.crashes+req.brokenOff)
+	switch {
+	case v.Runs() && crashes < suspect.TrialThreshold:
+		req.crashes, req.brokenOff = crashes, 0
+		return false
+	case req.mayHaveRun:
+		n.writeFailure(w, req, string(reasonSuspect))
+	case v.State == suspect.Refused:
+		n.rejectSuspect(w, req, reasonRefused, v.Until.Sub(now))
+	default:
+		n.rejectSuspect(w, req, reasonProbation, v.Until.Sub(now))
+	}
+	return true
+}
+
+// maySuspect reports whether one more crash has the request held back, or it is already.
+func (n *Node) maySuspect(req *inflightRequest) bool {
+	v := n.verdict(req)
+	return !v.Runs() || v.Crashes+1 >= suspect.TrialThreshold
+}
+
 // rejectSuspect ends a request that may not run for some time.
 func (n *Node) rejectSuspect(w http.ResponseWriter, req *inflightRequest, reason rejectReason, wait time.Duration) {
 	req.comeBackAfter = max(0, wait)
