--- a/internal/daemon/gateway/relay_test.go
+++ b/internal/daemon/gateway/relay_test.go
@@ -136,6 +136,9 @@
 		{name: "helper does not reply", path: "/post/", before: func(w *relayWorld) { w.setSilent(true, "a1-1") }, status: 200, arrivals: 1, within: acceptTimeoutSameRegion},
 		{name: "helper cannot be reached", path: "/post/", before: func(w *relayWorld) { w.partition(true, "a1-1") }, status: 200, arrivals: 1},
 		{name: "helper stops", path: "/post/", before: func(w *relayWorld) { w.hosts["a1-1"].node.refusing.Store(true) }, status: 200, arrivals: 1},
+		{name: "helper that ends before the request would", path: "/post/", before: func(w *relayWorld) {
+			w.hosts["a1-1"].node.stopTimes.Store(newStopTimes(time.Now(), 200*time.Millisecond))
+		}, status: 200, arrivals: 1},
 		{name: "helper breaks", path: "/get/", answer: slow, before: breakHelper, status: 200, arrivals: 2},
 		{name: "not idempotent, helper breaks", path: "/post/", answer: slow, before: breakHelper, status: 502, arrivals: 1},
 		{name: "helper without memory", path: "/post/", before: func(w *relayWorld) { w.hosts["a1-1"].node.memory = membudget.New(1) }, status: 200, arrivals: 1},
--- a/internal/daemon/gateway/stopanswers_test.go
+++ b/internal/daemon/gateway/stopanswers_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -87,12 +86,18 @@
 	}
 	f.keeper.Apply(servers, 200, "store", time.Now())
 	f.setRoutes(2, routes)
-	w := &stopWorld{fixture: f, listener: newPipeListener()}
-	w.callers = newCallerServer(f.node, memory.NewClosings("gateway", discardLog()), discardLog())
-	go w.callers.Serve(w.listener)
+	w := &stopWorld{fixture: f}
+	w.listener, w.callers = serveCallers(f.node)
 	return w
 }
 
+// serveCallers serves the callers of a gateway.
+func serveCallers(n *Node) (*pipeListener, *callerconn.Server) {
+	l, callers := newPipeListener(), newCallerServer(n, memory.NewClosings("gateway", discardLog()), discardLog())
+	go callers.Serve(l)
+	return l, callers
+}
+
 func (f *fixture) setRoutes(version uint64, routes []routing.Route) {
 	now := time.Now()
 	f.keeper.Apply([]mirror.Record{{Key: "config", Revision: 300 + version, Read: now, Value: encode(plainConfig{
@@ -121,10 +126,14 @@
 
 // send sends a request on a connection of its own.
 func (w *stopWorld) send(method, path string, body io.Reader, size int) <-chan reply {
-	c := w.listener.dial()
-	out := make(chan reply, 1)
 	w.sent++
-	id := fmt.Sprint(w.sent)
+	return w.listener.send(fmt.Sprint(w.sent), method, path, body, size)
+}
+
+// send sends a request on a connection of its own.
+func (l *pipeListener) send(id, method, path string, body io.Reader, size int) <-chan reply {
+	c := l.dial()
+	out := make(chan reply, 1)
 	go func() {
 		fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nLeft: 60s\r\nContent-Length: %d\r\n\r\n", method, path, id, size)
 		io.Copy(c, body)
@@ -332,41 +341,45 @@
 	}
 }
 
-// Guards against gateways that stop and leave the ones whose requests they relay without a word.
-func TestStoppingHelperAnswersWhatItRelays(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newRelayWorld(t, "a1-1")
-		defer w.stopAll()
-		routes := testRoutes()
-		for i := range routes {
-			routes[i].Timeout = 0
-		}
-		w.setRoutes(2, routes)
-		time.Sleep(time.Second)
-		w.answer = func(context.Context, int, string) (*port.ForwardAnswer, error) {
-			time.Sleep(20 * time.Second)
-			return okAnswer(), nil
-		}
-		helper := w.hosts["a1-1"].node
-		replied := make(chan int, 1)
-		go func() {
-			r := httptest.NewRequest(http.MethodPost, "/post/", nil)
-			r.Host = "h"
-			r.Header.Set("Id", "1")
-			r.Header.Set("Left", "1m")
-			answer := httptest.NewRecorder()
-			w.hosts["a1-0"].node.ServeHTTP(answer, r)
-			replied <- answer.Code
-		}()
-		time.Sleep(time.Second)
-		began := time.Now()
-		helper.stop(t.Context(), &callerconn.Server{Handler: helper})
-		if status := <-replied; status != http.StatusGatewayTimeout || helper.relayed.Load() > 0 {
-			t.Errorf("status %d after %v, %d relayed requests left without an answer", status, time.Since(began), helper.relayed.Load())
-		}
-		if at := time.Since(began); at < 5*time.Second || at > 6*time.Second {
-			t.Errorf("ended %v after the signal", at)
-		}
-		time.Sleep(20 * time.Second)
-	})
+// Guards against gateways that stop and leave the ones whose requests they relay, or the callers of
+// requests that others relay for them, without a word.
+func TestStopAnswersWhatIsRelayed(t *testing.T) {
+	for name, stopping := range map[string]string{"the helper stops": "a1-1", "the origin stops": "a1-0"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newRelayWorld(t, "a1-1")
+				defer w.stopAll()
+				routes := testRoutes()
+				for i := range routes {
+					routes[i].Timeout = 0
+				}
+				w.setRoutes(2, routes)
+				time.Sleep(time.Second)
+				w.answer = func(context.Context, int, string) (*port.ForwardAnswer, error) {
+					time.Sleep(20 * time.Second)
+					return okAnswer(), nil
+				}
+				listener, callers := serveCallers(w.hosts["a1-0"].node)
+				defer callers.Close()
+				replied := listener.send("1", http.MethodPost, "/post/", strings.NewReader(""), 0)
+				time.Sleep(time.Second)
+				began, node := time.Now(), w.hosts[stopping].node
+				if stopping == "a1-1" {
+					callers = &callerconn.Server{Handler: node}
+				}
+				ended := make(chan error, 1)
+				go func() { ended <- node.stop(t.Context(), callers) }()
+				r := <-replied
+				if at := r.at.Sub(began); r.err != nil || r.status != http.StatusGatewayTimeout || at < 5*time.Second || at > 6*time.Second {
+					t.Errorf("status %d, %v, %v after the signal", r.status, r.err, at)
+				}
+				<-ended
+				time.Sleep(time.Second)
+				if n := node.relayed.Load(); n > 0 {
+					t.Errorf("%d relayed requests left without an answer", n)
+				}
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
 }
