--- a/internal/daemon/gateway/crashsplit_test.go
+++ b/internal/daemon/gateway/crashsplit_test.go
@@ -51,9 +51,6 @@
 	time.Sleep(2 * time.Second)
 }
 
-// serviceOf returns the service of the server at an address.
-func (w *crashWorld) serviceOf(address string) string { return w.records[address].Service }
-
 // crashesBy counts the servers that a request has crashed.
 func (w *crashWorld) crashesBy(uri string) int {
 	n, _ := w.servers.countRuns(uri)
