--- a/internal/core/fleet/reports.go
+++ b/internal/core/fleet/reports.go
@@ -29,8 +29,8 @@
 	// gateway knows, and Trial if it ran as a trial.
 	Proven, Trial bool
 	// Cleared is set when the request completed at the service, which clears it of earlier
-	// crashes there, and of all earlier ones for that service. Without a request, the server has answered a check that was
-	// reported as unanswered.
+	// crashes there, and of all earlier ones for that service. Without a request, the server has
+	// answered a check that was reported as unanswered.
 	Cleared bool
 	// Unanswered is set when the server has not answered a check of the
 	// reporting gateway, which goes on checking it.
--- a/internal/daemon/gateway/hedge_test.go
+++ b/internal/daemon/gateway/hedge_test.go
@@ -24,6 +24,7 @@
 	"cassiatray/internal/core/hedge"
 	"cassiatray/internal/core/mirror"
 	"cassiatray/internal/core/placement"
+	"cassiatray/internal/core/suspect"
 	"cassiatray/internal/port"
 )
 
@@ -356,9 +357,19 @@
 	}
 }
 
+// crashUnder has a number of servers crash under a request for object "o".
+func (f *fixture) crashUnder(path string, servers int) {
+	id := suspect.Identity{Authority: "h", Method: http.MethodPost, Path: path, Caller: "o"}
+	print, now := id.Fingerprint(), time.Now()
+	f.keeper.ServersReached(now.Add(time.Second))
+	for i := range servers {
+		f.keeper.ReportCrash(fmt.Sprint("gone-", i), "s", fleet.InFlight{Request: string(print[:]), Sent: now, Lost: now}, endRefused, now)
+	}
+}
+
 // Guards against hedges where none may be sent: a request that may run only once, one whose body is
-// not held, a route with one attempt, servers that report no pace, and a second server that has no
-// room or is not warm. Without a pace nothing of a hedge may be prepared either.
+// not held, a route with one attempt, servers that report no pace, a second server that has no
+// room or is not warm, and a request that the next crash holds back. Without a pace nothing of a hedge may be prepared either.
 func TestRequestsThatAreNotHedged(t *testing.T) {
 	for name, c := range map[string]struct {
 		pace   float64
@@ -376,6 +387,7 @@
 		"second not warm":   {1, "/get/", 0, func(f *fixture) { f.forget() }, "", 200},
 		"no retries left":   {1, "/get/", 0, func(f *fixture) { f.setRetries(0, 0) }, hedge.CauseBudget, 200},
 		"second out of way": {1, "/get/", 0, func(f *fixture) { f.fill() }, hedge.CauseServerBusy, 200},
+		"one crash decides": {1, "/get/", 0, func(f *fixture) { f.crashUnder("/get/", suspect.TrialThreshold-1) }, hedge.CauseSuspect, 200},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
